--- /dev/null
+++ b/src/magnoliasill/call.py
@@ -0,0 +1,96 @@
+"""A call as the caller port reads it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from .codes import ErrorCode
+from .errors import CallError
+
+if TYPE_CHECKING:
+    from .routing import RouteTarget
+
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "date",
+        "server",
+    }
+)
+
+
+@attrs.frozen
+class Call:
+    """One call of a caller.
+
+    Attributes:
+        method: The HTTP method.
+        path: The path without its query.
+        target: Path and query.
+        headers: The headers that are passed on.
+        body: The body, or None.
+        key: The idempotency key, or an empty string.
+        deadline: Seconds on the monotonic clock by which the caller needs the answer.
+    """
+
+    method: str
+    path: str
+    target: str
+    headers: dict[str, str]
+    body: bytes | None
+    key: str
+    deadline: float
+
+
+def read_call(environ: dict[str, Any], target: RouteTarget, now: float) -> Call:
+    """Read a call whole.
+
+    Args:
+        environ: The WSGI environment.
+        target: The route that the call belongs to.
+        now: Seconds on the monotonic clock.
+
+    Returns:
+        The call.
+
+    Raises:
+        CallError: If its body is too long, or a key is needed and missing.
+    """
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > target.service.limits.max_body_bytes:
+        raise CallError(ErrorCode.BODY_TOO_LARGE, f"{length} bytes")
+    key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+    if not target.route.idempotent and not key:
+        raise CallError(ErrorCode.KEY_MISSING, "this route needs an Idempotency-Key header")
+    path = environ["PATH_INFO"]
+    query = environ.get("QUERY_STRING", "")
+    return Call(
+        method=environ["REQUEST_METHOD"],
+        path=path,
+        target=f"{path}?{query}" if query else path,
+        headers=_read_headers(environ),
+        body=environ["wsgi.input"].read(length) if length else None,
+        key=key,
+        deadline=now + target.route.deadline_ms / 1000,
+    )
+
+
+def _read_headers(environ: dict[str, Any]) -> dict[str, str]:
+    headers = {
+        name[5:].replace("_", "-").title(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["Content-Type"] = environ["CONTENT_TYPE"]
+    return {name: value for name, value in headers.items() if name.lower() not in HOP_HEADERS}
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -113,7 +113,7 @@
     incarnation = int(time.time() * 1000)
     own = MemberRecord(settings.name, settings.data_centre, peer_address, incarnation)
     node = Node(own, random.Random(), seeds=settings.seeds)
-    proxy = Proxy(node, store, build_metrics())
+    proxy = Proxy(node, store, build_metrics(), clock_offset)
     peers = open_peers(peer_address)
     return Daemon(settings, node, proxy, store, peers, logger, clock_offset)
 
--- a/src/magnoliasill/metrics.py
+++ b/src/magnoliasill/metrics.py
@@ -52,6 +52,12 @@
         name: Counter(f"magnoliasill_{name}", meaning, registry=registry)
         for name, meaning in _COUNTERS.items()
     }
+    counters["attempts"] = Counter(
+        "magnoliasill_attempts",
+        "Attempts to run a call on a backend server, by their end",
+        ["kind"],
+        registry=registry,
+    )
     version = Gauge(
         "magnoliasill_configuration_version", "Configuration in force", registry=registry
     )
