--- /dev/null
+++ b/src/magnoliasill/rollout.py
@@ -0,0 +1,318 @@
+"""The policy of a takeover: when its share is raised, lowered, completed or taken back.
+
+Every function is pure: the plan, the progress, the evidence and the time go in, a decision comes
+out. Lowering and taking back need no permission; raising and completing are the controller's.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import attrs
+
+from .evidence import LEVEL_ALARM, compute_score_limit
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from .evidence import Finding, RouteEvidence
+    from .service_file import ServiceFile
+
+LOWERED_SHARE = 0.1  # while a suspicion is settled
+MAX_BOOST = 0.5  # share of a route with few calls
+STAGES = (  # share in the trial data centre, share in the others
+    (0.015, 0.015),
+    (0.03, 0.03),
+    (0.06, 0.03),
+    (0.30, 0.03),
+    (0.90, 0.03),
+    (0.90, 0.30),
+    (0.90, 0.90),
+)
+DWELL_FRACTIONS = (0.06, 0.10, 0.10, 0.05, 0.07, 0.06)  # of the time from start to finish
+LAST_STAGE = len(STAGES) - 1
+GATE_STAGE = 2  # the last one before a data centre gets much
+GATE_FRACTION = 0.2
+BAKE_FRACTION = 0.3
+MIN_BAKE_FRACTION = 0.1
+MARGIN_FRACTION = 0.05
+MAX_DWELL_S = 60.0
+MIN_DWELL_S = 1.0
+MAX_BAKE_S = 600.0
+LAG_S = 2.0  # until a lowered share is in force everywhere
+SETTLE_S = 6.0  # without a finding before a lowered share is raised again
+STAGE_CALLS = 40
+ROUTE_CALLS = 60
+TOTAL_CALLS = 10
+SUSPICION_SCORE = 20.0
+SUSPICION_LEVEL = LEVEL_ALARM / 2
+MAX_ALARMS = 2
+ID_BYTES = 6
+
+
+class Phase(Enum):
+    """Where a takeover stands."""
+
+    RUNNING = "running"
+    COMPLETED = "completed"
+    REVERSED = "reversed"
+
+
+class Verdict(Enum):
+    """What is to be done with a takeover."""
+
+    HOLD = "hold"
+    RAISE = "raise"
+    LOWER = "lower"
+    COMPLETE = "complete"
+    REVERSE = "reverse"
+
+
+@attrs.frozen
+class Plan:
+    """What the operators asked for.
+
+    Attributes:
+        takeover_id: The same at every daemon, and another for every other takeover.
+        service: The service's name.
+        from_release: The release that serves now.
+        to_release: The release that is to serve.
+        start_at: Seconds since the epoch.
+        finish_by: Seconds since the epoch.
+        routes: The service's routes.
+    """
+
+    takeover_id: str
+    service: str
+    from_release: str
+    to_release: str
+    start_at: float
+    finish_by: float
+    routes: tuple[str, ...]
+
+
+@attrs.frozen
+class Progress:
+    """How far a takeover has come.
+
+    Attributes:
+        takeover_id: The takeover.
+        phase: Where it stands.
+        number: Counts raises; each is written to the platform's store first.
+        lowered: The greatest number whose raise was withdrawn by a daemon that saw a fault.
+        stage: The index in `STAGES`, -1 before the first raise.
+        changed_at: When the number last changed, in seconds since the epoch.
+        trial: The data centre that gets its full share first.
+        boosts: Greater shares of routes with few calls.
+        alarms: How often the share was lowered.
+        reason: Why it was completed, lowered or taken back.
+    """
+
+    takeover_id: str
+    phase: Phase = Phase.RUNNING
+    number: int = 0
+    lowered: int = 0
+    stage: int = -1
+    changed_at: float = 0.0
+    trial: str = ""
+    boosts: dict[str, float] = attrs.field(factory=dict)
+    alarms: int = 0
+    reason: str = ""
+
+
+@attrs.frozen
+class Decision:
+    """What to do, and why."""
+
+    verdict: Verdict
+    reason: str = ""
+
+
+HOLD = Decision(Verdict.HOLD)
+
+
+def build_plan(file: ServiceFile) -> Plan | None:
+    """Return the plan of a service's takeover, or None where it has none."""
+    takeover = file.takeover
+    if takeover is None:
+        return None
+    start_at, finish_by = takeover.start_at.timestamp(), takeover.finish_by.timestamp()
+    parts = (file.service, takeover.from_release, takeover.to_release, start_at, finish_by)
+    digest = hashlib.blake2b(repr(parts).encode(), digest_size=ID_BYTES).hexdigest()
+    routes = tuple(route.name for route in file.routes)
+    return Plan(digest, *parts, routes)
+
+
+def compute_share(progress: Progress, data_centre: str, route: str) -> float:
+    """Return the share of a route's calls that go to the new release.
+
+    Args:
+        progress: How far the takeover has come.
+        data_centre: The data centre of the caller's daemon.
+        route: The route.
+    """
+    if progress.phase is not Phase.RUNNING:
+        return 1.0 if progress.phase is Phase.COMPLETED else 0.0
+    if progress.stage < 0:
+        return 0.0
+    trial, others = STAGES[progress.stage]
+    share = trial if data_centre == progress.trial else others
+    share = max(share, progress.boosts.get(route, 0.0))
+    return min(share, LOWERED_SHARE) if is_lowered(progress) else share
+
+
+def is_lowered(progress: Progress) -> bool:
+    """Return whether the last raise was withdrawn."""
+    return progress.lowered >= progress.number > 0
+
+
+def is_adjusting(progress: Progress, now: float) -> bool:
+    """Return whether a lowered share may not yet be in force everywhere."""
+    return is_lowered(progress) and now < progress.changed_at + LAG_S
+
+
+def judge(plan: Plan, progress: Progress, now: float, finding: Finding) -> Decision:
+    """Decide what any daemon may do by itself: lower the share, or take the release back.
+
+    Args:
+        plan: What was asked for.
+        progress: How far it has come.
+        now: Seconds since the epoch.
+        finding: What the tests say, over a data centre or over all of them.
+    """
+    if progress.phase is not Phase.RUNNING:
+        return HOLD
+    where = f"{finding.measure} on route {finding.route}"
+    if finding.score >= compute_score_limit(len(plan.routes)):
+        return Decision(Verdict.REVERSE, f"{where}: worse than {plan.from_release}")
+    if finding.level < LEVEL_ALARM or is_adjusting(progress, now):
+        return HOLD
+    if progress.alarms >= MAX_ALARMS - 1:
+        return Decision(Verdict.REVERSE, f"{where}: seen again after the share was lowered")
+    return Decision(Verdict.LOWER, f"{where}: worse than before")
+
+
+def decide(
+    plan: Plan,
+    progress: Progress,
+    now: float,
+    finding: Finding,
+    routes: Mapping[str, RouteEvidence],
+    stage_calls: int,
+) -> Decision:
+    """Decide as the takeover's controller.
+
+    Args:
+        plan: What was asked for.
+        progress: How far it has come.
+        now: Seconds since the epoch.
+        finding: What the tests say over all data centres.
+        routes: The evidence of each route.
+        stage_calls: Calls to the new release since the share was last changed.
+    """
+    local = judge(plan, progress, now, finding)
+    if local.verdict is not Verdict.HOLD or progress.phase is not Phase.RUNNING:
+        return local
+    if now < plan.start_at:
+        return HOLD
+    if now >= plan.finish_by:
+        return _close(plan, progress, now, finding, routes)
+    if progress.stage < 0:
+        return Decision(Verdict.RAISE, "started")
+    if _is_suspicious(finding):
+        return HOLD
+    if is_lowered(progress):
+        settled = now >= progress.changed_at + SETTLE_S
+        return Decision(Verdict.RAISE, "suspicion settled") if settled else HOLD
+    if progress.stage == LAST_STAGE:
+        baked = now >= progress.changed_at + compute_bake(plan, progress.changed_at)
+        return _close(plan, progress, now, finding, routes) if baked else HOLD
+    dwell = compute_dwell(plan, progress)
+    if now < progress.changed_at + dwell:
+        return HOLD
+    waits = stage_calls < STAGE_CALLS or _has_closed_gate(plan, progress, routes)
+    if waits and now < _compute_latest_raise(plan, progress.stage):
+        return HOLD
+    return Decision(Verdict.RAISE, f"{stage_calls} calls without a finding")
+
+
+def compute_boosts(plan: Plan, now: float, routes: Mapping[str, RouteEvidence]) -> dict[str, float]:
+    """Return the shares that give each route enough calls while the whole share is small.
+
+    Args:
+        plan: What was asked for.
+        now: Seconds since the epoch.
+        routes: The evidence of each route.
+    """
+    elapsed = max(1.0, now - plan.start_at)
+    seconds = (plan.finish_by - plan.start_at) * GATE_FRACTION
+    boosts = {}
+    for name in plan.routes:
+        calls = routes[name].calls if name in routes else 0
+        expected = calls / elapsed * seconds
+        boosts[name] = min(MAX_BOOST, ROUTE_CALLS / max(1.0, expected))
+    return boosts
+
+
+def list_untested_routes(plan: Plan, routes: Mapping[str, RouteEvidence]) -> list[str]:
+    """Return the routes with too few calls to the new release to tell it from the old one."""
+    counts = {name: routes[name].new_calls if name in routes else 0 for name in plan.routes}
+    return [
+        f"{name} ({count} of {ROUTE_CALLS} calls)"
+        for name, count in counts.items()
+        if count < ROUTE_CALLS
+    ]
+
+
+def compute_dwell(plan: Plan, progress: Progress) -> float:
+    """Return the seconds at the present stage, fewer when time is short."""
+    window = plan.finish_by - plan.start_at
+    planned = min(MAX_DWELL_S, DWELL_FRACTIONS[progress.stage] * window)
+    ramp_end = plan.finish_by - window * (MARGIN_FRACTION + BAKE_FRACTION)
+    left = (ramp_end - progress.changed_at) / (LAST_STAGE - progress.stage)
+    return max(MIN_DWELL_S, min(planned, left))
+
+
+def compute_bake(plan: Plan, since: float) -> float:
+    """Return the seconds at full share during which the old release stays ready."""
+    window = plan.finish_by - plan.start_at
+    planned = min(MAX_BAKE_S, BAKE_FRACTION * window)
+    left = plan.finish_by - window * MARGIN_FRACTION - since
+    return max(MIN_BAKE_FRACTION * window, min(planned, left))
+
+
+def _compute_latest_raise(plan: Plan, stage: int) -> float:
+    window = plan.finish_by - plan.start_at
+    ramp_end = plan.finish_by - window * (MARGIN_FRACTION + BAKE_FRACTION)
+    return ramp_end - (LAST_STAGE - stage) * MIN_DWELL_S
+
+
+def _has_closed_gate(plan: Plan, progress: Progress, routes: Mapping[str, RouteEvidence]) -> bool:
+    return progress.stage == GATE_STAGE and bool(list_untested_routes(plan, routes))
+
+
+def _is_suspicious(finding: Finding) -> bool:
+    return finding.score >= SUSPICION_SCORE or finding.level >= SUSPICION_LEVEL
+
+
+def _close(
+    plan: Plan,
+    progress: Progress,
+    now: float,
+    finding: Finding,
+    routes: Mapping[str, RouteEvidence],
+) -> Decision:
+    calls = sum(evidence.new_calls for evidence in routes.values())
+    window = plan.finish_by - plan.start_at
+    baked = now - progress.changed_at >= MIN_BAKE_FRACTION * window
+    if is_lowered(progress) or _is_suspicious(finding):
+        return Decision(Verdict.REVERSE, f"a suspicion on route {finding.route} was not settled")
+    if calls < TOTAL_CALLS:
+        return Decision(Verdict.REVERSE, f"{calls} of {TOTAL_CALLS} calls at the deadline")
+    if progress.stage < LAST_STAGE or not baked:
+        return Decision(Verdict.REVERSE, "the deadline came before the full share was proven")
+    untested = list_untested_routes(plan, routes)
+    text = f"too few calls to judge: {', '.join(untested)}" if untested else "proven on all routes"
+    return Decision(Verdict.COMPLETE, text)
