Settle suspicions by a comparison, and pool the reference of a data centre

A data centre's old release is pooled over its routes, so that a slow data centre blames nobody on a route with few calls; an alarm is final only with the comparison's agreement or when it is seen again.

--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -26,7 +26,6 @@
 from bench.rollout_result import Meter, Result
 from magnoliasill.evidence import Tester, reset_levels, update_tester
 from magnoliasill.rollout import (
-    LAST_STAGE,
     STAGES,
     Decision,
     Phase,
@@ -124,16 +123,15 @@
     if case.kind == "bad_platform_down" and troubled:
         return
     if decision.verdict is Verdict.RAISE:
-        stage = run.record.stage if is_lowered(run.record) else run.record.stage + 1
         _publish(
             run,
             window,
             attrs.evolve(
                 run.record,
                 number=run.record.number + 1,
-                stage=min(stage, LAST_STAGE),
+                stage=decision.stage,
                 changed_at=now,
-                boosts=compute_boosts(run.plan, now, run.whole.routes) if stage > 0 else {},
+                boosts=compute_boosts(run.plan, now, run.whole.routes),
             ),
         )
         run.stage_calls = 0
@@ -161,6 +159,7 @@
         progress = attrs.evolve(
             record, lowered=record.number, alarms=record.alarms + 1, changed_at=now
         )
+        run.stage_calls = 0
         reset_levels(run.whole)
         for tester in run.local.values():
             reset_levels(tester)
--- a/src/magnoliasill/evidence.py
+++ b/src/magnoliasill/evidence.py
@@ -30,6 +30,7 @@
 MEASURES = (FAILURES, SLOWNESS)
 ERROR_RATE = 0.001  # chance that a good release is ever taken back by a comparison
 TESTERS = 8  # one for each data centre and one for all of them
+ALL_ROUTES = ""
 LEVEL_ALARM = math.log(10_000)
 RATE_FLOORS = {FAILURES: 0.002, SLOWNESS: 0.02}
 
@@ -59,6 +60,25 @@
     new: Counts
 
 
+@attrs.frozen
+class Finding:
+    """What the tests say at present.
+
+    Attributes:
+        score: The greatest evidence of a comparison over the whole takeover.
+        level: The greatest sum against the old release's past.
+        agreement: The sum of the comparison on the route and measure of that level.
+        route: The route that it was found on.
+        measure: The measure that it was found with.
+    """
+
+    score: float = 1.0
+    level: float = 0.0
+    agreement: float = 0.0
+    route: str = ""
+    measure: str = ""
+
+
 @attrs.define
 class RouteEvidence:
     """What is known of one route.
@@ -68,18 +88,14 @@
         new_calls: Calls to the new release.
         new_failures: Failures among them.
         old_failures: Failures of the old release.
-        score: The greatest present evidence against the new release.
-        level: The greatest present sum against the old release's past.
-        measure: The measure of the greater one.
+        finding: What the tests of the worse measure say.
     """
 
     calls: int = 0
     new_calls: int = 0
     new_failures: int = 0
     old_failures: int = 0
-    score: float = 1.0
-    level: float = 0.0
-    measure: str = FAILURES
+    finding: Finding = attrs.field(factory=lambda: Finding())
 
 
 @attrs.define
@@ -101,23 +117,6 @@
     levels: dict[tuple[str, str], LevelTest] = attrs.field(factory=dict)
 
 
-@attrs.frozen
-class Finding:
-    """What the tests say at present.
-
-    Attributes:
-        score: The greatest evidence of a comparison.
-        level: The greatest sum against the past.
-        route: The route that it was found on.
-        measure: The measure that it was found with.
-    """
-
-    score: float = 1.0
-    level: float = 0.0
-    route: str = ""
-    measure: str = ""
-
-
 def compute_score_limit(routes: int) -> float:
     """Return the evidence that takes a release back, shared among all tests of a takeover."""
     return routes * len(MEASURES) * TESTERS / ERROR_RATE
@@ -136,6 +135,9 @@
     grouped: dict[str, list[Cell]] = {}
     for cell in cells:
         grouped.setdefault(cell.route, []).append(cell)
+        for measure in MEASURES:
+            pooled = _get_reference(tester, cell.data_centre, ALL_ROUTES, measure)
+            update_reference(pooled, _take_sample(cell.old, measure))
     for route, group in grouped.items():
         _update_route(tester, route, group)
     return find_worst(tester)
@@ -143,19 +145,14 @@
 
 def find_worst(tester: Tester) -> Finding:
     """Return the strongest finding of all routes."""
-    if not tester.routes:
-        return Finding()
-    by_score = max(tester.routes.items(), key=lambda item: item[1].score)
-    by_level = max(tester.routes.items(), key=lambda item: item[1].level)
-    route, worst = by_level if by_level[1].level >= LEVEL_ALARM else by_score
-    return Finding(by_score[1].score, by_level[1].level, route, worst.measure)
+    return _combine([evidence.finding for evidence in tester.routes.values()])
 
 
 def reset_levels(tester: Tester) -> None:
     """Start the tests against the past anew, after the share was lowered."""
     tester.levels.clear()
     for evidence in tester.routes.values():
-        evidence.level = 0.0
+        evidence.finding = attrs.evolve(evidence.finding, level=0.0, agreement=0.0)
 
 
 def _update_route(tester: Tester, route: str, group: list[Cell]) -> None:
@@ -165,18 +162,23 @@
         evidence.new_calls += cell.new.calls
         evidence.new_failures += cell.new.failures
         evidence.old_failures += cell.old.failures
-    evidence.score, evidence.level = 0.0, 0.0
-    for measure in MEASURES:
-        score, level = _update_measure(tester, route, measure, group)
-        if score > evidence.score or level > max(evidence.level, LEVEL_ALARM):
-            evidence.measure = measure
-        evidence.score = max(evidence.score, score)
-        evidence.level = max(evidence.level, level)
-
-
-def _update_measure(
-    tester: Tester, route: str, measure: str, group: list[Cell]
-) -> tuple[float, float]:
+    evidence.finding = _combine(
+        [_update_measure(tester, route, measure, group) for measure in MEASURES]
+    )
+
+
+def _combine(findings: list[Finding]) -> Finding:
+    if not findings:
+        return Finding()
+    by_score = max(findings, key=lambda finding: finding.score)
+    by_level = max(findings, key=lambda finding: finding.level)
+    worst = by_level if by_level.level >= LEVEL_ALARM else by_score
+    return attrs.evolve(
+        worst, score=by_score.score, level=by_level.level, agreement=by_level.agreement
+    )
+
+
+def _update_measure(tester: Tester, route: str, measure: str, group: list[Cell]) -> Finding:
     comparison = tester.comparisons.get((route, measure))
     if comparison is None:
         comparison = tester.comparisons[(route, measure)] = build_comparison(tester.windows)
@@ -185,13 +187,22 @@
     levels: list[list[float]] = []
     for cell in group:
         old, new = _take_sample(cell.old, measure), _take_sample(cell.new, measure)
-        key = (cell.data_centre, route, measure)
-        reference = tester.references.setdefault(key, Reference(floor=RATE_FLOORS[measure]))
+        reference = _get_reference(tester, cell.data_centre, route, measure)
+        pooled = _get_reference(tester, cell.data_centre, ALL_ROUTES, measure)
         compared.append(compare(estimate_rate(reference), old, new))
         update_reference(reference, old)
-        levels.append(compare_level(estimate_reference(reference), new))
+        levels.append(compare_level(estimate_reference(reference, pooled), new))
     score = update_comparison(comparison, [sum(logs) for logs in zip(*compared, strict=True)])
-    return score, update_level(level, [sum(logs) for logs in zip(*levels, strict=True)])
+    total = update_level(level, [sum(logs) for logs in zip(*levels, strict=True)])
+    return Finding(score, total, max(comparison.sums), route, measure)
+
+
+def _get_reference(tester: Tester, data_centre: str, route: str, measure: str) -> Reference:
+    key = (data_centre, route, measure)
+    reference = tester.references.get(key)
+    if reference is None:
+        reference = tester.references[key] = Reference(floor=RATE_FLOORS[measure])
+    return reference
 
 
 def _take_sample(counts: Counts, measure: str) -> Sample:
--- a/src/magnoliasill/rollout.py
+++ b/src/magnoliasill/rollout.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,8 @@
 
 LOWERED_SHARE = 0.1  # while a suspicion is settled
 MAX_BOOST = 0.5  # share of a route with few calls
+BOOST_BUDGET = 0.02  # of the service's calls, for all greater shares together
+BOOST_CALLS_PER_SECOND = 0.3  # allowed in any case
 STAGES = (  # share in the trial data centre, share in the others
     (0.015, 0.015),
     (0.03, 0.03),
@@ -31,7 +34,8 @@
     (0.90, 0.30),
     (0.90, 0.90),
 )
-DWELL_FRACTIONS = (0.06, 0.10, 0.10, 0.05, 0.07, 0.06)  # of the time from start to finish
+OBSERVE_FRACTION = 0.03  # of the time from start to finish, before the first call is moved
+DWELL_FRACTIONS = (0.04, 0.10, 0.10, 0.05, 0.06, 0.05)
 LAST_STAGE = len(STAGES) - 1
 GATE_STAGE = 2  # the last one before a data centre gets much
 GATE_FRACTION = 0.2
@@ -41,13 +45,16 @@
 MAX_DWELL_S = 60.0
 MIN_DWELL_S = 1.0
 MAX_BAKE_S = 600.0
+RESUME_STAGE = GATE_STAGE + 1
 LAG_S = 2.0  # until a lowered share is in force everywhere
-SETTLE_S = 6.0  # without a finding before a lowered share is raised again
-STAGE_CALLS = 40
+SETTLE_S = 4.0  # without a finding before a lowered share is raised again
+SETTLE_CALLS = 100
+STAGE_CALLS = 20
 ROUTE_CALLS = 60
 TOTAL_CALLS = 10
 SUSPICION_SCORE = 20.0
 SUSPICION_LEVEL = LEVEL_ALARM / 2
+AGREEMENT = math.log(100)  # of the comparison, which makes an alarm final
 MAX_ALARMS = 2
 ID_BYTES = 6
 
@@ -124,10 +131,17 @@
 
 @attrs.frozen
 class Decision:
-    """What to do, and why."""
+    """What to do, and why.
+
+    Attributes:
+        verdict: What to do.
+        reason: Why.
+        stage: Of a raise, the new stage.
+    """
 
     verdict: Verdict
     reason: str = ""
+    stage: int = 0
 
 
 HOLD = Decision(Verdict.HOLD)
@@ -189,6 +203,8 @@
         return Decision(Verdict.REVERSE, f"{where}: worse than {plan.from_release}")
     if finding.level < LEVEL_ALARM or is_adjusting(progress, now):
         return HOLD
+    if finding.agreement >= AGREEMENT:
+        return Decision(Verdict.REVERSE, f"{where}: worse than before and than the old release")
     if progress.alarms >= MAX_ALARMS - 1:
         return Decision(Verdict.REVERSE, f"{where}: seen again after the share was lowered")
     return Decision(Verdict.LOWER, f"{where}: worse than before")
@@ -215,27 +231,29 @@
     local = judge(plan, progress, now, finding)
     if local.verdict is not Verdict.HOLD or progress.phase is not Phase.RUNNING:
         return local
-    if now < plan.start_at:
+    window = plan.finish_by - plan.start_at
+    if now < plan.start_at + OBSERVE_FRACTION * window:
         return HOLD
     if now >= plan.finish_by:
         return _close(plan, progress, now, finding, routes)
     if progress.stage < 0:
-        return Decision(Verdict.RAISE, "started")
+        return Decision(Verdict.RAISE, "started", 0)
     if _is_suspicious(finding):
         return HOLD
     if is_lowered(progress):
-        settled = now >= progress.changed_at + SETTLE_S
-        return Decision(Verdict.RAISE, "suspicion settled") if settled else HOLD
+        return _resume(plan, progress, now, stage_calls)
     if progress.stage == LAST_STAGE:
         baked = now >= progress.changed_at + compute_bake(plan, progress.changed_at)
         return _close(plan, progress, now, finding, routes) if baked else HOLD
     dwell = compute_dwell(plan, progress)
     if now < progress.changed_at + dwell:
         return HOLD
-    waits = stage_calls < STAGE_CALLS or _has_closed_gate(plan, progress, routes)
+    too_few = progress.stage > 0 and stage_calls < STAGE_CALLS
+    waits = too_few or _has_closed_gate(plan, progress, routes)
     if waits and now < _compute_latest_raise(plan, progress.stage):
         return HOLD
-    return Decision(Verdict.RAISE, f"{stage_calls} calls without a finding")
+    reason = f"{stage_calls} calls without a finding"
+    return Decision(Verdict.RAISE, reason, progress.stage + 1)
 
 
 def compute_boosts(plan: Plan, now: float, routes: Mapping[str, RouteEvidence]) -> dict[str, float]:
@@ -248,12 +266,14 @@
     """
     elapsed = max(1.0, now - plan.start_at)
     seconds = (plan.finish_by - plan.start_at) * GATE_FRACTION
-    boosts = {}
-    for name in plan.routes:
-        calls = routes[name].calls if name in routes else 0
-        expected = calls / elapsed * seconds
-        boosts[name] = min(MAX_BOOST, ROUTE_CALLS / max(1.0, expected))
-    return boosts
+    rates = {name: routes[name].calls / elapsed if name in routes else 0.0 for name in plan.routes}
+    boosts = {
+        name: min(MAX_BOOST, ROUTE_CALLS / max(1.0, rate * seconds)) for name, rate in rates.items()
+    }
+    wanted = sum(rates[name] * boost for name, boost in boosts.items())
+    budget = max(BOOST_BUDGET * sum(rates.values()), BOOST_CALLS_PER_SECOND)
+    scale = min(1.0, budget / wanted) if wanted else 1.0
+    return {name: boost * scale for name, boost in boosts.items()}
 
 
 def list_untested_routes(plan: Plan, routes: Mapping[str, RouteEvidence]) -> list[str]:
@@ -289,6 +309,14 @@
     return ramp_end - (LAST_STAGE - stage) * MIN_DWELL_S
 
 
+def _resume(plan: Plan, progress: Progress, now: float, stage_calls: int) -> Decision:
+    stage = min(progress.stage, RESUME_STAGE)
+    waits = stage_calls < SETTLE_CALLS and now < _compute_latest_raise(plan, stage)
+    if waits or now < progress.changed_at + SETTLE_S:
+        return HOLD
+    return Decision(Verdict.RAISE, "suspicion settled", stage)
+
+
 def _has_closed_gate(plan: Plan, progress: Progress, routes: Mapping[str, RouteEvidence]) -> bool:
     return progress.stage == GATE_STAGE and bool(list_untested_routes(plan, routes))
 
--- a/src/magnoliasill/sequential.py
+++ b/src/magnoliasill/sequential.py
@@ -20,8 +20,10 @@
 LEVEL_FLOOR_FACTOR = 2.0
 PRIOR_CALLS = 100.0
 RECENT_DECAY = 0.15  # of the memory, at most, in each window
-RECENT_CALLS = 40.0  # that the memory holds at least
+RECENT_CALLS = 150.0  # that the memory holds at least
 RECENT_PRIOR_CALLS = 4.0
+RECENT_HITS = 3.0  # below it, the present rate is no more than its mean
+RECENT_DEVIATIONS = 2.0  # added to the present rate, which few calls tell only roughly
 EARLY_WEIGHT = 0.5  # of the hypotheses in which the release is bad from the first window
 MAX_SCORE = 1e100
 MAX_EXPONENT = 200.0
@@ -66,10 +68,12 @@
     Attributes:
         window_weight: The weight of a change in each further window.
         scores: The evidence for each of `ODDS_RATIOS`.
+        sums: Cumulative sums of the same windows, which forget what came before a change.
     """
 
     window_weight: float
     scores: list[float] = attrs.field(factory=lambda: [EARLY_WEIGHT] * len(ODDS_RATIOS))
+    sums: list[float] = attrs.field(factory=lambda: [0.0] * len(ODDS_RATIOS))
 
 
 @attrs.define
@@ -117,6 +121,7 @@
     for index, log in enumerate(logs):
         grown = (test.scores[index] + test.window_weight) * math.exp(min(log, MAX_EXPONENT))
         test.scores[index] = min(grown, MAX_SCORE)
+        test.sums[index] = max(0.0, test.sums[index]) + log
     return sum(test.scores) / len(test.scores)
 
 
@@ -143,10 +148,22 @@
     return max(rate, reference.floor)
 
 
-def estimate_reference(reference: Reference) -> float:
-    """Return the greater of the old release's rate since the start and its present rate."""
-    recent = reference.recent_hits / (reference.recent_calls + RECENT_PRIOR_CALLS)
-    return max(estimate_rate(reference), recent, LEVEL_FLOOR_FACTOR * reference.floor)
+def estimate_reference(reference: Reference, pooled: Reference) -> float:
+    """Return the greater of the old release's rate since the start and its present rate.
+
+    The present rate is an upper bound where there have been hits, so that chance in the few calls
+    which the old release still gets does not blame the new one.
+
+    Args:
+        reference: The old release on the route.
+        pooled: The old release on all routes of the data centre.
+    """
+    return max(
+        estimate_rate(reference),
+        _estimate_recent(reference),
+        _estimate_recent(pooled),
+        LEVEL_FLOOR_FACTOR * reference.floor,
+    )
 
 
 def update_reference(reference: Reference, old: Sample) -> None:
@@ -158,6 +175,13 @@
     reference.recent_hits = reference.recent_hits * kept + old.hits
 
 
+def _estimate_recent(reference: Reference) -> float:
+    hits = reference.recent_hits
+    if hits >= RECENT_HITS:
+        hits += RECENT_DEVIATIONS * math.sqrt(hits)
+    return hits / (reference.recent_calls + RECENT_PRIOR_CALLS)
+
+
 def _raise_odds(rate: float, ratio: float) -> float:
     odds = ratio * rate / (1.0 - rate)
     return odds / (1.0 + odds)
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,151 @@
+"""Tests of the takeover policy: every decision from the same pure functions."""
+
+from __future__ import annotations
+
+from random import Random
+
+import attrs
+import testtools
+from testscenarios import WithScenarios
+
+from magnoliasill.evidence import LEVEL_ALARM, Finding, RouteEvidence
+from magnoliasill.rollout import (
+    AGREEMENT,
+    LAST_STAGE,
+    LOWERED_SHARE,
+    STAGES,
+    Phase,
+    Plan,
+    Progress,
+    Verdict,
+    compute_boosts,
+    compute_share,
+    decide,
+    judge,
+)
+
+PLAN = Plan("id", "lessons", "r1", "r2", 1_000.0, 1_100.0, ("view",))
+RUNNING = Progress("id", number=3, stage=2, changed_at=1_020.0, trial="a")
+ENOUGH = {"view": RouteEvidence(calls=5_000, new_calls=500)}
+QUIET = Finding()
+ALARM = Finding(level=LEVEL_ALARM + 1, route="view", measure="failures")
+
+
+class DecisionTest(WithScenarios, testtools.TestCase):
+    """Decisions of the controller, one a scenario."""
+
+    progress, now, finding, routes, stage_calls = RUNNING, 1_050.0, QUIET, ENOUGH, 500
+    scenarios = [
+        ("early", {"now": 990.0, "progress": Progress("id"), "want": Verdict.HOLD}),
+        ("start", {"now": 1_004.0, "progress": Progress("id"), "want": Verdict.RAISE}),
+        ("dwell", {"now": 1_021.0, "want": Verdict.HOLD}),
+        ("dwelt", {"want": Verdict.RAISE}),
+        ("too_few_calls", {"stage_calls": 3, "want": Verdict.HOLD}),
+        ("too_few_but_late", {"stage_calls": 3, "now": 1_064.0, "want": Verdict.RAISE}),
+        ("gate", {"routes": {"view": RouteEvidence(new_calls=5)}, "want": Verdict.HOLD}),
+        ("suspicion", {"finding": Finding(score=30.0), "want": Verdict.HOLD}),
+        ("proof", {"finding": Finding(score=1e6), "want": Verdict.REVERSE}),
+        ("alarm", {"finding": ALARM, "want": Verdict.LOWER}),
+        (
+            "agreed_alarm",
+            {"finding": attrs.evolve(ALARM, agreement=AGREEMENT), "want": Verdict.REVERSE},
+        ),
+        (
+            "second_alarm",
+            {
+                "progress": attrs.evolve(RUNNING, alarms=1),
+                "finding": ALARM,
+                "want": Verdict.REVERSE,
+            },
+        ),
+        (
+            "alarm_while_lowering",
+            {
+                "progress": attrs.evolve(RUNNING, lowered=3, alarms=1, changed_at=1_049.0),
+                "finding": ALARM,
+                "want": Verdict.HOLD,
+            },
+        ),
+        (
+            "settled",
+            {
+                "progress": attrs.evolve(RUNNING, lowered=3, alarms=1, changed_at=1_040.0),
+                "want": Verdict.RAISE,
+            },
+        ),
+        (
+            "baked",
+            {
+                "progress": attrs.evolve(RUNNING, stage=LAST_STAGE, changed_at=1_015.0),
+                "want": Verdict.COMPLETE,
+            },
+        ),
+        (
+            "bake",
+            {
+                "progress": attrs.evolve(RUNNING, stage=LAST_STAGE, changed_at=1_045.0),
+                "want": Verdict.HOLD,
+            },
+        ),
+        ("deadline_too_early_a_stage", {"now": 1_100.0, "want": Verdict.REVERSE}),
+        (
+            "deadline_without_calls",
+            {
+                "now": 1_100.0,
+                "progress": attrs.evolve(RUNNING, stage=LAST_STAGE),
+                "routes": {},
+                "want": Verdict.REVERSE,
+            },
+        ),
+        (
+            "deadline_with_suspicion",
+            {
+                "now": 1_100.0,
+                "progress": attrs.evolve(RUNNING, stage=LAST_STAGE),
+                "finding": Finding(score=30.0),
+                "want": Verdict.REVERSE,
+            },
+        ),
+        (
+            "over",
+            {
+                "progress": attrs.evolve(RUNNING, phase=Phase.REVERSED),
+                "finding": ALARM,
+                "want": Verdict.HOLD,
+            },
+        ),
+    ]
+
+    def test_decision(self) -> None:
+        decision = decide(
+            PLAN, self.progress, self.now, self.finding, self.routes, self.stage_calls
+        )
+        self.assertEqual(self.want, decision.verdict, decision.reason)
+
+    def test_a_daemon_alone_never_raises(self) -> None:
+        decision = judge(PLAN, self.progress, self.now, self.finding)
+        self.assertIn(decision.verdict, (Verdict.HOLD, Verdict.LOWER, Verdict.REVERSE))
+
+
+class ShareTest(testtools.TestCase):
+    """The share of each phase."""
+
+    def test_phases(self) -> None:
+        self.assertEqual(0.0, compute_share(Progress("id"), "a", "view"))
+        self.assertEqual(STAGES[2][0], compute_share(RUNNING, "a", "view"))
+        self.assertEqual(STAGES[2][1], compute_share(RUNNING, "b", "view"))
+        full = attrs.evolve(RUNNING, stage=LAST_STAGE)
+        lowered = attrs.evolve(full, lowered=3)
+        self.assertEqual(LOWERED_SHARE, compute_share(lowered, "a", "view"))
+        self.assertEqual(0.0, compute_share(attrs.evolve(full, phase=Phase.REVERSED), "a", "v"))
+        self.assertEqual(1.0, compute_share(attrs.evolve(full, phase=Phase.COMPLETED), "a", "v"))
+
+    def test_boosts_stay_within_their_budget(self) -> None:
+        random = Random(5)
+        for _ in range(200):
+            calls = {f"r{i}": RouteEvidence(calls=random.randint(0, 9_000)) for i in range(4)}
+            plan = attrs.evolve(PLAN, routes=tuple(calls))
+            boosts = compute_boosts(plan, 1_010.0, calls)
+            moved = sum(calls[name].calls / 10 * boost for name, boost in boosts.items())
+            total = sum(evidence.calls for evidence in calls.values()) / 10
+            self.assertLessEqual(moved, max(0.02 * total, 0.3) + 1e-9)
