--- a/src/magnoliasill/membership.py
+++ b/src/magnoliasill/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 import attrs
@@ -17,6 +18,11 @@
     from .messages import MemberRecord
     from .node import Node
 
+MAX_TEXT = 128
+MAX_PORT = 65_535
+MAX_INCARNATION = 2**53
+MAX_EPOCH_S = 2.0**40
+_ADDRESS = re.compile(r"[0-9a-fA-F.:\[\]]{2,45}:(?P<port>[0-9]{1,5})", re.ASCII)
 _STATUS_ORDER = {"alive": 0, "suspect": 1, "failed": 2, "left": 3}
 _STATUS_EVENTS = {
     "alive": LogEvent.MEMBER_JOINED,
@@ -39,6 +45,10 @@
     """
     actions: list[Action] = []
     for record in records:
+        problem = find_problem(record)
+        if problem:
+            actions.append(Log(LogEvent.MESSAGE_REFUSED, {"reason": problem}))
+            continue
         if record.name == node.own.name:
             _refute(node, record)
             continue
@@ -52,6 +62,31 @@
     return actions
 
 
+def find_problem(record: MemberRecord) -> str:
+    """Return what is wrong with a record from the network, or an empty string.
+
+    Args:
+        record: A record whose types the codec has checked.
+    """
+    texts = (record.name, record.data_centre, record.service, record.release)
+    addresses = [record.peer_address]
+    if record.server_address:
+        addresses.append(record.server_address)
+    if not record.name or not record.data_centre:
+        return "member without a name or a data centre"
+    if any(len(text) > MAX_TEXT for text in texts):
+        return "member with a text that is too long"
+    if record.status not in _STATUS_ORDER:
+        return f"member status {record.status[:MAX_TEXT]!r}"
+    if not all(map(_is_address, addresses)):
+        return f"member {record.name} with an invalid address"
+    if not 0 <= record.incarnation <= MAX_INCARNATION:
+        return f"member {record.name} with incarnation {record.incarnation}"
+    if not 0.0 <= record.started_at <= MAX_EPOCH_S:
+        return f"member {record.name} started at {record.started_at}"
+    return ""
+
+
 def announce_server(node: Node, now_epoch: float, event: ServerAnnounced) -> None:
     """Record what the backend server on this VM says of itself.
 
@@ -83,6 +118,11 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    match = _ADDRESS.fullmatch(text)
+    return match is not None and 1 <= int(match["port"]) <= MAX_PORT
+
+
 def _refute(node: Node, record: MemberRecord) -> None:
     if record.incarnation < node.own.incarnation or record == node.own:
         return
