--- a/src/magnoliasill/actions.py
+++ b/src/magnoliasill/actions.py
@@ -19,6 +19,13 @@
     message: Message
 
 
+@attrs.frozen
+class ResetPeer:
+    """Close the connection to a peer's address; the next message opens a new one."""
+
+    address: str
+
+
 @attrs.frozen
 class StoreRead:
     """Read keys of the platform's store; every key that starts with `prefix`, or `keys`."""
@@ -101,4 +108,4 @@
 StoreAction: TypeAlias = (
     StoreRead | StoreWatch | StoreWrite | StoreDelete | LeaseGrant | LeaseKeepAlive | LeaseRevoke
 )
-Action: TypeAlias = SendMessage | StoreAction | Log
+Action: TypeAlias = SendMessage | ResetPeer | StoreAction | Log
--- a/src/magnoliasill/balancer.py
+++ b/src/magnoliasill/balancer.py
@@ -37,6 +37,7 @@
         and record.release == release
         and record.serving
         and record.status == "alive"
+        and record.data_centre not in node.silent
     ]
 
 
--- a/src/magnoliasill/configuration.py
+++ b/src/magnoliasill/configuration.py
@@ -18,6 +18,9 @@
     from .manifest import Head
 
 
+RECENT_HEADS = 16
+
+
 @attrs.frozen
 class Snapshot:
     """One whole configuration, checked and ready to serve.
@@ -40,8 +43,12 @@
     Attributes:
         applied: The configuration in force, or None before the first.
         applied_at: When it was applied, in seconds of the node's clock.
-        blobs: Blobs by hash: those of the applied head and of the pending one.
+        blobs: Blobs by hash: those of the applied, the staged and the pending head.
         pending: A newer head, some of whose blobs are still missing.
+        staged: A newer configuration, whole and checked, that is not in force yet.
+        staged_at: When it became whole.
+        witnesses: Daemons of the own data centre that hold the staged version or a newer one.
+        recent: The latest heads that were in force, the oldest first.
         refused_version: The greatest version that was refused as a whole.
     """
 
@@ -49,6 +56,10 @@
     applied_at: float = 0.0
     blobs: dict[str, bytes] = attrs.field(factory=dict)
     pending: Head | None = None
+    staged: Snapshot | None = None
+    staged_at: float = 0.0
+    witnesses: set[str] = attrs.field(factory=set)
+    recent: list[Head] = attrs.field(factory=list)
     refused_version: int = 0
 
     @property
@@ -56,6 +67,16 @@
         """The version in force, 0 before the first."""
         return self.applied.head.version if self.applied is not None else 0
 
+    @property
+    def held(self) -> Snapshot | None:
+        """The newest configuration that is held whole, in force or about to be."""
+        return self.staged if self.staged is not None else self.applied
+
+    @property
+    def held_version(self) -> int:
+        """The version of `held`, 0 if there is none."""
+        return self.held.head.version if self.held is not None else 0
+
 
 def list_missing_blobs(table: ConfigurationTable, head: Head) -> list[str]:
     """Return the hashes of a head's blobs that the node lacks, sorted."""
@@ -93,8 +114,8 @@
     return Snapshot(head, services, compile_routes(services))
 
 
-def apply_head(table: ConfigurationTable, now: float, head: Head) -> None:
-    """Put a newer configuration in force, whole, once all its blobs are held.
+def stage_head(table: ConfigurationTable, now: float, head: Head) -> None:
+    """Check a newer configuration as a whole and keep it ready, not in force yet.
 
     Args:
         table: The node's configuration.
@@ -102,14 +123,38 @@
         head: A head whose blobs are all in the table.
 
     Raises:
-        ConfigurationError: If the head is not newer, or can't be built. The one in force stays.
+        ConfigurationError: If the head is not newer, or can't be built. What is held stays.
     """
-    if head.version <= table.version:
-        message = f"version {head.version} is not above {table.version}"
+    if head.version <= table.held_version:
+        message = f"version {head.version} is not above {table.held_version}"
         raise ConfigurationError(ErrorCode.VERSION_STALE, message)
-    snapshot = build_snapshot(head, table.blobs)
-    wanted = set(head.services.values())
-    table.applied = snapshot
+    table.staged = build_snapshot(head, table.blobs)
+    table.staged_at = now
+    table.witnesses = set()
+    if table.pending is not None and table.pending.version <= head.version:
+        table.pending = None
+    drop_blobs(table)
+
+
+def apply_staged(table: ConfigurationTable, now: float) -> None:
+    """Put the staged configuration in force, by one assignment.
+
+    Args:
+        table: The node's configuration, with a staged one.
+        now: Seconds of the node's clock.
+    """
+    if table.staged is None or table.staged.head.version <= table.version:
+        raise ConfigurationError(ErrorCode.VERSION_STALE, "nothing newer is staged")
+    table.applied, table.staged = table.staged, None
     table.applied_at = now
+    table.recent = [*table.recent, table.applied.head][-RECENT_HEADS:]
+    drop_blobs(table)
+
+
+def drop_blobs(table: ConfigurationTable) -> None:
+    """Forget blobs that neither the applied, the staged nor the pending head names."""
+    heads = [snapshot.head for snapshot in (table.applied, table.staged) if snapshot is not None]
+    if table.pending is not None:
+        heads.append(table.pending)
+    wanted = {digest for head in heads for digest in head.services.values()}
     table.blobs = {digest: blob for digest, blob in table.blobs.items() if digest in wanted}
-    table.pending = None
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -14,10 +14,9 @@
 import eventlet.wsgi
 import fire
 
-from .actions import Log, SendMessage
+from .actions import Log, ResetPeer, SendMessage
 from .administration import build_administration
 from .codes import ErrorCode, LogEvent
-from .distribution import build_digest
 from .engine import step
 from .errors import (
     MagnoliasillError,
@@ -31,8 +30,15 @@
 from .membership import leave
 from .messages import MemberRecord, decode_message, encode_message
 from .metrics import build_metrics
-from .node import Node, list_alive
-from .peers import PeerSockets, close_peers, open_peers, receive_from_peers, send_to_peer
+from .node import Node
+from .peers import (
+    PeerSockets,
+    close_peers,
+    open_peers,
+    receive_from_peers,
+    reset_peer,
+    send_to_peer,
+)
 from .proxy import Proxy, build_application
 from .settings import Settings, load_settings
 from .store import connect_store
@@ -45,7 +51,6 @@
 LISTEN_BACKLOG = 512
 KEEPALIVE_TIMEOUT_S = 60
 DRAIN_POLL_S = 0.02
-LEAVE_NOTICES = 8
 
 
 @attrs.define
@@ -145,6 +150,8 @@
             counters["messages_sent"].inc()
             counters["message_bytes_sent"].inc(len(data))
             send_to_peer(daemon.peers, action.address, data)
+        case ResetPeer(address=address):
+            reset_peer(daemon.peers, address)
         case Log():
             write_log(daemon.logger, action.event, **action.fields)
         case _:
@@ -209,9 +216,8 @@
 def _stop(daemon: Daemon, callers: Any, caller_server: Any) -> None:
     write_log(daemon.logger, LogEvent.DAEMON_STOPPING, open_calls=daemon.proxy.open_calls)
     daemon.proxy.stopping = True
-    leave(daemon.node)
-    for record in list_alive(daemon.node)[:LEAVE_NOTICES]:
-        _carry_out(daemon, SendMessage(record.peer_address, build_digest(daemon.node)))
+    for action in leave(daemon.node):
+        _carry_out(daemon, action)
     deadline = time.monotonic() + daemon.settings.drain_ms / 1000
     while daemon.proxy.open_calls and time.monotonic() < deadline:
         eventlet.sleep(DRAIN_POLL_S)
--- a/src/magnoliasill/engine.py
+++ b/src/magnoliasill/engine.py
@@ -4,11 +4,29 @@
 
 from typing import TYPE_CHECKING
 
-from .distribution import gossip, receive_digest, receive_reply, receive_request
+from .actions import Log
+from .codes import LogEvent
+from .distribution import receive_digest, receive_reply, receive_request, tick_distribution
 from .events import Event, MessageReceived, ServerAnnounced, StoreAnswered, StoreFailed, Tick
-from .membership import announce_server
-from .messages import ConfigurationReply, ConfigurationRequest, Digest
+from .joining import tick_joining
+from .membership import announce_server, merge_records, watch_server
+from .messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    Digest,
+    MemberNews,
+    MemberPage,
+    MemberSummary,
+    Message,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+)
+from .probing import receive_ack, receive_probe, receive_probe_request, tick_probes
 from .relays import receive_store_answer, receive_store_failure, tick_relay
+from .spreading import send_news
+from .syncing import continue_sync, receive_summary
+from .validation import find_problem
 
 if TYPE_CHECKING:
     from .actions import Action
@@ -28,13 +46,12 @@
     """
     match event:
         case Tick():
-            return [*tick_relay(node, now), *gossip(node, now)]
-        case MessageReceived(message=Digest() as digest):
-            return receive_digest(node, now, digest)
-        case MessageReceived(message=ConfigurationRequest() as request):
-            return receive_request(node, now, request)
-        case MessageReceived(message=ConfigurationReply() as reply):
-            return receive_reply(node, now, reply)
+            return _tick(node, now)
+        case MessageReceived(message=message):
+            problem = find_problem(message)
+            if problem:
+                return [Log(LogEvent.MESSAGE_REFUSED, {"reason": problem})]
+            return _receive(node, now, message)
         case StoreAnswered():
             return receive_store_answer(node, now, event)
         case StoreFailed():
@@ -43,3 +60,36 @@
             announce_server(node, now, event)
             return []
     raise TypeError(f"no system for {type(event).__name__}")
+
+
+def _tick(node: Node, now: float) -> list[Action]:
+    actions = tick_relay(node, now)
+    actions += tick_joining(node, now)
+    actions += tick_probes(node, now)
+    actions += tick_distribution(node, now)
+    actions += watch_server(node, now)
+    return actions + send_news(node, now)
+
+
+def _receive(node: Node, now: float, message: Message) -> list[Action]:
+    match message:
+        case Digest():
+            return receive_digest(node, now, message)
+        case Probe():
+            return receive_probe(node, now, message)
+        case ProbeAck():
+            return receive_ack(node, now, message)
+        case ProbeRequest():
+            return receive_probe_request(node, now, message)
+        case MemberNews():
+            return merge_records(node, now, [message.sender, *message.members])
+        case MemberSummary():
+            return receive_summary(node, now, message)
+        case MemberPage():
+            actions = merge_records(node, now, [message.sender, *message.members], spread=False)
+            return actions + continue_sync(node, now, message)
+        case ConfigurationRequest():
+            return receive_request(node, now, message)
+        case ConfigurationReply():
+            return receive_reply(node, now, message)
+    raise TypeError(f"no system for {type(message).__name__}")
--- /dev/null
+++ b/src/magnoliasill/joining.py
@@ -0,0 +1,90 @@
+"""Joining: what a daemon has to hear after its start, before a configuration is in force on it.
+
+A VM keeps nothing. A daemon that comes back asks every daemon of its data centre what it holds,
+or reads the platform's store, so that it does not serve an older version than before.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .actions import Log
+from .codes import LogEvent
+from .node import list_alive
+
+if TYPE_CHECKING:
+    from .actions import Action
+    from .messages import Digest, MemberRecord
+    from .node import Node
+
+JOIN_LIMIT_S = 4.0
+ASK_RETRY_S = 0.5
+ASKED_AT_ONCE = 16
+
+
+def may_apply(node: Node, version: int) -> bool:
+    """Return whether a version may be put in force as far as joining is concerned."""
+    return node.join.done and version >= node.join.floor
+
+
+def note_answer(node: Node, digest: Digest) -> None:
+    """Note what a daemon of the own data centre holds."""
+    join = node.join
+    if join.done or digest.sender.data_centre != node.own.data_centre:
+        return
+    join.answered.add(digest.sender.name)
+    join.floor = max(join.floor, digest.version, digest.held)
+
+
+def note_platform_read(node: Node, version: int) -> list[Action]:
+    """End joining, as the platform's head was read after the start.
+
+    Args:
+        node: The node's tables.
+        version: The head's version, held whole by now, or 0 if there is none. The node can't
+            have had a newer one in force.
+    """
+    if node.join.done:
+        return []
+    node.join.floor = version
+    return _finish(node, "platform")
+
+
+def list_due_questions(node: Node, now: float) -> list[MemberRecord]:
+    """Return the daemons to ask now, a bounded number at once."""
+    join = node.join
+    if join.done:
+        return []
+    due = [
+        record
+        for record in list_alive(node, node.own.data_centre)
+        if record.name not in join.answered
+        and now >= join.asked.get(record.name, -ASK_RETRY_S) + ASK_RETRY_S
+    ]
+    due.sort(key=lambda record: join.asked.get(record.name, 0.0))
+    for record in due[:ASKED_AT_ONCE]:
+        join.asked[record.name] = now
+    return due[:ASKED_AT_ONCE]
+
+
+def tick_joining(node: Node, now: float) -> list[Action]:
+    """End joining once all daemons of the data centre answered, or when the limit has passed."""
+    join = node.join
+    if join.started_at is None:
+        join.started_at = now
+    if join.done:
+        return []
+    if now >= join.started_at + JOIN_LIMIT_S:
+        join.floor = 0
+        return _finish(node, "limit")
+    names = {record.name for record in list_alive(node, node.own.data_centre)}
+    if join.synced and names and names <= join.answered:
+        return _finish(node, "answers")
+    return []
+
+
+def _finish(node: Node, reason: str) -> list[Action]:
+    join = node.join
+    join.done = True
+    fields = {"reason": reason, "answers": len(join.answered), "floor": join.floor}
+    return [Log(LogEvent.JOIN_COMPLETED, fields)]
--- a/src/magnoliasill/manifest.py
+++ b/src/magnoliasill/manifest.py
@@ -42,11 +42,80 @@
     recent_publishes: list[str] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class HeadDelta:
+    """A head as a change of an older one.
+
+    Attributes:
+        base: The older version.
+        base_manifest: The hash of its manifest.
+        version: The newer version.
+        publish_id: The identifier of the newer version's publish.
+        published_at: Seconds since the epoch at its publisher.
+        changed: The blob hashes of new and changed services.
+        removed: The services that are gone.
+        manifest: The hash of the newer manifest.
+    """
+
+    base: int
+    base_manifest: str
+    version: int
+    publish_id: str
+    published_at: float
+    changed: dict[str, str]
+    removed: list[str]
+    manifest: str
+
+
 def hash_blob(blob: bytes) -> str:
     """Return the content hash of a blob, in hexadecimal digits."""
     return hashlib.blake2b(blob, digest_size=HASH_BYTES).hexdigest()
 
 
+def hash_manifest(services: Mapping[str, str]) -> str:
+    """Return the hash of a manifest: of each service's name and blob hash."""
+    lines = (f"{name}={digest}\n" for name, digest in sorted(services.items()))
+    return hash_blob("".join(lines).encode())
+
+
+def build_delta(base: Head, head: Head) -> HeadDelta:
+    """Return a head as a change of an older one."""
+    changed = {
+        name: digest for name, digest in head.services.items() if base.services.get(name) != digest
+    }
+    removed = sorted(base.services.keys() - head.services.keys())
+    return HeadDelta(
+        base.version,
+        hash_manifest(base.services),
+        head.version,
+        head.publish_id,
+        head.published_at,
+        changed,
+        removed,
+        hash_manifest(head.services),
+    )
+
+
+def apply_delta(base: Head, delta: HeadDelta) -> Head:
+    """Return the newer head that a delta leads to.
+
+    Args:
+        base: The head that the delta names as its base.
+        delta: The change.
+
+    Raises:
+        ConfigurationError: If the delta has another base, or does not lead to what it says.
+    """
+    if delta.base != base.version or delta.base_manifest != hash_manifest(base.services):
+        raise ConfigurationError(ErrorCode.DELTA_MISMATCH, f"delta of version {delta.base}")
+    services = {**base.services, **delta.changed}
+    for name in delta.removed:
+        services.pop(name, None)
+    if hash_manifest(services) != delta.manifest:
+        raise ConfigurationError(ErrorCode.DELTA_MISMATCH, f"delta to version {delta.version}")
+    return Head(delta.version, delta.publish_id, delta.published_at, services)
+
+
 def encode_head(head: Head) -> bytes:
     """Return the stored form of a head."""
     return msgspec.json.encode(head)
--- a/src/magnoliasill/membership.py
+++ b/src/magnoliasill/membership.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
-import re
 from typing import TYPE_CHECKING
 
 import attrs
 
-from .actions import Action, Log
+from .actions import Action, Log, SendMessage
 from .codes import LogEvent
+from .messages import MemberNews
 from .node import Member
+from .spreading import choose_peers, mark_news
+from .syncing import replace_member
+from .validation import MAX_COUNTER, find_record_problem
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -18,11 +21,9 @@
     from .messages import MemberRecord
     from .node import Node
 
-MAX_TEXT = 128
-MAX_PORT = 65_535
-MAX_INCARNATION = 2**53
-MAX_EPOCH_S = 2.0**40
-_ADDRESS = re.compile(r"[0-9a-fA-F.:\[\]]{2,45}:(?P<port>[0-9]{1,5})", re.ASCII)
+SERVER_SILENT_S = 2.0
+LEAVE_NOTICES_LOCAL = 8
+LEAVE_NOTICES_REMOTE = 2
 _STATUS_ORDER = {"alive": 0, "suspect": 1, "failed": 2, "left": 3}
 _STATUS_EVENTS = {
     "alive": LogEvent.MEMBER_JOINED,
@@ -32,104 +33,122 @@
 }
 
 
-def merge_records(node: Node, now: float, records: Iterable[MemberRecord]) -> list[Action]:
+def merge_records(
+    node: Node, now: float, records: Iterable[MemberRecord], spread: bool = True
+) -> list[Action]:
     """Take over every record that overrides what is known of its member.
 
     Args:
         node: The node's tables.
         now: Seconds of the node's clock.
         records: Records from a peer.
+        spread: Whether to pass on what is new.
 
     Returns:
-        A log event for each member whose status changed.
+        A log event for each member whose status changed, and for each refused record.
     """
     actions: list[Action] = []
     for record in records:
-        problem = find_problem(record)
+        known = node.members.get(record.name)
+        problem = find_record_problem(record) or _find_conflict(record, known)
         if problem:
             actions.append(Log(LogEvent.MESSAGE_REFUSED, {"reason": problem}))
-            continue
-        if record.name == node.own.name:
+        elif record.name == node.own.name:
             _refute(node, record)
-            continue
-        known = node.members.get(record.name)
-        if known is not None and not _overrides(record, known.record):
-            continue
-        node.members[record.name] = Member(record, now)
-        if known is None or known.record.status != record.status:
-            fields = {"member": record.name, "member_data_centre": record.data_centre}
-            actions.append(Log(_STATUS_EVENTS[record.status], fields))
+        elif known is None or _overrides(record, known.record):
+            actions += set_record(node, now, record, spread)
     return actions
 
 
-def find_problem(record: MemberRecord) -> str:
-    """Return what is wrong with a record from the network, or an empty string.
+def set_record(node: Node, now: float, record: MemberRecord, spread: bool = True) -> list[Action]:
+    """Replace what is known of a member.
 
     Args:
-        record: A record whose types the codec has checked.
+        node: The node's tables.
+        now: Seconds of the node's clock.
+        record: The new record.
+        spread: Whether to pass it on.
+
+    Returns:
+        A log event if the status changed.
     """
-    texts = (record.name, record.data_centre, record.service, record.release)
-    addresses = [record.peer_address]
-    if record.server_address:
-        addresses.append(record.server_address)
-    if not record.name or not record.data_centre:
-        return "member without a name or a data centre"
-    if any(len(text) > MAX_TEXT for text in texts):
-        return "member with a text that is too long"
-    if record.status not in _STATUS_ORDER:
-        return f"member status {record.status[:MAX_TEXT]!r}"
-    if not all(map(_is_address, addresses)):
-        return f"member {record.name} with an invalid address"
-    if not 0 <= record.incarnation <= MAX_INCARNATION:
-        return f"member {record.name} with incarnation {record.incarnation}"
-    if not 0.0 <= record.started_at <= MAX_EPOCH_S:
-        return f"member {record.name} started at {record.started_at}"
-    return ""
-
-
-def announce_server(node: Node, now_epoch: float, event: ServerAnnounced) -> None:
+    known = node.members.get(record.name)
+    if record.data_centre != node.own.data_centre:
+        node.heard.setdefault(record.data_centre, now)
+    replace_member(node, Member(record, now))
+    if spread:
+        mark_news(node, record.name)
+    if known is not None and known.record.status == record.status:
+        return []
+    fields = {"member": record.name, "member_data_centre": record.data_centre}
+    return [Log(_STATUS_EVENTS[record.status], fields)]
+
+
+def announce_server(node: Node, now: float, event: ServerAnnounced) -> None:
     """Record what the backend server on this VM says of itself.
 
     Args:
         node: The node's tables.
-        now_epoch: Seconds since the epoch.
+        now: Seconds since the epoch, as the node's clock gives them.
         event: The announcement.
     """
     own = node.own
+    node.server_at = now
     known = (own.service, own.release, own.server_address, own.serving)
     if known == (event.service, event.release, event.address, event.serving):
         return
     same_server = known[:3] == (event.service, event.release, event.address)
-    node.own = attrs.evolve(
-        own,
-        incarnation=own.incarnation + 1,
+    returns = event.serving and not own.serving
+    update_own(
+        node,
         service=event.service,
         release=event.release,
         server_address=event.address,
-        serving=event.serving,
-        started_at=own.started_at if same_server else now_epoch,
+        serving=event.serving and own.status != "left",
+        started_at=own.started_at if same_server and not returns else now,
     )
 
 
-def leave(node: Node) -> None:
-    """Mark this node as left, so that peers stop sending work to its backend server."""
-    node.own = attrs.evolve(
-        node.own, incarnation=node.own.incarnation + 1, status="left", serving=False
-    )
+def watch_server(node: Node, now: float) -> list[Action]:
+    """Stop advertising a backend server that no longer announces itself."""
+    if not node.own.serving or now < node.server_at + SERVER_SILENT_S:
+        return []
+    update_own(node, serving=False)
+    fields = {"service": node.own.service, "server_address": node.own.server_address}
+    return [Log(LogEvent.SERVER_SILENT, fields)]
+
+
+def update_own(node: Node, **changes: object) -> None:
+    """Change the node's own record, under a greater incarnation, and pass it on."""
+    incarnation = node.own.incarnation + 1
+    node.own = attrs.evolve(node.own, incarnation=incarnation, **changes)
+    mark_news(node, node.own.name)
 
 
-def _is_address(text: str) -> bool:
-    match = _ADDRESS.fullmatch(text)
-    return match is not None and 1 <= int(match["port"]) <= MAX_PORT
+def leave(node: Node) -> list[Action]:
+    """Mark this node as left, and tell some peers at once to send its server no more work."""
+    update_own(node, status="left", serving=False)
+    peers = choose_peers(node, LEAVE_NOTICES_LOCAL, LEAVE_NOTICES_REMOTE)
+    return [SendMessage(peer.peer_address, MemberNews(node.own)) for peer in peers]
 
 
 def _refute(node: Node, record: MemberRecord) -> None:
     if record.incarnation < node.own.incarnation or record == node.own:
         return
-    node.own = attrs.evolve(node.own, incarnation=record.incarnation + 1)
+    incarnation = min(record.incarnation + 1, MAX_COUNTER)
+    node.own = attrs.evolve(node.own, incarnation=incarnation)
+    mark_news(node, node.own.name)
+
+
+def _find_conflict(record: MemberRecord, known: Member | None) -> str:
+    if known is None or known.record.incarnation != record.incarnation:
+        return ""
+    if known.record.data_centre == record.data_centre:
+        return ""
+    return f"member {record.name} in data centre {record.data_centre}"
 
 
 def _overrides(record: MemberRecord, known: MemberRecord) -> bool:
     if record.incarnation != known.incarnation:
         return record.incarnation > known.incarnation
-    return _STATUS_ORDER.get(record.status, -1) > _STATUS_ORDER[known.status]
+    return _STATUS_ORDER[record.status] > _STATUS_ORDER[known.status]
--- a/src/magnoliasill/messages.py
+++ b/src/magnoliasill/messages.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
+from typing import TypeAlias, get_args
 
 import attrs
 import msgspec
 
 from .codes import ErrorCode
 from .errors import MessageError
-from .manifest import Head
+from .manifest import Head, HeadDelta
 
-WIRE_VERSION = 1
+WIRE_VERSION = 2
 MAX_MESSAGE_BYTES = 4_000_000
 
 
@@ -46,37 +46,157 @@
 
 @attrs.frozen
 class Digest:
-    """Says which configuration version the sender has applied, and changed members."""
+    """Says what the sender holds, for comparison with what the receiver holds.
+
+    Attributes:
+        sender: The sender's own record.
+        version: The configuration version in force.
+        members: Records that changed lately.
+        held: The greatest version held whole, in force or about to be.
+        joining: Whether the sender may not serve yet and asks what others hold.
+        fingerprint: Of the sender's member table.
+        heard: For other data centres, tenths of a second since anything was heard from there.
+        answer: Whether this answers a digest, and needs no answer.
+    """
 
     sender: MemberRecord
     version: int
     members: list[MemberRecord] = attrs.field(factory=list)
-    wants_members: bool = False
+    held: int = 0
+    joining: bool = False
+    fingerprint: int = 0
+    heard: dict[str, int] = attrs.field(factory=dict)
+    answer: bool = False
+
+
+@attrs.frozen
+class Probe:
+    """Asks the receiver for a `ProbeAck` with the same sequence number."""
+
+    digest: Digest
+    sequence: int
+
+    @property
+    def sender(self) -> MemberRecord:
+        """The sender's own record."""
+        return self.digest.sender
+
+
+@attrs.frozen
+class ProbeRequest:
+    """Asks the receiver to probe another daemon and to pass its answer on.
+
+    Attributes:
+        sender: The asker's own record.
+        sequence: The sequence number of the answer.
+        target: The peer address to probe.
+    """
+
+    sender: MemberRecord
+    sequence: int
+    target: str
+
+
+@attrs.frozen
+class ProbeAck:
+    """Answers a probe."""
+
+    digest: Digest
+    sequence: int
+
+    @property
+    def sender(self) -> MemberRecord:
+        """The sender's own record."""
+        return self.digest.sender
+
+
+@attrs.frozen
+class MemberNews:
+    """Member records that the sender learned a moment ago."""
+
+    sender: MemberRecord
+    members: list[MemberRecord] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class MemberSummary:
+    """Asks for the records in which the receiver's member table differs.
+
+    Attributes:
+        sender: The sender's own record.
+        buckets: The fingerprint of each bucket of the sender's table; none if it is empty.
+    """
+
+    sender: MemberRecord
+    buckets: list[int] = attrs.field(factory=list)
+
+
+@attrs.frozen
+class MemberPage:
+    """Answers a summary with a bounded number of records.
+
+    Attributes:
+        sender: The sender's own record.
+        members: Records of buckets that differ.
+        complete: Whether these are all such records.
+        joining: Whether the sender's own table may be far from complete.
+    """
+
+    sender: MemberRecord
+    members: list[MemberRecord] = attrs.field(factory=list)
+    complete: bool = True
+    joining: bool = False
 
 
 @attrs.frozen
 class ConfigurationRequest:
-    """Asks for the configuration above a version, without the blobs already held."""
+    """Asks for the configuration above a version, or for some of its blobs.
+
+    Attributes:
+        sender: The sender's own record.
+        version: The greatest version held whole.
+        manifest: The hash of that version's manifest, empty to ask for a whole head.
+        pending: The version whose blobs the sender is collecting, 0 if none.
+        wanted: Hashes of blobs that the sender lacks for it.
+    """
 
     sender: MemberRecord
     version: int
-    held: list[str] = attrs.field(factory=list)
+    manifest: str = ""
+    pending: int = 0
+    wanted: list[str] = attrs.field(factory=list)
 
 
 @attrs.frozen
 class ConfigurationReply:
-    """Carries a head and the blobs that the asker lacked."""
+    """Carries a head, whole or as a change, and blobs that the asker lacks.
+
+    Attributes:
+        sender: The sender's own record.
+        head: The head, if it is sent whole.
+        blobs: Blobs by hash; as many as fit.
+        delta: The head as a change of the version that the asker holds.
+    """
 
     sender: MemberRecord
-    head: Head
+    head: Head | None
     blobs: dict[str, bytes] = attrs.field(factory=dict)
-
-
-Message: TypeAlias = Digest | ConfigurationRequest | ConfigurationReply
-
-_KINDS: dict[str, type] = {
-    kind.__name__: kind for kind in (Digest, ConfigurationRequest, ConfigurationReply)
-}
+    delta: HeadDelta | None = None
+
+
+Message: TypeAlias = (
+    Digest
+    | Probe
+    | ProbeRequest
+    | ProbeAck
+    | MemberNews
+    | MemberSummary
+    | MemberPage
+    | ConfigurationRequest
+    | ConfigurationReply
+)
+
+_KINDS: dict[str, type] = {kind.__name__: kind for kind in get_args(Message)}
 
 
 @attrs.frozen
--- a/src/magnoliasill/node.py
+++ b/src/magnoliasill/node.py
@@ -12,6 +12,11 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from .manifest import Head
+
+
+MEMBER_BUCKETS = 64
+
 
 @attrs.define
 class Member:
@@ -36,7 +41,9 @@
         lease: The lease that keeps the slot.
         lease_until: When the lease is over, counted from before its last request was sent.
         head_revision: The store's revision of the last head that was read.
+        reading: The head whose blobs are being read, or None.
         busy: Purposes of the requests whose answers are outstanding.
+        scans: Looks for a vacant slot since the start or the last loss of a slot.
         scan_at: When to look for a vacant slot next.
         renew_at: When to extend the lease next.
         asked_at: When the outstanding lease request was sent.
@@ -48,13 +55,102 @@
     lease: str = ""
     lease_until: float = 0.0
     head_revision: int = 0
+    reading: Head | None = None
     busy: set[str] = attrs.field(factory=set)
+    scans: int = 0
     scan_at: float = 0.0
     renew_at: float = 0.0
     asked_at: float = 0.0
     watch_at: float = 0.0
 
 
+@attrs.define
+class PendingProbe:
+    """A probe whose answer is outstanding.
+
+    Attributes:
+        name: The daemon that was probed.
+        sent_at: When, in seconds of the node's clock.
+        indirect: Whether other daemons were asked to probe it, too.
+    """
+
+    name: str
+    sent_at: float
+    indirect: bool = False
+
+
+@attrs.frozen
+class ForwardedProbe:
+    """A probe that was sent for another daemon.
+
+    Attributes:
+        address: Where the answer goes.
+        sequence: The sequence number that it gets there.
+        until: When to forget it, in seconds of the node's clock.
+    """
+
+    address: str
+    sequence: int
+    until: float
+
+
+@attrs.define
+class ProbeTable:
+    """The node's part in finding daemons that failed.
+
+    Attributes:
+        round: Names of the daemons still to be probed in this round.
+        sequence: The last sequence number that was used.
+        pending: Outstanding probes by sequence number.
+        forwarded: Probes sent for others, by the sequence number used.
+        probe_at: When to probe next.
+        ticked_at: When the node last ran its tick.
+        clean_at: When to forget old failures next.
+    """
+
+    round: list[str] = attrs.field(factory=list)
+    sequence: int = 0
+    pending: dict[int, PendingProbe] = attrs.field(factory=dict)
+    forwarded: dict[int, ForwardedProbe] = attrs.field(factory=dict)
+    probe_at: float = 0.0
+    ticked_at: float = 0.0
+    clean_at: float = 0.0
+
+
+@attrs.define
+class JoinTable:
+    """What a node has to hear after its start, before a configuration is in force on it.
+
+    Attributes:
+        done: Whether it heard enough.
+        started_at: When it ran first, or None before.
+        synced: Whether it has the whole member table of a daemon that had joined.
+        asked: When each daemon of the own data centre was asked, by name.
+        answered: Names of those that answered.
+        floor: The greatest version that any of them held.
+    """
+
+    done: bool = False
+    started_at: float | None = None
+    synced: bool = False
+    asked: dict[str, float] = attrs.field(factory=dict)
+    answered: set[str] = attrs.field(factory=set)
+    floor: int = 0
+
+
+@attrs.define
+class Source:
+    """A daemon that holds a newer configuration.
+
+    Attributes:
+        held: The version that it said it holds.
+        tries: Requests that were sent to it since.
+    """
+
+    held: int
+    tries: int = 0
+
+
 @attrs.define
 class Node:
     """One daemon's tables.
@@ -66,8 +162,19 @@
         members: Other daemons by name.
         relay: The node's duty as a relay.
         seeds: Peer addresses from the settings.
-        gossip_at: When to gossip next, in seconds of the node's clock.
+        probes: The search for daemons that failed.
+        suspects: Names of the members that are suspected.
+        join: What is still to be heard after the start.
+        buckets: Fingerprints of the buckets of the member table.
+        news: For each changed member, how often its record is still to be sent.
+        news_at: When to send news next.
+        sync_at: When member tables may be compared next.
+        heard: When anything was last heard from each other data centre.
+        silent: Data centres from which nothing was heard for long.
+        server_at: When the backend server on this VM announced itself last.
+        sources: Daemons that hold a newer version, by peer address.
         requested_at: When the last configuration request was sent.
+        told_at: When peers were last told of the staged configuration.
         store_available: Whether the last request to the store was answered.
     """
 
@@ -77,8 +184,19 @@
     members: dict[str, Member] = attrs.field(factory=dict)
     relay: RelayTable = attrs.field(factory=RelayTable)
     seeds: tuple[str, ...] = ()
-    gossip_at: float = 0.0
+    probes: ProbeTable = attrs.field(factory=ProbeTable)
+    suspects: set[str] = attrs.field(factory=set)
+    join: JoinTable = attrs.field(factory=JoinTable)
+    buckets: list[int] = attrs.field(factory=lambda: [0] * MEMBER_BUCKETS)
+    news: dict[str, int] = attrs.field(factory=dict)
+    news_at: float = 0.0
+    sync_at: float = 0.0
+    heard: dict[str, float] = attrs.field(factory=dict)
+    silent: set[str] = attrs.field(factory=set)
+    server_at: float = 0.0
+    sources: dict[str, Source] = attrs.field(factory=dict)
     requested_at: float = 0.0
+    told_at: float = 0.0
     store_available: bool = True
 
 
--- a/src/magnoliasill/peers.py
+++ b/src/magnoliasill/peers.py
@@ -99,6 +99,13 @@
         handle(data)
 
 
+def reset_peer(peers: PeerSockets, address: str) -> None:
+    """Close the sending socket to an address; the next message opens a new connection."""
+    socket = peers.dialed.pop(address, None)
+    if socket is not None:
+        socket.close()
+
+
 def close_peers(peers: PeerSockets) -> None:
     """Close every sending socket."""
     for socket in peers.dialed.values():
--- a/src/magnoliasill/relays.py
+++ b/src/magnoliasill/relays.py
@@ -11,39 +11,76 @@
     Action,
     LeaseGrant,
     LeaseKeepAlive,
+    LeaseRevoke,
     Log,
-    SendMessage,
     StoreRead,
     StoreWatch,
     StoreWrite,
 )
 from .codes import LogEvent
 from .configuration import list_missing_blobs
-from .distribution import build_digest, offer_configuration
+from .distribution import offer_configuration, put_in_force
 from .errors import ConfigurationError
+from .joining import note_platform_read
 from .manifest import BLOB_PREFIX, HEAD_KEY, decode_head
 from .node import list_alive
+from .probing import probe_address
 
 if TYPE_CHECKING:
-    from .events import StoreAnswered, StoreFailed
+    from .events import StoreAnswered, StoreEntry, StoreFailed
     from .node import Node
 
 RELAYS_PER_DATA_CENTRE = 2
+MAX_SCAN_DOUBLINGS = 8
+START_SPREAD_S = 1.5
+BLOBS_AT_ONCE = 16
 RELAY_PREFIX = "relay/"
 LEASE_TTL_MS = 3_000
 RENEW_INTERVAL_S = 1.0
-WATCH_WAIT_MS = 10_000
+WATCH_WAIT_MS = 2_500
 RETRY_INTERVAL_S = 0.5
-SCANS_PER_SECOND = 1.0  # in each data centre, whatever the number of its daemons
+SCANS_PER_SECOND = 2.0  # in each data centre, whatever the number of its daemons
 
 SCAN = "relay-scan"
 GRANT = "relay-grant"
 CLAIM = "relay-claim"
+VERIFY = "relay-verify"
+REVOKE = "relay-revoke"
 RENEW = "relay-renew"
 WATCH = "head-watch"
 BLOBS = "blob-read"
 
 
+@attrs.frozen
+class RelayClaim:
+    """The value of a relay slot's key.
+
+    Attributes:
+        name: The daemon that holds the slot.
+        peer_address: Its peer address.
+        lease: The lease under which it claimed the slot.
+    """
+
+    name: str
+    peer_address: str
+    lease: str = ""
+
+
+@attrs.frozen
+class RelaySlot:
+    """A slot that is taken.
+
+    Attributes:
+        data_centre: The data centre.
+        number: The slot's number in it.
+        peer_address: The peer address of the daemon that holds it.
+    """
+
+    data_centre: str
+    number: int
+    peer_address: str
+
+
 def tick_relay(node: Node, now: float) -> list[Action]:
     """Look for a vacant slot, extend the lease, or watch the head, as it is due.
 
@@ -77,65 +114,116 @@
 
 
 def receive_store_failure(node: Node, now: float, failure: StoreFailed) -> list[Action]:
-    """Try again later; a claim whose outcome is unknown is dropped with its lease."""
+    """Try again later; look up a claim whose outcome is unknown."""
     relay = node.relay
     relay.busy.discard(failure.purpose)
-    relay.watch_at = now + RETRY_INTERVAL_S
-    if failure.purpose in (GRANT, CLAIM):
-        relay.claiming = None
-    return _note_available(node, False)
+    actions = _note_available(node, False)
+    match failure.purpose:
+        case "head-watch" | "blob-read":
+            relay.watch_at = now + RETRY_INTERVAL_S
+            relay.head_revision = 0
+            relay.reading = None
+        case "relay-grant" | "relay-verify":
+            relay.claiming = None
+        case "relay-claim" if failure.unknown and now < relay.lease_until:
+            relay.busy.add(VERIFY)
+            actions.append(StoreRead(VERIFY, keys=(_name_slot(node),)))
+        case "relay-claim":
+            relay.claiming = None
+    return actions
 
 
 def _scan(node: Node, now: float) -> list[Action]:
     relay = node.relay
-    if now < relay.scan_at or relay.busy & {SCAN, GRANT, CLAIM}:
+    if now < relay.scan_at or relay.busy & {SCAN, GRANT, CLAIM, VERIFY}:
+        return []
+    if not relay.scan_at:
+        relay.scan_at = now + node.random.uniform(0.0, START_SPREAD_S)
         return []
     members = len(list_alive(node, node.own.data_centre)) + 1
-    relay.scan_at = now + node.random.uniform(0.5, 1.5) * members / SCANS_PER_SECOND
+    share = max(members, 2**relay.scans if relay.scans < MAX_SCAN_DOUBLINGS else 0)
+    relay.scans += 1
+    relay.scan_at = now + node.random.uniform(0.5, 1.5) * share / SCANS_PER_SECOND
     relay.busy.add(SCAN)
     return [StoreRead(SCAN, prefix=RELAY_PREFIX)]
 
 
 def _receive_scan(node: Node, now: float, answer: StoreAnswered) -> list[Action]:
-    actions: list[Action] = []
-    taken: set[int] = set()
-    for entry in answer.entries:
-        _, data_centre, slot = entry.key.split("/")
-        address = msgspec.json.decode(entry.value).get("peer_address", "")
-        if address and address != node.own.peer_address:
-            actions.append(SendMessage(address, build_digest(node)))
-        if data_centre == node.own.data_centre:
-            taken.add(int(slot))
-    vacant = sorted(set(range(RELAYS_PER_DATA_CENTRE)) - taken)
-    if vacant and GRANT not in node.relay.busy:
-        node.relay.claiming = vacant[0]
-        node.relay.asked_at = now
-        node.relay.busy.add(GRANT)
+    relay = node.relay
+    taken = [slot for slot in map(_read_slot, answer.entries) if slot is not None]
+    actions = _greet_relays(node, now, taken)
+    local = {slot.number for slot in taken if slot.data_centre == node.own.data_centre}
+    vacant = sorted(set(range(RELAYS_PER_DATA_CENTRE)) - local)
+    if vacant and node.own.status != "left":
+        relay.claiming = vacant[0]
+        relay.asked_at = now
+        relay.busy.add(GRANT)
         actions.append(LeaseGrant(GRANT, LEASE_TTL_MS))
     return actions
 
 
+def _greet_relays(node: Node, now: float, slots: list[RelaySlot]) -> list[Action]:
+    known = {member.record.peer_address for member in node.members.values()}
+    strangers = [slot for slot in slots if slot.peer_address not in known]
+    near = [slot for slot in strangers if slot.data_centre == node.own.data_centre]
+    far = [slot for slot in strangers if slot.data_centre != node.own.data_centre]
+    near += node.random.sample(far, min(1, len(far)))
+    return [action for slot in near for action in probe_address(node, now, slot.peer_address)]
+
+
+def _read_slot(entry: StoreEntry) -> RelaySlot | None:
+    parts = entry.key.removeprefix(RELAY_PREFIX).split("/")
+    try:
+        claim = msgspec.json.decode(entry.value, type=RelayClaim)
+        return RelaySlot(parts[0], int(parts[1]), claim.peer_address)
+    except (msgspec.MsgspecError, ValueError, IndexError):
+        return None
+
+
 def _receive_grant(node: Node, now: float, answer: StoreAnswered) -> list[Action]:
     relay = node.relay
     relay.lease = answer.lease
     relay.lease_until = relay.asked_at + LEASE_TTL_MS / 1000
     relay.busy.add(CLAIM)
-    value = msgspec.json.encode({"name": node.own.name, "peer_address": node.own.peer_address})
-    key = f"{RELAY_PREFIX}{node.own.data_centre}/{relay.claiming}"
-    return [StoreWrite(CLAIM, key, value, 0, relay.lease)]
+    value = msgspec.json.encode(RelayClaim(node.own.name, node.own.peer_address, relay.lease))
+    return [StoreWrite(CLAIM, _name_slot(node), value, 0, relay.lease)]
 
 
 def _receive_claim(node: Node, now: float, answer: StoreAnswered) -> list[Action]:
+    relay = node.relay
+    if not answer.succeeded:
+        relay.claiming = None
+        return [LeaseRevoke(REVOKE, relay.lease)]
+    return _take_slot(node, now)
+
+
+def _receive_verification(node: Node, now: float, answer: StoreAnswered) -> list[Action]:
+    try:
+        claim = msgspec.json.decode(answer.entries[0].value, type=RelayClaim)
+    except (msgspec.MsgspecError, IndexError):
+        claim = None
+    if claim is not None and claim.lease == node.relay.lease:
+        return _take_slot(node, now)
+    node.relay.claiming = None
+    return []
+
+
+def _take_slot(node: Node, now: float) -> list[Action]:
     relay = node.relay
     slot, relay.claiming = relay.claiming, None
-    if not answer.succeeded or slot is None:
+    if slot is None or now >= relay.lease_until:
         return []
     relay.slot = slot
     relay.renew_at = now
     relay.watch_at = now
+    relay.head_revision = 0
     return [Log(LogEvent.RELAY_ACQUIRED, {"slot": slot})]
 
 
+def _name_slot(node: Node) -> str:
+    return f"{RELAY_PREFIX}{node.own.data_centre}/{node.relay.claiming}"
+
+
 def _receive_renewal(node: Node, now: float, answer: StoreAnswered) -> list[Action]:
     if not answer.succeeded:
         return _give_up(node, now)
@@ -147,25 +235,25 @@
     relay = node.relay
     if not answer.entries or not answer.entries[0].revision:
         relay.watch_at = now + RETRY_INTERVAL_S
-        return []
+        return note_platform_read(node, 0)
     entry = answer.entries[0]
+    unchanged = entry.revision == relay.head_revision
     relay.head_revision = entry.revision
+    if unchanged:
+        return []
     try:
         head = attrs.evolve(decode_head(entry.value), recent_publishes=[])
     except ConfigurationError as error:
         fields = {"version": 0, "code": error.code.value, "reason": error.message}
         return [Log(LogEvent.CONFIGURATION_REFUSED, fields)]
-    missing = list_missing_blobs(node.configuration, head)
-    if not missing:
-        return offer_configuration(node, now, head, {})
-    node.configuration.pending = head
-    relay.busy.add(BLOBS)
-    return [StoreRead(BLOBS, keys=tuple(BLOB_PREFIX + digest for digest in missing))]
+    relay.reading = head
+    actions = offer_configuration(node, now, head, {})
+    return actions + _continue_reading(node, now)
 
 
 def _receive_blobs(node: Node, now: float, answer: StoreAnswered) -> list[Action]:
-    head = node.configuration.pending
-    node.configuration.pending = None
+    relay = node.relay
+    head = relay.reading
     if head is None:
         return []
     blobs = {
@@ -173,16 +261,36 @@
         for entry in answer.entries
         if entry.revision
     }
+    missing = len(list_missing_blobs(node.configuration, head))
     actions = offer_configuration(node, now, head, blobs)
-    if node.configuration.version < head.version > node.configuration.refused_version:
-        node.relay.head_revision = 0
-        node.relay.watch_at = now + RETRY_INTERVAL_S
+    if len(list_missing_blobs(node.configuration, head)) < missing:
+        return actions + _continue_reading(node, now)
+    relay.reading = None
+    relay.head_revision = 0
+    relay.watch_at = now + RETRY_INTERVAL_S
     return actions
 
 
+def _continue_reading(node: Node, now: float) -> list[Action]:
+    relay, table = node.relay, node.configuration
+    head = relay.reading
+    if head is None:
+        return []
+    if head.version <= table.held_version:
+        relay.reading = None
+        return [*note_platform_read(node, head.version), *put_in_force(node, now)]
+    if head.version <= table.refused_version or table.pending != head:
+        relay.reading = None
+        return []
+    missing = list_missing_blobs(table, head)[:BLOBS_AT_ONCE]
+    relay.busy.add(BLOBS)
+    return [StoreRead(BLOBS, keys=tuple(BLOB_PREFIX + digest for digest in missing))]
+
+
 def _give_up(node: Node, now: float) -> list[Action]:
     relay = node.relay
     slot, relay.slot, relay.lease = relay.slot, None, ""
+    relay.scans = 0
     relay.scan_at = now + RETRY_INTERVAL_S
     return [Log(LogEvent.RELAY_LOST, {"slot": slot})]
 
@@ -199,6 +307,7 @@
     SCAN: _receive_scan,
     GRANT: _receive_grant,
     CLAIM: _receive_claim,
+    VERIFY: _receive_verification,
     RENEW: _receive_renewal,
     WATCH: _receive_head,
     BLOBS: _receive_blobs,
--- a/src/magnoliasill/spreading.py
+++ b/src/magnoliasill/spreading.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .actions import SendMessage
+from .messages import MemberNews
 from .node import list_alive
 
 if TYPE_CHECKING:
@@ -16,6 +17,10 @@
 
 FANOUT_LOCAL = 4
 FANOUT_REMOTE = 1
+NEWS_INTERVAL_S = 0.2
+NEWS_SENDS = 6
+NEWS_RECORDS = 12
+PIGGYBACK_RECORDS = 4
 
 
 def choose_peers(
@@ -54,3 +59,55 @@
     """
     peers = choose_peers(node, FANOUT_LOCAL, FANOUT_REMOTE, excluded)
     return [SendMessage(peer.peer_address, message) for peer in peers]
+
+
+def mark_news(node: Node, name: str) -> None:
+    """Note that a member's record changed, to be passed on."""
+    node.news[name] = NEWS_SENDS
+
+
+def send_news(node: Node, now: float) -> list[Action]:
+    """Send the records that were not sent yet to a few peers, the most urgent first.
+
+    Args:
+        node: The node's tables.
+        now: Seconds of the node's clock.
+    """
+    if now < node.news_at:
+        return []
+    fresh = [name for name, sends in node.news.items() if sends == NEWS_SENDS]
+    if not fresh:
+        return []
+    node.news_at = now + NEWS_INTERVAL_S
+    urgent = sorted(fresh, key=lambda name: _takes_work(_find_record(node, name)))
+    message = MemberNews(node.own, _take(node, urgent[:NEWS_RECORDS]))
+    return spread_message(node, message)
+
+
+def take_news(node: Node) -> list[MemberRecord]:
+    """Return some changed records to send along with a message, those sent least first."""
+    names = sorted(node.news, key=lambda name: -node.news[name])
+    return _take(node, names[:PIGGYBACK_RECORDS])
+
+
+def _take(node: Node, names: list[str]) -> list[MemberRecord]:
+    records: list[MemberRecord] = []
+    for name in names:
+        node.news[name] -= 1
+        if not node.news[name]:
+            del node.news[name]
+        record = _find_record(node, name)
+        if record is not None and record is not node.own:
+            records.append(record)
+    return records
+
+
+def _find_record(node: Node, name: str) -> MemberRecord | None:
+    if name == node.own.name:
+        return node.own
+    member = node.members.get(name)
+    return member.record if member is not None else None
+
+
+def _takes_work(record: MemberRecord | None) -> bool:
+    return record is None or (record.serving and record.status == "alive")
--- /dev/null
+++ b/src/magnoliasill/syncing.py
@@ -0,0 +1,116 @@
+"""Comparison of whole member tables with a peer, in bounded pieces."""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from functools import reduce
+from operator import xor
+from typing import TYPE_CHECKING
+
+from .actions import SendMessage
+from .messages import MemberPage, MemberSummary
+from .node import MEMBER_BUCKETS
+from .spreading import choose_peers
+
+if TYPE_CHECKING:
+    from .actions import Action
+    from .messages import Digest, MemberRecord
+    from .node import Member, Node
+
+PAGE_RECORDS = 40
+SYNC_INTERVAL_S = 5.0
+JOIN_SYNC_INTERVAL_S = 0.3
+_PRESENT = ("alive", "suspect")
+
+
+def replace_member(node: Node, member: Member) -> None:
+    """Put a member into the table and keep its bucket's fingerprint right."""
+    remove_member(node, member.record.name)
+    node.members[member.record.name] = member
+    if member.record.status == "suspect":
+        node.suspects.add(member.record.name)
+    node.buckets[_find_bucket(member.record.name)] ^= _hash_record(member.record)
+
+
+def remove_member(node: Node, name: str) -> None:
+    """Forget a member."""
+    known = node.members.pop(name, None)
+    node.suspects.discard(name)
+    if known is not None:
+        node.buckets[_find_bucket(name)] ^= _hash_record(known.record)
+
+
+def list_buckets(node: Node) -> list[int]:
+    """Return the fingerprints of the buckets, with the node's own record counted in."""
+    buckets = list(node.buckets)
+    buckets[_find_bucket(node.own.name)] ^= _hash_record(node.own)
+    return buckets
+
+
+def compute_fingerprint(node: Node) -> int:
+    """Return one number that equals that of every daemon with the same member table."""
+    return reduce(xor, node.buckets, _hash_record(node.own))
+
+
+def compare_fingerprint(node: Node, now: float, digest: Digest) -> list[Action]:
+    """Ask a peer for what it knows better, if its table differs.
+
+    Args:
+        node: The node's tables.
+        now: Seconds of the node's clock.
+        digest: The peer's digest.
+    """
+    if digest.fingerprint == compute_fingerprint(node):
+        node.join.synced = node.join.synced or not digest.joining
+        return []
+    if now < node.sync_at:
+        return []
+    return _ask(node, now, digest.sender)
+
+
+def receive_summary(node: Node, now: float, summary: MemberSummary) -> list[Action]:
+    """Answer with records of the buckets that differ, from a random bucket on."""
+    theirs = summary.buckets or [0] * MEMBER_BUCKETS
+    differing = [i for i, own in enumerate(list_buckets(node)) if own != theirs[i]]
+    start = node.random.randrange(MEMBER_BUCKETS)
+    order = sorted(differing, key=lambda i: (i - start) % MEMBER_BUCKETS)
+    by_bucket: dict[int, list[MemberRecord]] = {i: [] for i in order}
+    for name, member in node.members.items():
+        bucket = _find_bucket(name)
+        if bucket in by_bucket:
+            by_bucket[bucket].append(member.record)
+    records = [record for i in order for record in by_bucket[i]]
+    page = records[:PAGE_RECORDS]
+    complete = len(page) == len(records)
+    reply = MemberPage(node.own, page, complete, not node.join.done)
+    return [SendMessage(summary.sender.peer_address, reply)]
+
+
+def continue_sync(node: Node, now: float, page: MemberPage) -> list[Action]:
+    """Note a whole table, or ask a random peer for the next page."""
+    if page.complete:
+        node.join.synced = node.join.synced or not page.joining
+        return []
+    if node.join.synced:
+        return []
+    peers = choose_peers(node, 1, 0) or [page.sender]
+    return _ask(node, now, peers[0])
+
+
+def _ask(node: Node, now: float, peer: MemberRecord) -> list[Action]:
+    interval = SYNC_INTERVAL_S if node.join.done else JOIN_SYNC_INTERVAL_S
+    node.sync_at = now + interval * node.random.uniform(0.8, 1.2)
+    buckets = list_buckets(node) if node.members else []
+    return [SendMessage(peer.peer_address, MemberSummary(node.own, buckets))]
+
+
+def _find_bucket(name: str) -> int:
+    return zlib.crc32(name.encode()) % MEMBER_BUCKETS
+
+
+def _hash_record(record: MemberRecord) -> int:
+    if record.status not in _PRESENT:
+        return 0
+    text = f"{record.name}:{record.incarnation}"
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -6,7 +6,7 @@
 from testscenarios import WithScenarios
 
 from magnoliasill.codes import ErrorCode
-from magnoliasill.configuration import ConfigurationTable, apply_head
+from magnoliasill.configuration import ConfigurationTable, apply_staged, stage_head
 from magnoliasill.errors import ConfigurationError
 from magnoliasill.routing import find_route
 
@@ -29,7 +29,8 @@
         table = ConfigurationTable()
         first, blobs = build_head(2, [build_service("certs")])
         table.blobs.update(blobs)
-        apply_head(table, 0.0, first)
+        stage_head(table, 0.0, first)
+        apply_staged(table, 0.0)
         depends = ["absent.view"] if self.damage == "open" else []
         files = [build_service("certs"), build_service("media", depends)]
         head, blobs = build_head(self.version, files)
@@ -43,8 +44,9 @@
             head = garbage.__class__(3, "p", 0.0, {"media": "cae66941d9efbd404e4d88758ea67670"})
             blobs = {"cae66941d9efbd404e4d88758ea67670": b""}
         table.blobs.update(blobs)
-        error = self.assertRaises(ConfigurationError, apply_head, table, 1.0, head)
+        error = self.assertRaises(ConfigurationError, stage_head, table, 1.0, head)
         self.assertEqual(self.code, error.code)
         self.assertEqual(2, table.version)
+        self.assertIsNone(table.staged)
         self.assertIsNotNone(find_route(table.applied.routes, "GET", "/certs"))
         self.assertIsNone(find_route(table.applied.routes, "GET", "/media"))
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -8,12 +8,19 @@
 from testscenarios import WithScenarios
 
 from magnoliasill.errors import MessageError
+from magnoliasill.manifest import build_delta
 from magnoliasill.messages import (
     MAX_MESSAGE_BYTES,
     ConfigurationReply,
     ConfigurationRequest,
     Digest,
+    MemberNews,
+    MemberPage,
     MemberRecord,
+    MemberSummary,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
     decode_message,
     encode_message,
 )
@@ -22,17 +29,29 @@
 
 SENDER = MemberRecord("a-1", "a", "127.0.0.1:1", 1)
 HEAD, BLOBS = build_head(1, [build_service("certs")])
+NEXT, _ = build_head(2, [build_service("certs"), build_service("media")])
+DIGEST = Digest(SENDER, 3, [SENDER], 4, True, 2**63, {"b": 5}, True)
 MESSAGES = [
-    Digest(SENDER, 3, [SENDER]),
-    ConfigurationRequest(SENDER, 1, ["x"]),
+    DIGEST,
+    Probe(DIGEST, 7),
+    ProbeRequest(SENDER, 7, "127.0.0.1:2"),
+    ProbeAck(DIGEST, 7),
+    MemberNews(SENDER, [SENDER]),
+    MemberSummary(SENDER, [0, 2**64 - 1]),
+    MemberPage(SENDER, [SENDER], False, True),
+    ConfigurationRequest(SENDER, 1, "x", 2, ["y"]),
     ConfigurationReply(SENDER, HEAD, BLOBS),
+    ConfigurationReply(SENDER, None, {}, build_delta(HEAD, NEXT)),
 ]
 
 
 class RoundTripTest(WithScenarios, testtools.TestCase):
     """Each kind of message."""
 
-    scenarios = [(type(message).__name__, {"message": message}) for message in MESSAGES]
+    scenarios = [
+        (f"{type(message).__name__}_{i}", {"message": message})
+        for i, message in enumerate(MESSAGES)
+    ]
 
     def test_round_trip(self) -> None:
         self.assertEqual(self.message, decode_message(encode_message(self.message)))
