--- a/fakes/backend.py
+++ b/fakes/backend.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import hashlib
+import math
 import os
 import signal
+import socket
 import time
 from collections import Counter
 from typing import TYPE_CHECKING, Any
@@ -15,6 +17,8 @@
 import fire
 import msgspec
 import urllib3
+from eventlet.hubs import trampoline
+from eventlet.semaphore import Semaphore
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -51,7 +55,7 @@
     Attributes:
         service: The service that it belongs to.
         release: Its release.
-        slots: Requests that it runs at once; more are shed with 503.
+        slots: Requests that it runs at once; more are shed with 503, or wait.
         work_ms: The time that one request takes.
         cold_start_ms: Time after the start in which requests take ten times as long.
         faults: How it misbehaves.
@@ -60,6 +64,11 @@
         draining: Whether it takes no new work.
         runs: How often each idempotency key was run.
         calls: Requests run.
+        queueing: Whether requests beyond the slots wait instead of being shed.
+        queued: Requests that wait.
+        attempts: Identifiers of the attempts that it ran, as callers named them.
+        cancelled: Requests whose caller went away while they ran.
+        expired: Requests that ran to their deadline without an answer.
         errors: Running count of calls in the faulty prefix, for the share of errors.
     """
 
@@ -75,6 +84,20 @@
     runs: Counter[str] = attrs.field(factory=Counter)
     calls: int = 0
     errors: float = 0.0
+    queueing: bool = False
+    queued: int = 0
+    attempts: set[str] = attrs.field(factory=set)
+    cancelled: int = 0
+    expired: int = 0
+    free: Semaphore = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Count the slots."""
+        self.free = Semaphore(self.slots)
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection while its request ran."""
 
 
 def build_application(backend: Backend) -> Callable[..., Iterable[bytes]]:
@@ -85,8 +108,11 @@
         body = environ["wsgi.input"].read(length) if length else b""
         status, content = _answer(backend, environ, body)
         headers = [("Content-Type", _JSON), ("X-Release", backend.release)]
+        headers.append(("X-Load", f"{backend.running + backend.queued}/{backend.slots}"))
         if status.startswith("503"):
             headers.append(("X-Not-Run", "1"))
+        if backend.draining:
+            headers.append(("X-Draining", "1"))
         start_response(status, headers)
         return [msgspec.json.encode(content)]
 
@@ -102,7 +128,7 @@
         backend.draining = True
         return "200 OK", {}
     if path == "/control/runs":
-        return "200 OK", {"runs": backend.runs, "calls": backend.calls}
+        return "200 OK", _describe_runs(backend)
     if path == "/healthz":
         return "200 OK", {"status": "ok"}
     if path == "/load":
@@ -111,8 +137,28 @@
 
 
 def _run(backend: Backend, environ: dict[str, Any], path: str, body: bytes) -> tuple[str, Any]:
-    if backend.draining or backend.running >= backend.slots:
+    deadline = _read_deadline(environ)
+    if backend.draining or time.monotonic() >= deadline or not _enter(backend, deadline):
         return "503 Service Unavailable", {"error": "shed"}
+    try:
+        return _run_in_slot(backend, environ, path, body, deadline)
+    finally:
+        backend.free.release()
+
+
+def _enter(backend: Backend, deadline: float) -> bool:
+    if not backend.queueing:
+        return backend.free.acquire(blocking=False)
+    backend.queued += 1
+    try:
+        return backend.free.acquire(timeout=max(deadline - time.monotonic(), 0.001))
+    finally:
+        backend.queued -= 1
+
+
+def _run_in_slot(
+    backend: Backend, environ: dict[str, Any], path: str, body: bytes, deadline: float
+) -> tuple[str, Any]:
     faults = backend.faults
     if faults.crash_marker and faults.crash_marker.encode() in body:
         os._exit(1)
@@ -122,8 +168,11 @@
     key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
     if key:
         backend.runs[key] += 1
+    if "HTTP_X_TEST_ATTEMPT" in environ:
+        backend.attempts.add(environ["HTTP_X_TEST_ATTEMPT"])
     try:
-        eventlet.sleep(_work_seconds(backend, affected))
+        if not _work(backend, environ, _work_seconds(backend, affected), deadline):
+            return "504 Gateway Timeout", {"error": "deadline"}
     finally:
         backend.running -= 1
     if affected and faults.error_ratio:
@@ -136,6 +185,38 @@
     return "200 OK", {**answer, "body_sha256": digest, "key": key}
 
 
+def _describe_runs(backend: Backend) -> dict[str, Any]:
+    return {
+        "runs": backend.runs,
+        "calls": backend.calls,
+        "attempts": sorted(backend.attempts),
+        "cancelled": backend.cancelled,
+        "expired": backend.expired,
+    }
+
+
+def _read_deadline(environ: dict[str, Any]) -> float:
+    left_ms = environ.get("HTTP_X_DEADLINE_MS")
+    return time.monotonic() + int(left_ms) / 1000 if left_ms else math.inf
+
+
+def _work(backend: Backend, environ: dict[str, Any], seconds: float, deadline: float) -> bool:
+    """Work for some seconds; stops at the deadline, or when the caller goes away."""
+    done_at = time.monotonic() + seconds
+    stop_at = min(done_at, deadline)
+    sock = environ["eventlet.input"].get_socket()
+    try:
+        trampoline(sock, read=True, timeout=max(stop_at - time.monotonic(), 0.0))
+    except eventlet.Timeout:
+        backend.expired += deadline < done_at
+        return done_at <= deadline
+    if not sock.recv(1, socket.MSG_PEEK):
+        backend.cancelled += 1
+        raise CallerGoneError
+    eventlet.sleep(max(done_at - time.monotonic(), 0.0))
+    return True
+
+
 def _work_seconds(backend: Backend, affected: bool) -> float:
     cold = (time.monotonic() - backend.started_at) * 1000 < backend.cold_start_ms
     work_ms = backend.work_ms * (10 if cold else 1)
@@ -172,6 +253,7 @@
     slots: int = 10,
     work_ms: float = 2.0,
     cold_start_ms: int = 0,
+    queueing: bool = False,
 ) -> None:
     """Serve until SIGTERM, which drains first.
 
@@ -184,8 +266,9 @@
         slots: Requests run at once.
         work_ms: The time that one request takes.
         cold_start_ms: The length of the cold start.
+        queueing: Let requests beyond the slots wait instead of shedding them.
     """
-    backend = Backend(service, release, slots, work_ms, cold_start_ms)
+    backend = Backend(service, release, slots, work_ms, cold_start_ms, queueing=queueing)
     stop = eventlet.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.ready() or stop.send())
     listener = eventlet.listen((host, port), backlog=LISTEN_BACKLOG)
--- a/src/magnoliasill/administration.py
+++ b/src/magnoliasill/administration.py
@@ -7,6 +7,7 @@
 import attrs
 import msgspec
 
+from .dispatch import list_entries
 from .events import ServerAnnounced
 from .metrics import format_metrics
 
@@ -65,7 +66,7 @@
         "relay_slot": node.relay.slot,
         "store_available": node.store_available,
         "open_calls": proxy.open_calls,
-        "in_flight": dict(proxy.load.in_flight),
+        "upstreams": [attrs.asdict(entry) for entry in list_entries(proxy.dispatcher)],
     }
 
 
--- a/src/magnoliasill/answers.py
+++ b/src/magnoliasill/answers.py
@@ -22,6 +22,9 @@
     ErrorCode.NO_SERVER: "503 Service Unavailable",
     ErrorCode.NOT_RUN: "503 Service Unavailable",
     ErrorCode.OUTCOME_UNKNOWN: "502 Bad Gateway",
+    ErrorCode.OVERLOADED: "503 Service Unavailable",
+    ErrorCode.DEADLINE_EXPIRED: "504 Gateway Timeout",
+    ErrorCode.DEADLINE_INVALID: "400 Bad Request",
 }
 
 
@@ -41,7 +44,7 @@
 
 
 def answer_refusal(
-    start_response: Callable[..., object], code: ErrorCode, message: str
+    start_response: Callable[..., object], code: ErrorCode, message: str, retry_after_s: int = 0
 ) -> Iterable[bytes]:
     """Answer a call by the daemon itself.
 
@@ -49,6 +52,7 @@
         start_response: The WSGI function that starts the answer.
         code: What happened.
         message: Details for a person.
+        retry_after_s: Seconds after which the caller may return, or 0 for the default.
 
     Returns:
         The body's chunks.
@@ -58,6 +62,6 @@
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
     status = _STATUSES[code]
     if status.startswith("503"):
-        headers.append(("Retry-After", str(RETRY_AFTER_S)))
+        headers.append(("Retry-After", str(retry_after_s or RETRY_AFTER_S)))
     start_response(status, headers)
     return [body]
--- a/src/magnoliasill/call.py
+++ b/src/magnoliasill/call.py
@@ -7,6 +7,7 @@
 import attrs
 
 from .codes import ErrorCode
+from .deadlines import read_deadline
 from .errors import CallError
 
 if TYPE_CHECKING:
@@ -81,7 +82,7 @@
         headers=_read_headers(environ),
         body=environ["wsgi.input"].read(length) if length else None,
         key=key,
-        deadline=now + target.route.deadline_ms / 1000,
+        deadline=read_deadline(environ.get("HTTP_X_DEADLINE_MS"), target.route.deadline_ms, now),
     )
 
 
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -115,6 +115,7 @@
     node = Node(own, random.Random(), seeds=settings.seeds)
     proxy = Proxy(node, store, build_metrics(), clock_offset)
     peers = open_peers(peer_address)
+    proxy.notify = lambda entry: write_log(logger, entry.event, **entry.fields)
     return Daemon(settings, node, proxy, store, peers, logger, clock_offset)
 
 
--- a/src/magnoliasill/errors.py
+++ b/src/magnoliasill/errors.py
@@ -61,6 +61,17 @@
 class CallError(MagnoliasillError):
     """A call can't be answered by a backend server."""
 
+    def __init__(self, code: ErrorCode, message: str, retry_after_s: int = 0) -> None:
+        """Describe the failure.
+
+        Args:
+            code: The stable code of this kind of failure.
+            message: What was wrong.
+            retry_after_s: Seconds after which the caller may return, or 0 for the default.
+        """
+        super().__init__(code, message)
+        self.retry_after_s = retry_after_s
+
 
 class AdministrationError(MagnoliasillError):
     """A request to an administration address failed."""
--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
 import urllib3
@@ -11,6 +11,8 @@
 from .outcomes import OutcomeKind
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from .call import Call
     from .connections import ConnectionTable
 
@@ -43,6 +45,9 @@
     problem: str = ""
 
 
+ExchangeFunction: TypeAlias = "Callable[[ConnectionTable, str, Call, float], Exchange]"
+
+
 def exchange_call(
     connections: ConnectionTable, address: str, call: Call, timeout_s: float
 ) -> Exchange:
--- a/src/magnoliasill/forwarder.py
+++ b/src/magnoliasill/forwarder.py
@@ -1,26 +1,33 @@
-"""The forwarder: picks backend servers for a call until one of them has answered."""
+"""The forwarder: sends a call to backend servers until one of them has answered."""
 
 from __future__ import annotations
 
-from time import monotonic
 from typing import TYPE_CHECKING
 
-from .balancer import pick_server
-from .codes import ErrorCode
+from .actions import Log
+from .admission import observe_seconds
+from .balancer import list_upstreams
+from .codes import ErrorCode, LogEvent
+from .deadlines import DEADLINE_HEADER
+from .dispatch import Request, acquire_server, delay_return, find_servers, find_service_load
 from .errors import CallError
-from .exchange import exchange_call
+from .limits import adapt_limit, apply_report
+from .load import read_report
 from .outcomes import DID_NOT_RUN, Outcome, OutcomeKind
+from .outliers import count_outcome, eject_outlier
 from .releases import choose_release
-from .servers import find_group
+from .retries import ATTEMPT_HEADER, earn_retry, may_retry
+from .waiting import wake_next
 
 if TYPE_CHECKING:
+    from .balancer import Pick
     from .call import Call
     from .exchange import Answer, Exchange
-    from .messages import MemberRecord
     from .proxy import Proxy
     from .routing import RouteTarget
+    from .upstreams import Upstream
 
-MAX_ATTEMPTS = 3
+_ANSWERED = frozenset({OutcomeKind.SUCCEEDED, OutcomeKind.FAILED})
 
 
 def forward_call(proxy: Proxy, target: RouteTarget, call: Call) -> Answer:
@@ -35,50 +42,105 @@
         The whole answer.
 
     Raises:
-        CallError: `NO_SERVER` or `NOT_RUN` where the call did not run, `OUTCOME_UNKNOWN` where
-            it may have.
+        CallError: `NO_SERVER`, `OVERLOADED` or `NOT_RUN` where the call did not run,
+            `OUTCOME_UNKNOWN` where it may have.
     """
-    node = proxy.node
-    release = choose_release(node, target.service)
+    request = _build_request(proxy, target, call)
+    load = find_service_load(proxy.dispatcher, target.service.service)
+    earn_retry(load.budget)
+    repeated = call.headers.get(ATTEMPT_HEADER, "1") != "1"
     tried: list[str] = []
-    last: Exchange | None = None
-    for _ in range(MAX_ATTEMPTS):
-        now = monotonic() + proxy.clock_offset
-        group = find_group(proxy.servers, node, target.service.service, release, now)
-        server = pick_server(group, proxy.load, node.random, tried)
-        if server is None:
+    unknown = ""
+    while True:
+        try:
+            pick = acquire_server(proxy.dispatcher, proxy.node, request, tried)
+        except CallError as error:
+            raise _refuse(proxy, request, error, unknown, tried) from error
+        tried.append(pick.record.server_address)
+        _mark_attempt(proxy, call, len(tried), repeated)
+        result = _attempt(proxy, target, request, pick, call)
+        if result.kind in _ANSWERED and result.answer is not None:
+            return result.answer
+        if result.kind not in DID_NOT_RUN:
+            unknown = result.problem or result.kind.value
+        if not may_retry(result.kind, target.route.idempotent, repeated, len(tried), load.budget):
             break
-        tried.append(server.server_address)
-        last = _attempt(proxy, target, server, call)
-        if last.answer is not None and last.kind is not OutcomeKind.SHED:
-            return last.answer
-        if last.kind not in DID_NOT_RUN and not target.route.idempotent:
-            raise CallError(ErrorCode.OUTCOME_UNKNOWN, last.problem)
-    if last is None:
-        raise CallError(ErrorCode.NO_SERVER, f"no backend server of {target.service.service}")
-    if last.kind in DID_NOT_RUN:
-        raise CallError(ErrorCode.NOT_RUN, "no backend server could run the call")
-    raise CallError(ErrorCode.OUTCOME_UNKNOWN, last.problem)
-
-
-def _attempt(proxy: Proxy, target: RouteTarget, server: MemberRecord, call: Call) -> Exchange:
-    address = server.server_address
-    in_flight = proxy.load.in_flight
-    in_flight[address] = in_flight.get(address, 0) + 1
-    started = monotonic()
+    error = CallError(ErrorCode.NOT_RUN, "no backend server could run the call")
+    raise _refuse(proxy, request, error, unknown, tried)
+
+
+def _refuse(
+    proxy: Proxy, request: Request, error: CallError, unknown: str, tried: list[str]
+) -> CallError:
+    if unknown:
+        return CallError(ErrorCode.OUTCOME_UNKNOWN, unknown)
+    if not tried or error.code is ErrorCode.OVERLOADED:
+        return error
+    seconds = delay_return(proxy.dispatcher, proxy.node, request, proxy.clock())
+    return CallError(ErrorCode.NOT_RUN, error.message, retry_after_s=seconds)
+
+
+def _build_request(proxy: Proxy, target: RouteTarget, call: Call) -> Request:
+    service = target.service
+    release = choose_release(proxy.node, service)
+    cold_start_ms = next((r.cold_start_ms for r in service.releases if r.name == release), 0)
+    return Request(
+        service, release, cold_start_ms / 1000, call.deadline, proxy.clock, proxy.clock_offset
+    )
+
+
+def _mark_attempt(proxy: Proxy, call: Call, attempt: int, repeated: bool) -> None:
+    left_ms = max(int((call.deadline - proxy.clock()) * 1000), 1)
+    call.headers[DEADLINE_HEADER] = str(left_ms)
+    if not repeated and attempt > 1:
+        call.headers[ATTEMPT_HEADER] = str(attempt)
+
+
+def _attempt(
+    proxy: Proxy, target: RouteTarget, request: Request, pick: Pick, call: Call
+) -> Exchange:
+    address = pick.record.server_address
+    started = proxy.clock()
+    result = None
     try:
-        result = exchange_call(proxy.connections, address, call, call.deadline - started)
+        result = proxy.exchange(proxy.connections, address, call, call.deadline - started)
     finally:
-        in_flight[address] -= 1
-    ended = monotonic()
-    outcome = Outcome(
-        service=target.service.service,
-        route=target.route.name,
-        release=server.release,
-        server_address=address,
-        kind=result.kind,
-        ended_at=ended + proxy.clock_offset,
-        seconds=ended - started,
-    )
-    proxy.record(outcome)
+        ended = proxy.clock()
+        kind = OutcomeKind.CANCELLED if result is None else result.kind
+        outcome = Outcome(
+            service=target.service.service,
+            route=target.route.name,
+            release=pick.record.release,
+            server_address=address,
+            kind=kind,
+            ended_at=ended + proxy.clock_offset,
+            seconds=ended - started,
+        )
+        _observe(proxy, request, pick, outcome, result)
+        proxy.record(outcome)
     return result
+
+
+def _observe(
+    proxy: Proxy, request: Request, pick: Pick, outcome: Outcome, result: Exchange | None
+) -> None:
+    dispatcher, node, now = proxy.dispatcher, proxy.node, outcome.ended_at
+    entry = pick.upstream
+    adapt_limit(entry, outcome.kind, request.service.limits.slots, now, node.random)
+    if result is not None and result.answer is not None:
+        apply_report(entry, read_report(result.answer.headers), now)
+    entry.in_flight -= 1
+    if outcome.kind in _ANSWERED:
+        load = find_service_load(dispatcher, outcome.service)
+        observe_seconds(load, outcome.seconds)
+    if count_outcome(entry, outcome.kind, outcome.seconds, now):
+        _judge(proxy, request, entry, now)
+    wake_next(dispatcher.waiting, outcome.service)
+
+
+def _judge(proxy: Proxy, request: Request, entry: Upstream, now: float) -> None:
+    group = find_servers(proxy.dispatcher, proxy.node, request, now)
+    peers = list_upstreams(group, proxy.dispatcher.load, now)
+    if eject_outlier(entry, peers, now, proxy.node.random):
+        fields = {"service": request.service.service, "server": entry.address}
+        proxy.notify(Log(LogEvent.SERVER_EJECTED, fields))
--- /dev/null
+++ b/src/magnoliasill/outliers.py
@@ -0,0 +1,107 @@
+"""Outlier detection: a backend server that fails more than its peers gets no work for a time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .outcomes import OutcomeKind
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from random import Random
+
+    from .upstreams import Upstream
+
+CONSECUTIVE_FAILURES = 5
+MIN_CALLS = 20.0
+MIN_RATIO = 0.2
+RATIO_OF_PEERS = 3.0
+HALF_LIFE_S = 10.0
+FIRST_EJECTION_S = 3.0
+MAX_EJECTION_S = 60.0
+FORGIVE_AFTER_S = 120.0
+MAX_EJECTED_SHARE = 1 / 3
+MIN_TIMEOUT_S = 0.5
+
+_FAILURES = frozenset({OutcomeKind.FAILED, OutcomeKind.BROKEN, OutcomeKind.TIMED_OUT})
+
+
+def count_outcome(entry: Upstream, kind: OutcomeKind, seconds: float, now: float) -> bool:
+    """Count the end of an attempt.
+
+    Args:
+        entry: The backend server.
+        kind: How the attempt ended.
+        seconds: How long it took; an early timeout is the caller's short deadline.
+        now: Seconds of the node's clock.
+
+    Returns:
+        Whether it counts as a failure of the backend server.
+    """
+    _decay(entry, now)
+    entry.calls += 1
+    early = kind is OutcomeKind.TIMED_OUT and seconds < MIN_TIMEOUT_S
+    if kind not in _FAILURES or early:
+        if kind is OutcomeKind.SUCCEEDED:
+            entry.consecutive_failures = 0
+        return False
+    entry.failures += 1
+    entry.consecutive_failures += 1
+    return True
+
+
+def eject_outlier(entry: Upstream, peers: Collection[Upstream], now: float, random: Random) -> bool:
+    """Eject a backend server after a failure if it is an outlier among its peers.
+
+    Args:
+        entry: The backend server.
+        peers: All backend servers of the same release, this one included.
+        now: Seconds of the node's clock.
+        random: Spreads the ends of ejections.
+
+    Returns:
+        Whether it was ejected now.
+    """
+    if now < entry.ejected_until or not _is_outlier(entry, peers):
+        return False
+    if not _may_eject(peers, now):
+        return False
+    _eject(entry, now, random)
+    return True
+
+
+def _is_outlier(entry: Upstream, peers: Collection[Upstream]) -> bool:
+    others = [peer for peer in peers if peer is not entry]
+    calls = sum(peer.calls for peer in others)
+    failures = sum(peer.failures for peer in others)
+    usual = failures / calls if calls else 0.0
+    bound = max(MIN_RATIO, RATIO_OF_PEERS * usual)
+    if entry.consecutive_failures >= CONSECUTIVE_FAILURES:
+        return bound < 1.0
+    return entry.calls >= MIN_CALLS and entry.failures / entry.calls > bound
+
+
+def _may_eject(peers: Collection[Upstream], now: float) -> bool:
+    if len(peers) < 2:
+        return False
+    ejected = sum(now < peer.ejected_until for peer in peers)
+    return ejected + 1 <= max(1, int(len(peers) * MAX_EJECTED_SHARE))
+
+
+def _eject(entry: Upstream, now: float, random: Random) -> None:
+    if now - entry.ejected_until > FORGIVE_AFTER_S:
+        entry.ejections = 0
+    seconds = min(FIRST_EJECTION_S * 2**entry.ejections, MAX_EJECTION_S)
+    entry.ejected_until = now + seconds * random.uniform(0.9, 1.1)
+    entry.ejections += 1
+    entry.calls = entry.failures = 0.0
+    entry.consecutive_failures = CONSECUTIVE_FAILURES - 1
+
+
+def _decay(entry: Upstream, now: float) -> None:
+    elapsed_s = now - entry.counted_at
+    if elapsed_s > 1.0:
+        factor = 0.5 ** (elapsed_s / HALF_LIFE_S)
+        entry.calls *= factor
+        entry.failures *= factor
+        entry.counted_at = now
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -8,20 +8,22 @@
 import attrs
 
 from .answers import answer_refusal
-from .balancer import LoadTable
 from .call import HOP_HEADERS, read_call
 from .codes import ErrorCode
 from .connections import ConnectionTable
+from .dispatch import Dispatcher
 from .errors import CallError, StoreError
+from .exchange import exchange_call
 from .forwarder import forward_call
 from .idempotency import claim_key
 from .routing import find_route
-from .servers import ServerIndex
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from .actions import Log
     from .call import Call
+    from .exchange import ExchangeFunction
     from .metrics import Metrics
     from .node import Node
     from .outcomes import Outcome
@@ -39,8 +41,10 @@
         metrics: The daemon's metrics.
         clock_offset: Added to the monotonic clock, it gives the node's clock.
         connections: Idle connections to backend servers.
-        load: Requests in flight to each backend server.
-        servers: The index of backend servers.
+        dispatcher: Finds room at backend servers.
+        notify: Writes a log event.
+        exchange: Sends a call to one backend server.
+        clock: The monotonic clock, in seconds.
         open_calls: Calls that are being served.
         stopping: Whether the daemon takes no more calls.
     """
@@ -50,8 +54,10 @@
     metrics: Metrics
     clock_offset: float = 0.0
     connections: ConnectionTable = attrs.field(factory=ConnectionTable)
-    load: LoadTable = attrs.field(factory=LoadTable)
-    servers: ServerIndex = attrs.field(factory=ServerIndex)
+    dispatcher: Dispatcher = attrs.field(factory=Dispatcher)
+    notify: Callable[[Log], None] = lambda entry: None
+    exchange: ExchangeFunction = exchange_call
+    clock: Callable[[], float] = monotonic
     open_calls: int = 0
     stopping: bool = False
 
@@ -70,7 +76,7 @@
             return _serve(proxy, environ, start_response)
         except CallError as error:
             proxy.metrics.counters["refusals"].inc()
-            return answer_refusal(start_response, error.code, error.message)
+            return answer_refusal(start_response, error.code, error.message, error.retry_after_s)
         finally:
             proxy.open_calls -= 1
             proxy.metrics.latency.record_value(int((perf_counter() - started) * 1e6))
@@ -80,7 +86,7 @@
 
 def _serve(proxy: Proxy, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
     target = _route(proxy, environ["REQUEST_METHOD"], environ["PATH_INFO"])
-    call = read_call(environ, target, monotonic())
+    call = read_call(environ, target, proxy.clock())
     if not target.route.idempotent:
         _claim(proxy, target, call)
     answer = forward_call(proxy, target, call)
