--- a/src/magnoliasill/probing.py
+++ b/src/magnoliasill/probing.py
@@ -217,6 +217,7 @@
     }
     changed = sorted(silent ^ node.silent)
     node.silent = silent
+    node.members_revision += bool(changed)
     events = {True: LogEvent.DATA_CENTRE_SILENT, False: LogEvent.DATA_CENTRE_HEARD}
     return [Log(events[name in silent], {"other_data_centre": name}) for name in changed]
 
