--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -32,12 +32,15 @@
     Plan,
     Progress,
     Verdict,
+    apply_decision,
     compute_boosts,
     compute_share,
     decide,
     is_adjusting,
     is_lowered,
     judge,
+    merge_progress,
+    raise_share,
 )
 
 PROCESSES = 4
@@ -85,7 +88,7 @@
     for window in range(windows + OTHER_DELAY_WINDOWS + 1):
         now = window * WINDOW_S
         for place, progress in run.pending.pop(window, []):
-            run.views[place] = _merge(run.views[place], progress)
+            run.views[place] = merge_progress(run.views[place], progress)
         cells, left_out, visible = draw_window(
             case, now, lambda place, route: compute_share(run.views[place], place, route)
         )
@@ -126,17 +129,17 @@
         _publish(
             run,
             window,
-            attrs.evolve(
+            raise_share(
                 run.record,
-                number=run.record.number + 1,
-                stage=decision.stage,
-                changed_at=now,
-                boosts=compute_boosts(run.plan, now, run.whole.routes),
+                decision,
+                now,
+                "dc0",
+                compute_boosts(run.plan, now, run.whole.routes),
             ),
         )
         run.stage_calls = 0
     if decision.verdict is Verdict.COMPLETE:
-        _publish(run, window, attrs.evolve(run.record, phase=Phase.COMPLETED))
+        _publish(run, window, apply_decision(run.record, decision, now))
 
 
 def _publish(run: Run, window: int, progress: Progress) -> None:
@@ -152,13 +155,11 @@
     record = run.record
     if decision.verdict is Verdict.REVERSE:
         meter.note_evidence(now)
-        progress = attrs.evolve(record, phase=Phase.REVERSED, reason=decision.reason)
+        progress = apply_decision(record, decision, now)
     elif is_lowered(record):
         return
     else:
-        progress = attrs.evolve(
-            record, lowered=record.number, alarms=record.alarms + 1, changed_at=now
-        )
+        progress = apply_decision(record, decision, now)
         run.stage_calls = 0
         reset_levels(run.whole)
         for tester in run.local.values():
@@ -169,10 +170,6 @@
         run.pending[window + delay].append((other, progress))
 
 
-def _merge(view: Progress, progress: Progress) -> Progress:
-    return view if view.phase is not Phase.RUNNING else progress
-
-
 def run_case(job: tuple[str, str, int, int]) -> tuple[str, str, Result, Result]:
     """Run one case with the policy and with the baseline."""
     kind, deployment, seed, number = job
--- /dev/null
+++ b/src/magnoliasill/controller.py
@@ -0,0 +1,374 @@
+"""The controller of a takeover: the one daemon that may raise its share.
+
+It holds a lease in the platform's store. Taking control writes a new generation into the
+takeover's record by compare-and-swap, so that a write of an earlier controller finds another
+revision and fails. A raise is in force only after its own compare-and-swap has succeeded.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from .actions import (
+    LeaseGrant,
+    LeaseKeepAlive,
+    LeaseRevoke,
+    Log,
+    SendMessage,
+    StoreRead,
+    StoreWrite,
+)
+from .codes import LogEvent
+from .collecting import build_cells, judge_locally, take_untested, tick_collecting
+from .duties import rank_daemons
+from .evidence import Tester, find_worst, update_tester
+from .records import Record, build_record, decode_record, name_lease_key, name_record_key
+from .rollout import Phase, Verdict, apply_decision, compute_boosts, decide, raise_share
+from .shares import update_takeovers
+from .spread_progress import adopt_progress, build_news, compare_progress, find_takeover
+from .takeovers import WINDOW_S, Collection
+
+if TYPE_CHECKING:
+    from .actions import Action
+    from .events import StoreAnswered, StoreFailed
+    from .node import Node
+    from .rollout import Decision, Progress
+    from .takeovers import Takeover
+
+LEASE_TTL_MS = 3_000
+RENEW_INTERVAL_S = 1.0
+SILENT_S = 3.0
+CLAIM_INTERVAL_S = 2.0
+NEWS_INTERVAL_S = 1.0
+RECORD_INTERVAL_S = 5.0
+PREFIX = "takeover-"
+
+
+def tick_takeovers(node: Node, now: float) -> list[Action]:
+    """Run every takeover of the configuration in force.
+
+    Args:
+        node: The node's tables.
+        now: Seconds since the epoch.
+    """
+    update_takeovers(node, now)
+    actions: list[Action] = []
+    for takeover in list(node.takeovers.active.values()):
+        actions += tick_collecting(node, now, takeover)
+        actions += compare_progress(node, now, takeover)
+        actions += tick_controller(node, now, takeover)
+    return actions
+
+
+def tick_controller(node: Node, now: float, takeover: Takeover) -> list[Action]:
+    """Claim control, keep it, or use it, as it is due.
+
+    Args:
+        node: The node's tables.
+        now: Seconds since the epoch.
+        takeover: The takeover.
+    """
+    control = takeover.control
+    if control.holding and now >= control.lease_until:
+        return _lose_control(node, now, takeover)
+    if not control.holding:
+        return _claim(node, now, takeover)
+    if _is_settled(takeover):
+        return _resign(node, takeover)
+    actions = _renew(now, takeover) + _tell_collectors(node, now, takeover)
+    if now >= control.collection.window_at:
+        control.collection.window_at = now + WINDOW_S
+        actions += _evaluate(node, now, takeover)
+    return actions + _store_progress(node, now, takeover)
+
+
+def receive_control_answer(node: Node, now: float, answer: StoreAnswered) -> list[Action]:
+    """Go on with the request that was answered."""
+    step, _, takeover_id = answer.purpose.partition("/")
+    takeover = find_takeover(node, takeover_id)
+    handle = _STEPS.get(step)
+    if takeover is None or handle is None:
+        return []
+    if step == RENEW:
+        takeover.control.renewing = False
+    else:
+        takeover.control.busy = False
+    return handle(node, now, takeover, answer)
+
+
+def receive_control_failure(node: Node, now: float, failure: StoreFailed) -> list[Action]:
+    """Try again later; look up a write whose outcome is unknown."""
+    step, _, takeover_id = failure.purpose.partition("/")
+    takeover = find_takeover(node, takeover_id)
+    if takeover is None or step not in _STEPS:
+        return []
+    control = takeover.control
+    if step == RENEW:
+        control.renewing = False
+        return []
+    control.busy = False
+    control.claim_at = now + CLAIM_INTERVAL_S
+    if step == WRITE and failure.unknown:
+        return [_read_record(takeover)]
+    if step == WRITE:
+        control.proposed = None
+    elif step == READ and control.proposed is not None:
+        return [_read_record(takeover)] if now < control.lease_until else []
+    return []
+
+
+def _claim(node: Node, now: float, takeover: Takeover) -> list[Action]:
+    control = takeover.control
+    if now < control.claim_at or control.busy or takeover.stored:
+        return []
+    own = node.own
+    ranked = [r.name for r in rank_daemons(node, takeover.plan.service, own.data_centre)]
+    if own.name not in ranked:
+        return []
+    silent_s = SILENT_S * (1 + ranked.index(own.name))
+    if takeover.controller != own.name and now < takeover.controller_at + silent_s:
+        return []
+    control.claim_at = now + CLAIM_INTERVAL_S * node.random.uniform(0.5, 1.5)
+    control.asked_at, control.busy = now, True
+    return [LeaseGrant(_name_purpose(GRANT, takeover), LEASE_TTL_MS)]
+
+
+def _receive_grant(
+    node: Node, now: float, takeover: Takeover, answer: StoreAnswered
+) -> list[Action]:
+    control = takeover.control
+    control.lease = answer.lease
+    control.lease_until = control.asked_at + LEASE_TTL_MS / 1000
+    control.busy = True
+    key = name_lease_key(takeover.plan.service)
+    value = node.own.name.encode()
+    return [StoreWrite(_name_purpose(CLAIM, takeover), key, value, 0, control.lease)]
+
+
+def _receive_claim(
+    node: Node, now: float, takeover: Takeover, answer: StoreAnswered
+) -> list[Action]:
+    control = takeover.control
+    if not answer.succeeded or now >= control.lease_until:
+        return [LeaseRevoke(_name_purpose(REVOKE, takeover), control.lease)]
+    control.proposed = None
+    return [_read_record(takeover)]
+
+
+def _receive_record(
+    node: Node, now: float, takeover: Takeover, answer: StoreAnswered
+) -> list[Action]:
+    control = takeover.control
+    entry = answer.entries[0]
+    record = decode_record(entry.value)
+    if now >= control.lease_until:
+        return []
+    if control.proposed is not None:
+        return _compare_written(node, now, takeover, record, entry.revision)
+    control.revision = entry.revision
+    control.generation = (record.generation if record is not None else 0) + 1
+    actions: list[Action] = []
+    if record is not None and record.progress.takeover_id == takeover.plan.takeover_id:
+        actions = adopt_progress(node, now, takeover, record.progress)
+    return [*actions, _write(node, now, takeover, takeover.progress)]
+
+
+def _compare_written(
+    node: Node, now: float, takeover: Takeover, record: Record | None, revision: int
+) -> list[Action]:
+    control = takeover.control
+    if record is not None and revision != control.revision:
+        mine = record.holder == node.own.name and record.generation == control.generation
+        if mine and record.progress == control.proposed:
+            return _finish_write(node, now, takeover, revision)
+        return _lose_control(node, now, takeover)
+    control.proposed = None
+    return []
+
+
+def _receive_write(
+    node: Node, now: float, takeover: Takeover, answer: StoreAnswered
+) -> list[Action]:
+    if takeover.control.proposed is None:
+        return []
+    if not answer.succeeded:
+        return _lose_control(node, now, takeover)
+    return _finish_write(node, now, takeover, answer.entries[0].revision)
+
+
+def _finish_write(node: Node, now: float, takeover: Takeover, revision: int) -> list[Action]:
+    control = takeover.control
+    progress, control.proposed = control.proposed, None
+    control.revision, control.recorded = revision, progress
+    if progress is None:
+        return []
+    actions: list[Action] = []
+    if not control.holding and now < control.lease_until:
+        control.holding = True
+        control.collection = Collection(Tester(control.collection.tester.windows))
+        control.chosen = {}
+        control.renew_at = now
+        fields = {"service": takeover.plan.service, "generation": control.generation}
+        actions.append(Log(LogEvent.CONTROL_ACQUIRED, fields))
+    actions += adopt_progress(node, now, takeover, progress)
+    takeover.stored = takeover.progress == progress and progress.phase is not Phase.RUNNING
+    return actions
+
+
+def _receive_renewal(
+    node: Node, now: float, takeover: Takeover, answer: StoreAnswered
+) -> list[Action]:
+    control = takeover.control
+    if not control.holding:
+        return []
+    if not answer.succeeded:
+        return _lose_control(node, now, takeover)
+    control.lease_until = control.asked_at + LEASE_TTL_MS / 1000
+    return []
+
+
+def _ignore(node: Node, now: float, takeover: Takeover, answer: StoreAnswered) -> list[Action]:
+    return []
+
+
+def _renew(now: float, takeover: Takeover) -> list[Action]:
+    control = takeover.control
+    if now < control.renew_at or control.renewing:
+        return []
+    control.renew_at = now + RENEW_INTERVAL_S
+    control.asked_at, control.renewing = now, True
+    return [LeaseKeepAlive(_name_purpose(RENEW, takeover), control.lease)]
+
+
+def _tell_collectors(node: Node, now: float, takeover: Takeover) -> list[Action]:
+    control = takeover.control
+    if now < control.news_at:
+        return []
+    control.news_at = now + NEWS_INTERVAL_S
+    takeover.controller, takeover.controller_at = node.own.name, now
+    news = build_news(node, takeover)
+    places = {node.own.data_centre, *(m.record.data_centre for m in node.members.values())}
+    return [
+        SendMessage(record.peer_address, news)
+        for place in sorted(places)
+        for record in rank_daemons(node, takeover.plan.service, place)
+        if record.name != node.own.name
+    ]
+
+
+def _evaluate(node: Node, now: float, takeover: Takeover) -> list[Action]:
+    control = takeover.control
+    collection = control.collection
+    cells = []
+    for place, origin in control.chosen.items():
+        if origin in collection.sources:
+            cells += build_cells(takeover, place, take_untested(collection.sources[origin]))
+    mark = (takeover.progress.number, takeover.progress.lowered)
+    if mark != control.stage_mark:
+        control.stage_mark, control.stage_calls = mark, 0
+    control.stage_calls += sum(cell.new.calls for cell in cells)
+    tester = collection.tester
+    finding = update_tester(tester, cells) if cells else find_worst(tester)
+    actions = judge_locally(node, now, takeover, collection, finding)
+    if actions or control.busy or control.proposed is not None:
+        return actions
+    decision = decide(
+        takeover.plan, takeover.progress, now, finding, tester.routes, control.stage_calls
+    )
+    return actions + _carry_out(node, now, takeover, decision)
+
+
+def _carry_out(node: Node, now: float, takeover: Takeover, decision: Decision) -> list[Action]:
+    progress = takeover.progress
+    match decision.verdict:
+        case Verdict.HOLD:
+            return []
+        case Verdict.LOWER | Verdict.REVERSE:
+            return adopt_progress(node, now, takeover, apply_decision(progress, decision, now))
+        case Verdict.COMPLETE:
+            return [_write(node, now, takeover, apply_decision(progress, decision, now))]
+    if not takeover.new_servers:
+        return []
+    trial = max(sorted(takeover.new_servers), key=lambda place: takeover.new_servers[place])
+    boosts = compute_boosts(takeover.plan, now, takeover.control.collection.tester.routes)
+    return [_write(node, now, takeover, raise_share(progress, decision, now, trial, boosts))]
+
+
+def _store_progress(node: Node, now: float, takeover: Takeover) -> list[Action]:
+    control = takeover.control
+    if control.busy or control.proposed is not None:
+        return []
+    changed = control.recorded != takeover.progress
+    if not changed and now < control.record_at:
+        return []
+    return [_write(node, now, takeover, takeover.progress)]
+
+
+def _write(node: Node, now: float, takeover: Takeover, progress: Progress) -> Action:
+    control = takeover.control
+    control.proposed, control.busy = progress, True
+    control.record_at = now + RECORD_INTERVAL_S
+    record = build_record(node.own.name, now, takeover, progress)
+    key = name_record_key(takeover.plan.service)
+    value = msgspec.json.encode(record)
+    return StoreWrite(_name_purpose(WRITE, takeover), key, value, control.revision)
+
+
+def _read_record(takeover: Takeover) -> Action:
+    takeover.control.busy = True
+    key = name_record_key(takeover.plan.service)
+    return StoreRead(_name_purpose(READ, takeover), keys=(key,))
+
+
+def _is_settled(takeover: Takeover) -> bool:
+    control = takeover.control
+    return takeover.stored and control.recorded == takeover.progress and not control.busy
+
+
+def _resign(node: Node, takeover: Takeover) -> list[Action]:
+    control = takeover.control
+    places = {node.own.data_centre, *(m.record.data_centre for m in node.members.values())}
+    news = attrs.evolve(build_news(node, takeover), stored=True)
+    actions: list[Action] = [
+        SendMessage(record.peer_address, news)
+        for place in sorted(places)
+        for record in rank_daemons(node, takeover.plan.service, place)
+        if record.name != node.own.name
+    ]
+    control.holding = False
+    return [*actions, LeaseRevoke(_name_purpose(REVOKE, takeover), control.lease)]
+
+
+def _lose_control(node: Node, now: float, takeover: Takeover) -> list[Action]:
+    control = takeover.control
+    held, control.holding = control.holding, False
+    control.proposed = control.recorded = None
+    control.claim_at = now + CLAIM_INTERVAL_S
+    if takeover.controller == node.own.name:
+        takeover.controller = ""
+    if not held:
+        return []
+    return [Log(LogEvent.CONTROL_LOST, {"service": takeover.plan.service})]
+
+
+def _name_purpose(step: str, takeover: Takeover) -> str:
+    return f"{step}/{takeover.plan.takeover_id}"
+
+
+GRANT = PREFIX + "grant"
+CLAIM = PREFIX + "claim"
+READ = PREFIX + "read"
+WRITE = PREFIX + "write"
+RENEW = PREFIX + "renew"
+REVOKE = PREFIX + "revoke"
+_STEPS = {
+    GRANT: _receive_grant,
+    CLAIM: _receive_claim,
+    READ: _receive_record,
+    WRITE: _receive_write,
+    RENEW: _receive_renewal,
+    REVOKE: _ignore,
+}
--- a/src/magnoliasill/dispatch.py
+++ b/src/magnoliasill/dispatch.py
@@ -11,6 +11,7 @@
 from .codes import ErrorCode
 from .errors import CallError
 from .servers import ServerIndex, find_group
+from .shares import focus_servers
 from .waiting import WaitingTable, wait_for_room, wake_next
 
 if TYPE_CHECKING:
@@ -77,7 +78,9 @@
 
 def find_servers(dispatcher: Dispatcher, node: Node, request: Request, now: float) -> ServerGroup:
     """Return the backend servers that a request may go to."""
-    return find_group(dispatcher.servers, node, request.service.service, request.release, now)
+    name = request.service.service
+    group = find_group(dispatcher.servers, node, name, request.release, now)
+    return focus_servers(node, name, request.release, group)
 
 
 def acquire_server(dispatcher: Dispatcher, node: Node, request: Request, tried: list[str]) -> Pick:
--- a/src/magnoliasill/engine.py
+++ b/src/magnoliasill/engine.py
@@ -6,6 +6,8 @@
 
 from .actions import Log
 from .codes import LogEvent
+from .collecting import receive_evidence, receive_report
+from .controller import receive_control_answer, receive_control_failure, tick_takeovers
 from .distribution import receive_digest, receive_reply, receive_request, tick_distribution
 from .events import Event, MessageReceived, ServerAnnounced, StoreAnswered, StoreFailed, Tick
 from .joining import tick_joining
@@ -14,6 +16,8 @@
     ConfigurationReply,
     ConfigurationRequest,
     Digest,
+    EvidenceReport,
+    EvidenceSummary,
     MemberNews,
     MemberPage,
     MemberSummary,
@@ -21,9 +25,11 @@
     Probe,
     ProbeAck,
     ProbeRequest,
+    TakeoverNews,
 )
 from .probing import receive_ack, receive_probe, receive_probe_request, tick_probes
 from .relays import receive_store_answer, receive_store_failure, tick_relay
+from .spread_progress import receive_news
 from .spreading import send_news
 from .syncing import continue_sync, receive_summary
 from .validation import find_problem
@@ -53,9 +59,11 @@
                 return [Log(LogEvent.MESSAGE_REFUSED, {"reason": problem})]
             return _receive(node, now, message)
         case StoreAnswered():
-            return receive_store_answer(node, now, event)
+            actions = receive_store_answer(node, now, event)
+            return actions + receive_control_answer(node, now, event)
         case StoreFailed():
-            return receive_store_failure(node, now, event)
+            actions = receive_store_failure(node, now, event)
+            return actions + receive_control_failure(node, now, event)
         case ServerAnnounced():
             announce_server(node, now, event)
             return []
@@ -68,6 +76,7 @@
     actions += tick_probes(node, now)
     actions += tick_distribution(node, now)
     actions += watch_server(node, now)
+    actions += tick_takeovers(node, now)
     return actions + send_news(node, now)
 
 
@@ -92,4 +101,10 @@
             return receive_request(node, now, message)
         case ConfigurationReply():
             return receive_reply(node, now, message)
+        case EvidenceReport():
+            return receive_report(node, now, message)
+        case EvidenceSummary():
+            return receive_evidence(node, now, message)
+        case TakeoverNews():
+            return receive_news(node, now, message)
     raise TypeError(f"no system for {type(message).__name__}")
--- a/src/magnoliasill/evidence.py
+++ b/src/magnoliasill/evidence.py
@@ -88,6 +88,8 @@
         new_calls: Calls to the new release.
         new_failures: Failures among them.
         old_failures: Failures of the old release.
+        new_slow: Slow calls to the new release.
+        old_slow: Slow calls to the old release.
         finding: What the tests of the worse measure say.
     """
 
@@ -95,6 +97,8 @@
     new_calls: int = 0
     new_failures: int = 0
     old_failures: int = 0
+    new_slow: int = 0
+    old_slow: int = 0
     finding: Finding = attrs.field(factory=lambda: Finding())
 
 
@@ -143,6 +147,22 @@
     return find_worst(tester)
 
 
+def seed_tester(tester: Tester, cells: Iterable[Cell]) -> None:
+    """Take over sums from before this tester's time: as the old release's past, untested.
+
+    Args:
+        tester: The tests, changed in place.
+        cells: Sums of an unknown number of windows.
+    """
+    for cell in cells:
+        _add_counts(tester.routes.setdefault(cell.route, RouteEvidence()), cell)
+        for measure in MEASURES:
+            reference = _get_reference(tester, cell.data_centre, cell.route, measure)
+            old = _take_sample(cell.old, measure)
+            reference.calls += old.calls
+            reference.hits += old.hits
+
+
 def find_worst(tester: Tester) -> Finding:
     """Return the strongest finding of all routes."""
     return _combine([evidence.finding for evidence in tester.routes.values()])
@@ -158,15 +178,21 @@
 def _update_route(tester: Tester, route: str, group: list[Cell]) -> None:
     evidence = tester.routes.setdefault(route, RouteEvidence())
     for cell in group:
-        evidence.calls += cell.old.calls + cell.new.calls
-        evidence.new_calls += cell.new.calls
-        evidence.new_failures += cell.new.failures
-        evidence.old_failures += cell.old.failures
+        _add_counts(evidence, cell)
     evidence.finding = _combine(
         [_update_measure(tester, route, measure, group) for measure in MEASURES]
     )
 
 
+def _add_counts(evidence: RouteEvidence, cell: Cell) -> None:
+    evidence.calls += cell.old.calls + cell.new.calls
+    evidence.new_calls += cell.new.calls
+    evidence.new_failures += cell.new.failures
+    evidence.old_failures += cell.old.failures
+    evidence.new_slow += cell.new.slow
+    evidence.old_slow += cell.old.slow
+
+
 def _combine(findings: list[Finding]) -> Finding:
     if not findings:
         return Finding()
--- a/src/magnoliasill/forwarder.py
+++ b/src/magnoliasill/forwarder.py
@@ -82,7 +82,7 @@
 
 def _build_request(proxy: Proxy, target: RouteTarget, call: Call) -> Request:
     service = target.service
-    release = choose_release(proxy.node, service)
+    release = choose_release(proxy.node, service, target.route.name)
     cold_start_ms = next((r.cold_start_ms for r in service.releases if r.name == release), 0)
     return Request(
         service, release, cold_start_ms / 1000, call.deadline, proxy.clock, proxy.clock_offset
--- a/src/magnoliasill/messages.py
+++ b/src/magnoliasill/messages.py
@@ -10,6 +10,7 @@
 from .codes import ErrorCode
 from .errors import MessageError
 from .manifest import Head, HeadDelta
+from .rollout import Progress
 
 WIRE_VERSION = 2
 MAX_MESSAGE_BYTES = 4_000_000
@@ -184,6 +185,62 @@
     delta: HeadDelta | None = None
 
 
+@attrs.frozen
+class EvidenceReport:
+    """Carries a daemon's sums for one takeover to the collectors of its data centre.
+
+    Attributes:
+        takeover_id: The takeover.
+        origin: The daemon's name.
+        data_centre: Its data centre.
+        incarnation: When its sums began.
+        sequence: Counts its reports from 1.
+        counts: The sums since then; the fields of `tally.Tally.counts`.
+    """
+
+    takeover_id: str
+    origin: str
+    data_centre: str
+    incarnation: int
+    sequence: int
+    counts: list[int]
+
+
+@attrs.frozen
+class EvidenceSummary:
+    """Carries what a collector has tested to the controller; fields as in `EvidenceReport`."""
+
+    takeover_id: str
+    origin: str
+    data_centre: str
+    incarnation: int
+    sequence: int
+    counts: list[int]
+
+
+@attrs.frozen
+class TakeoverNews:
+    """Says how far a takeover has come.
+
+    Attributes:
+        origin: The sender's name.
+        peer_address: The sender's address.
+        service: The service.
+        progress: The progress as the sender knows it.
+        controller: The controller's name if the sender is the controller, else empty.
+        stored: Whether the end of the takeover is known to be in the platform's store.
+        asks: Whether the sender wants to hear of a newer progress.
+    """
+
+    origin: str
+    peer_address: str
+    service: str
+    progress: Progress
+    controller: str = ""
+    stored: bool = False
+    asks: bool = False
+
+
 Message: TypeAlias = (
     Digest
     | Probe
@@ -194,6 +251,9 @@
     | MemberPage
     | ConfigurationRequest
     | ConfigurationReply
+    | EvidenceReport
+    | EvidenceSummary
+    | TakeoverNews
 )
 
 _KINDS: dict[str, type] = {kind.__name__: kind for kind in get_args(Message)}
--- a/src/magnoliasill/node.py
+++ b/src/magnoliasill/node.py
@@ -8,6 +8,7 @@
 
 from .configuration import ConfigurationTable
 from .messages import MemberRecord
+from .takeovers import TakeoverTable
 
 if TYPE_CHECKING:
     from random import Random
@@ -177,6 +178,7 @@
         requested_at: When the last configuration request was sent.
         told_at: When peers were last told of the staged configuration.
         store_available: Whether the last request to the store was answered.
+        takeovers: The takeovers that the node takes part in.
     """
 
     own: MemberRecord
@@ -200,6 +202,7 @@
     requested_at: float = 0.0
     told_at: float = 0.0
     store_available: bool = True
+    takeovers: TakeoverTable = attrs.field(factory=TakeoverTable)
 
 
 def list_alive(node: Node, data_centre: str | None = None) -> list[MemberRecord]:
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -17,6 +17,7 @@
 from .forwarder import forward_call
 from .idempotency import claim_key
 from .routing import find_route
+from .tally import count_attempt
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -64,6 +65,9 @@
     def record(self, outcome: Outcome) -> None:
         """Count the end of one attempt, for balancing and for the evidence on releases."""
         self.metrics.counters["attempts"].labels(outcome.kind.value).inc()
+        takeover = self.node.takeovers.active.get(outcome.service)
+        if takeover is not None:
+            count_attempt(takeover.tally, outcome)
 
 
 def build_application(proxy: Proxy) -> Callable[..., Iterable[bytes]]:
--- /dev/null
+++ b/src/magnoliasill/records.py
@@ -0,0 +1,136 @@
+"""The record of a takeover in the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from .rollout import STAGES, Phase, Progress, is_lowered, list_untested_routes
+
+if TYPE_CHECKING:
+    from .evidence import RouteEvidence
+    from .takeovers import Takeover
+
+RECORD_PREFIX = "rollout/"
+LEASE_PREFIX = "rollout-lease/"
+
+
+@attrs.frozen
+class RouteReport:
+    """The evidence on one route, for operators; fields as in `evidence.RouteEvidence`."""
+
+    calls: int
+    new_calls: int
+    new_failures: int
+    old_failures: int
+    new_slow: int
+    old_slow: int
+    score: float
+    level: float
+
+
+@attrs.frozen
+class Record:
+    """What the platform's store holds of a takeover.
+
+    Attributes:
+        service: The service.
+        from_release: The release that served before.
+        to_release: The release that is to serve.
+        start_at: Seconds since the epoch.
+        finish_by: Seconds since the epoch.
+        progress: How far it has come.
+        generation: Counts the controllers that the service has had.
+        holder: The controller's name.
+        updated_at: When it was written, in seconds since the epoch.
+        share: The shares in the trial data centre and in the others.
+        evidence: What is known of each route.
+        untested: Routes with too few calls to judge.
+    """
+
+    service: str
+    from_release: str
+    to_release: str
+    start_at: float
+    finish_by: float
+    progress: Progress
+    generation: int
+    holder: str
+    updated_at: float
+    share: tuple[float, float]
+    evidence: dict[str, RouteReport] = attrs.field(factory=dict)
+    untested: list[str] = attrs.field(factory=list)
+
+
+def name_record_key(service: str) -> str:
+    """Return the key of a service's record."""
+    return RECORD_PREFIX + service
+
+
+def name_lease_key(service: str) -> str:
+    """Return the key that the controller of a service holds by its lease."""
+    return LEASE_PREFIX + service
+
+
+def decode_record(value: bytes) -> Record | None:
+    """Return a record, or None where there is none or it can't be read."""
+    try:
+        return msgspec.json.decode(value, type=Record)
+    except msgspec.MsgspecError:
+        return None
+
+
+def build_record(holder: str, now: float, takeover: Takeover, progress: Progress) -> Record:
+    """Return the record of a takeover.
+
+    Args:
+        holder: The controller's name.
+        now: Seconds since the epoch.
+        takeover: The takeover.
+        progress: The progress to record.
+    """
+    plan = takeover.plan
+    routes = takeover.control.collection.tester.routes
+    return Record(
+        plan.service,
+        plan.from_release,
+        plan.to_release,
+        plan.start_at,
+        plan.finish_by,
+        progress,
+        takeover.control.generation,
+        holder,
+        now,
+        describe_share(progress),
+        {name: build_report(evidence) for name, evidence in routes.items()},
+        list_untested_routes(plan, routes),
+    )
+
+
+def build_report(evidence: RouteEvidence) -> RouteReport:
+    """Return the evidence on one route for operators."""
+    finding = evidence.finding
+    return RouteReport(
+        evidence.calls,
+        evidence.new_calls,
+        evidence.new_failures,
+        evidence.old_failures,
+        evidence.new_slow,
+        evidence.old_slow,
+        round(finding.score, 3),
+        round(finding.level, 3),
+    )
+
+
+def describe_share(progress: Progress) -> tuple[float, float]:
+    """Return the shares in the trial data centre and in the others."""
+    if progress.phase is Phase.COMPLETED:
+        return 1.0, 1.0
+    if progress.phase is Phase.REVERSED or progress.stage < 0:
+        return 0.0, 0.0
+    trial, others = STAGES[progress.stage]
+    if is_lowered(progress):
+        return min(trial, 0.1), min(others, 0.1)
+    return trial, others
--- a/src/magnoliasill/rollout.py
+++ b/src/magnoliasill/rollout.py
@@ -56,6 +56,7 @@
 SUSPICION_LEVEL = LEVEL_ALARM / 2
 AGREEMENT = math.log(100)  # of the comparison, which makes an alarm final
 MAX_ALARMS = 2
+OVERDUE_S = 3.0  # after the deadline, until daemons go back by themselves
 ID_BYTES = 6
 
 
@@ -77,6 +78,9 @@
     REVERSE = "reverse"
 
 
+_PHASE_ORDER = (Phase.RUNNING, Phase.COMPLETED, Phase.REVERSED)
+
+
 @attrs.frozen
 class Plan:
     """What the operators asked for.
@@ -108,7 +112,8 @@
         takeover_id: The takeover.
         phase: Where it stands.
         number: Counts raises; each is written to the platform's store first.
-        lowered: The greatest number whose raise was withdrawn by a daemon that saw a fault.
+        lowered: The greatest number whose raise was withdrawn by a daemon that saw a fault; one
+            more than it knew, since another raise may be under way.
         stage: The index in `STAGES`, -1 before the first raise.
         changed_at: When the number last changed, in seconds since the epoch.
         trial: The data centre that gets its full share first.
@@ -177,6 +182,11 @@
     return min(share, LOWERED_SHARE) if is_lowered(progress) else share
 
 
+def is_overdue(plan: Plan, now: float) -> bool:
+    """Return whether the deadline has passed without a word of the controller."""
+    return now >= plan.finish_by + OVERDUE_S
+
+
 def is_lowered(progress: Progress) -> bool:
     """Return whether the last raise was withdrawn."""
     return progress.lowered >= progress.number > 0
@@ -187,6 +197,58 @@
     return is_lowered(progress) and now < progress.changed_at + LAG_S
 
 
+def merge_progress(known: Progress, other: Progress) -> Progress:
+    """Return the progress that follows from two views of one takeover.
+
+    The order of the views does not matter: raises go by their number, and what was lowered or
+    taken back stays so.
+    """
+    latest = max(known, other, key=lambda view: (view.number, view.lowered, view.changed_at))
+    phase = max(known.phase, other.phase, key=_PHASE_ORDER.index)
+    reasons = {view.reason for view in (known, other) if view.phase is phase}
+    return attrs.evolve(
+        latest,
+        phase=phase,
+        lowered=max(known.lowered, other.lowered),
+        alarms=max(known.alarms, other.alarms),
+        changed_at=max(known.changed_at, other.changed_at),
+        reason=min(reasons) if phase is not Phase.RUNNING else latest.reason,
+    )
+
+
+def apply_decision(progress: Progress, decision: Decision, now: float) -> Progress:
+    """Return the progress after a decision to lower, to take back or to complete."""
+    match decision.verdict:
+        case Verdict.LOWER:
+            return attrs.evolve(
+                progress,
+                lowered=progress.number + 1,
+                alarms=progress.alarms + 1,
+                changed_at=now,
+                reason=decision.reason,
+            )
+        case Verdict.REVERSE:
+            return attrs.evolve(progress, phase=Phase.REVERSED, reason=decision.reason)
+        case Verdict.COMPLETE:
+            return attrs.evolve(progress, phase=Phase.COMPLETED, reason=decision.reason)
+    return progress
+
+
+def raise_share(
+    progress: Progress, decision: Decision, now: float, trial: str, boosts: dict[str, float]
+) -> Progress:
+    """Return the progress after a decision to raise."""
+    return attrs.evolve(
+        progress,
+        number=max(progress.number, progress.lowered) + 1,
+        stage=decision.stage,
+        changed_at=now,
+        trial=progress.trial or trial,
+        boosts=boosts,
+        reason=decision.reason,
+    )
+
+
 def judge(plan: Plan, progress: Progress, now: float, finding: Finding) -> Decision:
     """Decide what any daemon may do by itself: lower the share, or take the release back.
 
@@ -201,7 +263,7 @@
     where = f"{finding.measure} on route {finding.route}"
     if finding.score >= compute_score_limit(len(plan.routes)):
         return Decision(Verdict.REVERSE, f"{where}: worse than {plan.from_release}")
-    if finding.level < LEVEL_ALARM or is_adjusting(progress, now):
+    if finding.level < LEVEL_ALARM or is_adjusting(progress, now) or not progress.number:
         return HOLD
     if finding.agreement >= AGREEMENT:
         return Decision(Verdict.REVERSE, f"{where}: worse than before and than the old release")
@@ -234,6 +296,8 @@
     window = plan.finish_by - plan.start_at
     if now < plan.start_at + OBSERVE_FRACTION * window:
         return HOLD
+    if is_overdue(plan, now):
+        return Decision(Verdict.REVERSE, "the deadline passed without a controller")
     if now >= plan.finish_by:
         return _close(plan, progress, now, finding, routes)
     if progress.stage < 0:
--- /dev/null
+++ b/src/magnoliasill/shares.py
@@ -0,0 +1,136 @@
+"""The shares that a node's calls follow during a takeover."""
+
+from __future__ import annotations
+
+from math import ceil
+from typing import TYPE_CHECKING
+
+from .evidence import Tester
+from .node import list_alive
+from .rollout import LAST_STAGE, Phase, Progress, build_plan, compute_share, is_overdue
+from .servers import ServerGroup
+from .takeovers import WINDOW_S, Collection, Control, Takeover
+from .tally import ServerFacts, build_tally
+
+if TYPE_CHECKING:
+    from .node import Node
+    from .rollout import Plan
+    from .service_file import ServiceFile
+
+REFRESH_INTERVAL_S = 0.5
+
+
+def update_takeovers(node: Node, now: float) -> None:
+    """Follow the configuration in force, the backend servers and the time.
+
+    Args:
+        node: The node's tables.
+        now: Seconds since the epoch.
+    """
+    applied = node.configuration.applied
+    if applied is None:
+        return
+    if node.takeovers.version != node.configuration.version:
+        _follow_configuration(node, now, applied.services)
+    for takeover in node.takeovers.active.values():
+        if now >= takeover.refresh_at:
+            takeover.refresh_at = now + REFRESH_INTERVAL_S
+            _refresh_servers(node, takeover)
+        update_shares(node, takeover, now)
+
+
+def update_shares(node: Node, takeover: Takeover, now: float) -> None:
+    """Compute the share of each route anew."""
+    place = node.own.data_centre
+    takeover.shares = {
+        route: _compute_effective_share(takeover, place, route, now)
+        for route in takeover.plan.routes
+    }
+
+
+def count_focus(takeover: Takeover, servers: int) -> int:
+    """Return how many of a data centre's new servers get calls, so that each is fully loaded."""
+    share = max(takeover.shares.values(), default=1.0)
+    return max(1, min(servers, ceil(share * servers)))
+
+
+def focus_servers(node: Node, service: str, release: str, group: ServerGroup) -> ServerGroup:
+    """Return the backend servers of a release that a call may go to during a takeover.
+
+    Args:
+        node: The node's tables.
+        service: The service's name.
+        release: The release that the call goes to.
+        group: Every backend server of that release.
+    """
+    takeover = node.takeovers.active.get(service)
+    if takeover is None or release != takeover.plan.to_release or len(group.local) < 2:
+        return group
+    if takeover.progress.phase is not Phase.RUNNING:
+        return group
+    return ServerGroup(group.local[: count_focus(takeover, len(group.local))], group.remote)
+
+
+def _follow_configuration(node: Node, now: float, services: dict[str, ServiceFile]) -> None:
+    table = node.takeovers
+    table.version = node.configuration.version
+    active: dict[str, Takeover] = {}
+    for name, file in services.items():
+        plan = build_plan(file)
+        if plan is None:
+            continue
+        known = table.active.get(name)
+        same = known is not None and known.plan.takeover_id == plan.takeover_id
+        active[name] = (
+            known if same and known is not None else _build_takeover(node, now, plan, file)
+        )
+    table.active = active
+
+
+def _build_takeover(node: Node, now: float, plan: Plan, file: ServiceFile) -> Takeover:
+    progress = node.takeovers.ended.get(plan.takeover_id, Progress(plan.takeover_id))
+    windows = int((plan.finish_by - plan.start_at) / WINDOW_S)
+    return Takeover(
+        plan,
+        progress,
+        build_tally(plan, file, now),
+        Collection(Tester(windows)),
+        Control(Collection(Tester(windows))),
+    )
+
+
+def _refresh_servers(node: Node, takeover: Takeover) -> None:
+    plan = takeover.plan
+    counts: dict[str, dict[str, int]] = {plan.from_release: {}, plan.to_release: {}}
+    facts: dict[str, ServerFacts] = {}
+    known = takeover.tally.servers
+    for record in (node.own, *list_alive(node)):
+        if record.service != plan.service or record.release not in counts:
+            continue
+        local = record.data_centre == node.own.data_centre
+        warm_at = record.started_at + takeover.tally.cold_start_s.get(record.release, 0.0)
+        new = record.release == plan.to_release
+        fact = known.get(record.server_address)
+        if fact is None or fact.warm_at != warm_at:
+            fact = ServerFacts(new, local, warm_at)
+        facts[record.server_address] = fact
+        if record.serving and record.status == "alive":
+            places = counts[record.release]
+            places[record.data_centre] = places.get(record.data_centre, 0) + 1
+    takeover.tally.servers = facts
+    takeover.new_servers = counts[plan.to_release]
+    takeover.old_servers = counts[plan.from_release]
+
+
+def _compute_effective_share(takeover: Takeover, data_centre: str, route: str, now: float) -> float:
+    progress = takeover.progress
+    if not takeover.new_servers:
+        return 1.0 if progress.phase is Phase.COMPLETED else 0.0
+    if not takeover.old_servers and progress.phase is not Phase.REVERSED:
+        return 1.0
+    if progress.phase is Phase.RUNNING and is_overdue(takeover.plan, now):
+        return 0.0
+    ramping = progress.phase is Phase.RUNNING and progress.stage < LAST_STAGE
+    if ramping and data_centre not in takeover.new_servers:
+        return 0.0
+    return compute_share(progress, data_centre, route)
