Hand out ports of process fleets once, from claimed blocks

Cause: the demonstration hung in one of five starts. Ruled out: membership, which showed every started daemon.

--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import signal
 import socket
 import subprocess
@@ -15,12 +16,16 @@
 import urllib3
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 HOST = "127.0.0.1"
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+BLOCK_PORTS = 100
 HTTP_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+_guards: list[socket.socket] = []
 ROOT = Path(__file__).resolve().parent.parent
 DAEMON_START = "from magnoliasill.programs import run_daemon; run_daemon()"
 
@@ -78,15 +83,37 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on at present."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return ports that nothing listens on, each at most once in the life of this process.
+
+    They lie below the range from which the system picks ports for outgoing connections, in blocks
+    that no other process using this function has claimed.
+    """
+    return [next(_ports) for _ in range(count)]
+
+
+def _generate_ports() -> Iterator[int]:
+    blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+    random.SystemRandom().shuffle(blocks)
+    for first in blocks:
+        guard = _bind(first)
+        if guard is None:
+            continue
+        _guards.append(guard)
+        for port in range(first + 1, first + BLOCK_PORTS):
+            probe = _bind(port)
+            if probe is not None:
+                probe.close()
+                yield port
+
+
+def _bind(port: int) -> socket.socket | None:
+    sock = socket.socket()
     try:
-        for sock in sockets:
-            sock.bind((HOST, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+        sock.bind((HOST, port))
+    except OSError:
+        sock.close()
+        return None
+    return sock
 
 
 def start_fleet(folder: Path) -> Fleet:
@@ -241,3 +268,6 @@
     except urllib3.exceptions.HTTPError:
         return False
     return True
+
+
+_ports = _generate_ports()
