--- a/tests/network.py
+++ b/tests/network.py
@@ -44,6 +44,7 @@
         loss: Share of messages that are lost.
         cuts: Each says whether messages from one record to another are lost.
         storeless: Names of the nodes that can't reach the store.
+        silent: Senders and peer addresses between which the open connection carries nothing.
         frozen: Names of the nodes that run nothing at present.
         on_message: Called with each message as it is sent; returns whether it may pass.
     """
@@ -59,6 +60,7 @@
     cuts: list[Cut] = attrs.field(factory=list)
     storeless: set[str] = attrs.field(factory=set)
     frozen: set[str] = attrs.field(factory=set)
+    silent: set[tuple[str, str]] = attrs.field(factory=set)
     backlog: dict[str, list[Event]] = attrs.field(factory=dict)
     queue: list[Any] = attrs.field(factory=list)
     order: Any = attrs.field(factory=count)
@@ -120,8 +122,8 @@
                 self._send(name, action)
             case Log():
                 self.logs.append((self.now, name, action))
-            case ResetPeer():
-                pass
+            case ResetPeer(address=address):
+                self.silent.discard((name, address))
             case _:
                 self.at(self.now + self._delay(), lambda: self._request(name, life, action, 0.0))
 
@@ -134,6 +136,8 @@
         )
         if target is None or not self.on_message(name, action.message):
             return
+        if (name, action.address) in self.silent:
+            return
         lost = self.random.random() < self.loss
         if lost or any(cut(self.nodes[name].own, target.own) for cut in self.cuts):
             return
