--- a/src/magnoliasill/distribution.py
+++ b/src/magnoliasill/distribution.py
@@ -20,7 +20,7 @@
 from .messages import ConfigurationReply, ConfigurationRequest, Digest
 from .node import Source, list_alive
 from .spreading import spread_message, take_news
-from .syncing import compute_fingerprint
+from .syncing import compare_fingerprint, compute_fingerprint
 
 if TYPE_CHECKING:
     from .manifest import Head
@@ -78,6 +78,7 @@
     actions = merge_records(node, now, [sender, *digest.members])
     _note_heard(node, now, digest)
     note_answer(node, digest)
+    actions += compare_fingerprint(node, now, digest)
     held = max(digest.version, digest.held)
     table = node.configuration
     if held > max(table.held_version, table.refused_version):
--- a/src/magnoliasill/node.py
+++ b/src/magnoliasill/node.py
@@ -38,12 +38,13 @@
     Attributes:
         slot: The relay slot that this node holds, or None.
         claiming: The slot that it is trying to claim, or None.
+        slot_revision: The revision that the claimed slot's key must have, 0 if it is vacant.
         lease: The lease that keeps the slot.
         lease_until: When the lease is over, counted from before its last request was sent.
         head_revision: The store's revision of the last head that was read.
         reading: The head whose blobs are being read, or None.
         busy: Purposes of the requests whose answers are outstanding.
-        scans: Looks for a vacant slot since the start or the last loss of a slot.
+        scans: Looks for a vacant slot since the start.
         scan_at: When to look for a vacant slot next.
         renew_at: When to extend the lease next.
         asked_at: When the outstanding lease request was sent.
@@ -52,6 +53,7 @@
 
     slot: int | None = None
     claiming: int | None = None
+    slot_revision: int = 0
     lease: str = ""
     lease_until: float = 0.0
     head_revision: int = 0
--- a/src/magnoliasill/probing.py
+++ b/src/magnoliasill/probing.py
@@ -17,7 +17,7 @@
 from .messages import Probe, ProbeAck, ProbeRequest
 from .node import ForwardedProbe, PendingProbe, list_alive
 from .spreading import choose_peers
-from .syncing import compare_fingerprint, remove_member
+from .syncing import remove_member
 
 if TYPE_CHECKING:
     from .actions import Action
@@ -66,7 +66,7 @@
     told = [known.record] if known is not None and known.record.status != "alive" else []
     ack = ProbeAck(build_digest(node, now, told), probe.sequence)
     actions.append(SendMessage(sender.peer_address, ack))
-    return actions + compare_fingerprint(node, now, probe.digest)
+    return actions
 
 
 def receive_ack(node: Node, now: float, ack: ProbeAck) -> list[Action]:
@@ -77,7 +77,7 @@
     if forwarded is not None and now < forwarded.until:
         digest = build_digest(node, now, [ack.digest.sender])
         actions.append(SendMessage(forwarded.address, ProbeAck(digest, forwarded.sequence)))
-    return actions + compare_fingerprint(node, now, ack.digest)
+    return actions
 
 
 def receive_probe_request(node: Node, now: float, request: ProbeRequest) -> list[Action]:
--- a/src/magnoliasill/relays.py
+++ b/src/magnoliasill/relays.py
@@ -39,7 +39,7 @@
 RENEW_INTERVAL_S = 1.0
 WATCH_WAIT_MS = 2_500
 RETRY_INTERVAL_S = 0.5
-SCANS_PER_SECOND = 2.0  # in each data centre, whatever the number of its daemons
+SCANS_PER_SECOND = 4.0  # in each data centre, whatever the number of its daemons
 
 SCAN = "relay-scan"
 GRANT = "relay-grant"
@@ -73,12 +73,16 @@
     Attributes:
         data_centre: The data centre.
         number: The slot's number in it.
-        peer_address: The peer address of the daemon that holds it.
+        name: The daemon that holds it.
+        peer_address: The peer address of that daemon.
+        revision: The store's revision of its key.
     """
 
     data_centre: str
     number: int
+    name: str
     peer_address: str
+    revision: int
 
 
 def tick_relay(node: Node, now: float) -> list[Action]:
@@ -141,9 +145,12 @@
         relay.scan_at = now + node.random.uniform(0.0, START_SPREAD_S)
         return []
     members = len(list_alive(node, node.own.data_centre)) + 1
-    share = max(members, 2**relay.scans if relay.scans < MAX_SCAN_DOUBLINGS else 0)
+    # a daemon that has just started does not know yet how many share the scans
+    unknown = 0 if node.join.done else 2 ** min(relay.scans, MAX_SCAN_DOUBLINGS)
+    share = max(members, unknown)
     relay.scans += 1
-    relay.scan_at = now + node.random.uniform(0.5, 1.5) * share / SCANS_PER_SECOND
+    # exponential intervals keep the rate of the data centre steady after a common start, too
+    relay.scan_at = now + node.random.expovariate(SCANS_PER_SECOND / share)
     relay.busy.add(SCAN)
     return [StoreRead(SCAN, prefix=RELAY_PREFIX)]
 
@@ -152,10 +159,16 @@
     relay = node.relay
     taken = [slot for slot in map(_read_slot, answer.entries) if slot is not None]
     actions = _greet_relays(node, now, taken)
-    local = {slot.number for slot in taken if slot.data_centre == node.own.data_centre}
-    vacant = sorted(set(range(RELAYS_PER_DATA_CENTRE)) - local)
+    local = {slot.number: slot for slot in taken if slot.data_centre == node.own.data_centre}
+    # a slot under the own name was claimed before the last restart
+    vacant = [
+        number
+        for number in range(RELAYS_PER_DATA_CENTRE)
+        if number not in local or local[number].name == node.own.name
+    ]
     if vacant and node.own.status != "left":
         relay.claiming = vacant[0]
+        relay.slot_revision = local[vacant[0]].revision if vacant[0] in local else 0
         relay.asked_at = now
         relay.busy.add(GRANT)
         actions.append(LeaseGrant(GRANT, LEASE_TTL_MS))
@@ -175,7 +188,7 @@
     parts = entry.key.removeprefix(RELAY_PREFIX).split("/")
     try:
         claim = msgspec.json.decode(entry.value, type=RelayClaim)
-        return RelaySlot(parts[0], int(parts[1]), claim.peer_address)
+        return RelaySlot(parts[0], int(parts[1]), claim.name, claim.peer_address, entry.revision)
     except (msgspec.MsgspecError, ValueError, IndexError):
         return None
 
@@ -186,7 +199,7 @@
     relay.lease_until = relay.asked_at + LEASE_TTL_MS / 1000
     relay.busy.add(CLAIM)
     value = msgspec.json.encode(RelayClaim(node.own.name, node.own.peer_address, relay.lease))
-    return [StoreWrite(CLAIM, _name_slot(node), value, 0, relay.lease)]
+    return [StoreWrite(CLAIM, _name_slot(node), value, relay.slot_revision, relay.lease)]
 
 
 def _receive_claim(node: Node, now: float, answer: StoreAnswered) -> list[Action]:
@@ -290,7 +303,6 @@
 def _give_up(node: Node, now: float) -> list[Action]:
     relay = node.relay
     slot, relay.slot, relay.lease = relay.slot, None, ""
-    relay.scans = 0
     relay.scan_at = now + RETRY_INTERVAL_S
     return [Log(LogEvent.RELAY_LOST, {"slot": slot})]
 
--- a/src/magnoliasill/syncing.py
+++ b/src/magnoliasill/syncing.py
@@ -64,7 +64,7 @@
     if digest.fingerprint == compute_fingerprint(node):
         node.join.synced = node.join.synced or not digest.joining
         return []
-    if now < node.sync_at:
+    if now < node.sync_at or (digest.joining and not node.join.done):
         return []
     return _ask(node, now, digest.sender)
 
--- a/tests/network.py
+++ b/tests/network.py
@@ -47,6 +47,7 @@
         silent: Senders and peer addresses between which the open connection carries nothing.
         frozen: Names of the nodes that run nothing at present.
         on_message: Called with each message as it is sent; returns whether it may pass.
+        on_request: Called with each request to the store as it is sent.
     """
 
     random: Random
@@ -72,6 +73,7 @@
     received: Counter[str] = attrs.field(factory=Counter)
     kinds: Counter[str] = attrs.field(factory=Counter)
     on_message: Callable[[str, Any], bool] = lambda name, message: True
+    on_request: Callable[[str, Any], None] = lambda name, action: None
     seeds: tuple[str, ...] = ()
 
     def at(self, when: float, action: Callable[[], None]) -> None:
@@ -125,6 +127,7 @@
             case ResetPeer(address=address):
                 self.silent.discard((name, address))
             case _:
+                self.on_request(name, action)
                 self.at(self.now + self._delay(), lambda: self._request(name, life, action, 0.0))
 
     def _send(self, name: str, action: SendMessage) -> None:
--- /dev/null
+++ b/tests/test_probing.py
@@ -0,0 +1,122 @@
+"""Tests of probing: who is found dead, who is not, and how soon."""
+
+from __future__ import annotations
+
+import testtools
+from testscenarios import WithScenarios
+
+from magnoliasill.balancer import list_servers
+from magnoliasill.codes import LogEvent
+from magnoliasill.events import ServerAnnounced
+
+from .network import build_network, freeze_node, kill_node, publish_version, resume_node
+from .test_faults import members_agree
+
+STEADY_S = 10.0
+DETECTION_LIMIT_S = 12.0
+LEAVING_LIMIT_S = 3.0
+SERVER = "10.0.0.2:9000"
+
+
+def list_events(network: object, *events: LogEvent) -> list[tuple[str, str]]:
+    """Return who logged one of some events, and about whom."""
+    return [
+        (name, str(log.fields.get("member", "")))
+        for _, name, log in network.logs
+        if log.event in events
+    ]
+
+
+class ProbingTest(WithScenarios, testtools.TestCase):
+    """A network of ten daemons in two data centres, with several seeds."""
+
+    scenarios = [(f"seed_{seed}", {"seed": seed}) for seed in (1, 2, 3)]
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.network = build_network(2, 5, self.seed)
+        publish_version(self.network, 1)
+        self.network.run(STEADY_S)
+        self.assertTrue(members_agree(self.network))
+        self.network.logs.clear()
+
+    def list_false(self) -> list[tuple[str, str]]:
+        return list_events(self.network, LogEvent.MEMBER_SUSPECTED, LogEvent.MEMBER_FAILED)
+
+    def test_nothing_failing(self) -> None:
+        self.network.loss = 0.01
+        self.network.run(60.0)
+        self.assertEqual([], list_events(self.network, LogEvent.MEMBER_FAILED))
+
+    def test_dead(self) -> None:
+        kill_node(self.network, "d0-3")
+
+        def is_found() -> bool:
+            records = [node.members["d0-3"].record for node in self.network.nodes.values()]
+            return all(record.status == "failed" for record in records)
+
+        self.assertLess(self.network.run_until(is_found, DETECTION_LIMIT_S), DETECTION_LIMIT_S)
+
+    def test_pair_cut(self) -> None:
+        """Two daemons that can't reach each other, but others can, are not suspected."""
+        pair = {"d0-1", "d0-2"}
+        self.network.cuts.append(lambda a, b: {a.name, b.name} == pair)
+        self.network.run(30.0)
+        self.assertEqual([], self.list_false())
+
+    def test_data_centres_cut(self) -> None:
+        """Nobody suspects another data centre; it only gets no calls after a time."""
+        self.network.cuts.append(lambda a, b: a.data_centre != b.data_centre)
+        self.network.run(30.0)
+        self.assertEqual([], self.list_false())
+        self.assertEqual({"d1"}, self.network.nodes["d0-1"].silent)
+        self.network.cuts.clear()
+        self.network.run(5.0)
+        self.assertEqual(set(), self.network.nodes["d0-1"].silent)
+
+    def test_data_centre_split(self) -> None:
+        """Halves of a data centre that declared each other failed find together again."""
+        half = {"d0-1", "d0-2"}
+        self.network.cuts.append(lambda a, b: (a.name in half) != (b.name in half))
+        self.network.run(30.0)
+        self.assertFalse(members_agree(self.network))
+        self.network.cuts.clear()
+        limit = 60.0
+        self.assertLess(self.network.run_until(lambda: members_agree(self.network), limit), limit)
+
+    def test_paused(self) -> None:
+        """A daemon that was paused blames nobody."""
+        node = self.network.nodes["d0-1"]
+        self.network.run_until(lambda: bool(node.probes.pending), STEADY_S)
+        freeze_node(self.network, "d0-1")
+        self.network.run(5.0)
+        self.network.backlog.clear()
+        resume_node(self.network, "d0-1")
+        self.network.run(STEADY_S)
+        blamed = [about for name, about in self.list_false() if name == "d0-1" and about != "d0-1"]
+        self.assertEqual([], blamed)
+
+    def test_silent_server(self) -> None:
+        """A backend server that died gets no new work from anybody."""
+        self.announce(True)
+        seen = self.network.run_until(lambda: self.count_views() == 10, LEAVING_LIMIT_S)
+        self.assertLess(seen, LEAVING_LIMIT_S)
+        self.network.run_until(lambda: self.count_views() == 0, 2 * LEAVING_LIMIT_S)
+        self.assertEqual(0, self.count_views())
+
+    def test_draining_server(self) -> None:
+        """A backend server that drains gets no new work after three seconds."""
+        for _ in range(4):
+            self.announce(True)
+            self.network.run(0.5)
+        self.announce(False)
+        self.network.run(LEAVING_LIMIT_S)
+        self.assertEqual(0, self.count_views())
+
+    def announce(self, serving: bool) -> None:
+        life = self.network.lives["d0-2"]
+        self.network.deliver("d0-2", life, ServerAnnounced("lessons", "r0", SERVER, serving))
+
+    def count_views(self) -> int:
+        nodes = self.network.nodes.values()
+        return sum(bool(list_servers(node, "lessons", "r0")) for node in nodes)
