--- a/src/magnoliasill/membership.py
+++ b/src/magnoliasill/membership.py
@@ -122,6 +122,7 @@
     """Change the node's own record, under a greater incarnation, and pass it on."""
     incarnation = node.own.incarnation + 1
     node.own = attrs.evolve(node.own, incarnation=incarnation, **changes)
+    node.members_revision += 1
     mark_news(node, node.own.name)
 
 
@@ -137,6 +138,7 @@
         return
     incarnation = min(record.incarnation + 1, MAX_COUNTER)
     node.own = attrs.evolve(node.own, incarnation=incarnation)
+    node.members_revision += 1
     mark_news(node, node.own.name)
 
 
--- a/src/magnoliasill/syncing.py
+++ b/src/magnoliasill/syncing.py
@@ -35,6 +35,7 @@
 
 def remove_member(node: Node, name: str) -> None:
     """Forget a member."""
+    node.members_revision += 1
     known = node.members.pop(name, None)
     node.suspects.discard(name)
     if known is not None:
