--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,7 +10,6 @@
 from testscenarios import WithScenarios, multiply_scenarios
 
 from fakes.store import build_local_store, expire_leases
-from magnoliasill.balancer import list_servers
 from magnoliasill.errors import PublishError
 from magnoliasill.events import ServerAnnounced
 from magnoliasill.invariants import (
@@ -24,6 +23,7 @@
 from magnoliasill.messages import ConfigurationRequest, Digest
 from magnoliasill.publisher import Publish, publish, read_head
 from magnoliasill.relays import CLAIM
+from magnoliasill.servers import ServerIndex, find_group
 
 from .builders import build_service
 from .network import (
@@ -37,6 +37,7 @@
 )
 
 if TYPE_CHECKING:
+    from magnoliasill.messages import MemberRecord
     from magnoliasill.node import Node
 
 SEED = 4
@@ -329,9 +330,7 @@
     def check_no_new_work(self, network: Network, stopped: set[str]) -> None:
         """Check that nobody who runs gives work to the leaving backend server."""
         views = {
-            name: list_servers(node, "lessons", "r0")
-            for name, node in network.nodes.items()
-            if name not in stopped
+            name: list_servers(node) for name, node in network.nodes.items() if name not in stopped
         }
         self.assertEqual([], check_leaving(views, LEAVING, FAULT_S))
 
@@ -349,6 +348,12 @@
     )
 
 
+def list_servers(node: Node) -> list[MemberRecord]:
+    """Return the backend servers of the victim's release to which a node gives new work."""
+    group = find_group(ServerIndex(), node, "lessons", "r0", 0.0)
+    return [*group.local, *group.remote]
+
+
 def members_agree(network: Network) -> bool:
     """Return whether every node knows every other one as alive, under its present record."""
 
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -5,12 +5,11 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.balancer import list_servers
 from magnoliasill.codes import LogEvent
 from magnoliasill.events import ServerAnnounced
 
 from .network import build_network, freeze_node, kill_node, publish_version, resume_node
-from .test_faults import members_agree
+from .test_faults import list_servers, members_agree
 
 STEADY_S = 10.0
 DETECTION_LIMIT_S = 12.0
@@ -119,4 +118,4 @@
 
     def count_views(self) -> int:
         nodes = self.network.nodes.values()
-        return sum(bool(list_servers(node, "lessons", "r0")) for node in nodes)
+        return sum(bool(list_servers(node)) for node in nodes)
