--- a/fakes/backend.py
+++ b/fakes/backend.py
@@ -66,6 +66,7 @@
         calls: Requests run.
         queueing: Whether requests beyond the slots wait instead of being shed.
         queued: Requests that wait.
+        reporting: Whether answers tell the load.
         attempts: Identifiers of the attempts that it ran, as callers named them.
         cancelled: Requests whose caller went away while they ran.
         expired: Requests that ran to their deadline without an answer.
@@ -86,6 +87,7 @@
     errors: float = 0.0
     queueing: bool = False
     queued: int = 0
+    reporting: bool = True
     attempts: set[str] = attrs.field(factory=set)
     cancelled: int = 0
     expired: int = 0
@@ -108,7 +110,9 @@
         body = environ["wsgi.input"].read(length) if length else b""
         status, content = _answer(backend, environ, body)
         headers = [("Content-Type", _JSON), ("X-Release", backend.release)]
-        headers.append(("X-Load", f"{backend.running + backend.queued}/{backend.slots}"))
+        if backend.reporting:
+            load = backend.running + backend.queued
+            headers.append(("X-Load", f"{load}/{backend.slots}"))
         if status.startswith("503"):
             headers.append(("X-Not-Run", "1"))
         if backend.draining:
@@ -254,6 +258,7 @@
     work_ms: float = 2.0,
     cold_start_ms: int = 0,
     queueing: bool = False,
+    reporting: bool = True,
 ) -> None:
     """Serve until SIGTERM, which drains first.
 
@@ -267,8 +272,10 @@
         work_ms: The time that one request takes.
         cold_start_ms: The length of the cold start.
         queueing: Let requests beyond the slots wait instead of shedding them.
+        reporting: Tell the load with each answer.
     """
-    backend = Backend(service, release, slots, work_ms, cold_start_ms, queueing=queueing)
+    backend = Backend(service, release, slots, work_ms, cold_start_ms)
+    backend.queueing, backend.reporting = queueing, reporting
     stop = eventlet.Event()
     signal.signal(signal.SIGTERM, lambda *_: stop.ready() or stop.send())
     listener = eventlet.listen((host, port), backlog=LISTEN_BACKLOG)
--- a/src/magnoliasill/balancer.py
+++ b/src/magnoliasill/balancer.py
@@ -52,11 +52,13 @@
 
     Attributes:
         now: Seconds of the node's clock.
+        slots: Requests that one backend server runs at once.
         cold_start_s: The length of the release's cold start.
         tried: Addresses that this call has already been sent to.
     """
 
     now: float
+    slots: int
     cold_start_s: float = 0.0
     tried: Collection[str] = ()
 
@@ -86,17 +88,18 @@
     return Pick(known=known, room_at=room_at)
 
 
-def list_upstreams(group: ServerGroup, load: LoadTable, now: float) -> list[Upstream]:
+def list_upstreams(group: ServerGroup, load: LoadTable, slots: int, now: float) -> list[Upstream]:
     """Return the entries of all backend servers of a group."""
     records = (*group.local, *group.remote)
-    return [find_upstream(load.upstreams, record, now) for record in records]
+    return [find_upstream(load.upstreams, record, slots, now) for record in records]
 
 
 def _list_usable(
     records: Sequence[MemberRecord], load: LoadTable, question: Question
 ) -> list[tuple[MemberRecord, Upstream]]:
     now = question.now
-    pairs = [(record, find_upstream(load.upstreams, record, now)) for record in records]
+    slots = question.slots
+    pairs = [(record, find_upstream(load.upstreams, record, slots, now)) for record in records]
     return [
         (record, entry)
         for record, entry in pairs
--- a/src/magnoliasill/dispatch.py
+++ b/src/magnoliasill/dispatch.py
@@ -134,14 +134,14 @@
 ) -> Pick:
     node_now = now + request.clock_offset
     group = find_servers(dispatcher, node, request, node_now)
-    question = Question(node_now, request.cold_start_s, tried)
+    question = Question(node_now, request.service.limits.slots, request.cold_start_s, tried)
     return pick_server(group, dispatcher.load, question, node.random)
 
 
 def _may_wait(dispatcher: Dispatcher, node: Node, request: Request, now: float) -> bool:
     node_now = now + request.clock_offset
     group = find_servers(dispatcher, node, request, node_now)
-    upstreams = list_upstreams(group, dispatcher.load, node_now)
+    upstreams = list_upstreams(group, dispatcher.load, request.service.limits.slots, node_now)
     load = find_service_load(dispatcher, request.service.service)
     return may_wait(load, upstreams, request.service.limits.queue_wait_ms / 1000)
 
--- a/src/magnoliasill/forwarder.py
+++ b/src/magnoliasill/forwarder.py
@@ -140,7 +140,7 @@
 
 def _judge(proxy: Proxy, request: Request, entry: Upstream, now: float) -> None:
     group = find_servers(proxy.dispatcher, proxy.node, request, now)
-    peers = list_upstreams(group, proxy.dispatcher.load, now)
+    peers = list_upstreams(group, proxy.dispatcher.load, request.service.limits.slots, now)
     if eject_outlier(entry, peers, now, proxy.node.random):
         fields = {"service": request.service.service, "server": entry.address}
         proxy.notify(Log(LogEvent.SERVER_EJECTED, fields))
--- a/src/magnoliasill/upstreams.py
+++ b/src/magnoliasill/upstreams.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from .messages import MemberRecord
 
-INITIAL_LIMIT = 4.0
+INITIAL_SHARE = 0.5
 MIN_SLOW_START_WEIGHT = 0.1
 FORGET_AFTER_S = 600.0
 
@@ -24,8 +24,8 @@
         address: Its `ip:port`.
         started_at: What its record says of its start, to recognise a restart.
         first_heard_at: When this daemon first heard of it.
-        in_flight: Requests of this daemon that it runs.
         limit: The most requests that this daemon has in flight to it.
+        in_flight: Requests of this daemon that it runs.
         lowered_at: When the limit was last lowered.
         hold_s: The latest pause after a refusal, 0 after an answer.
         held_until: End of that pause.
@@ -43,8 +43,8 @@
     address: str
     started_at: float
     first_heard_at: float
+    limit: float
     in_flight: int = 0
-    limit: float = INITIAL_LIMIT
     lowered_at: float = 0.0
     hold_s: float = 0.0
     held_until: float = 0.0
@@ -66,18 +66,20 @@
     entries: dict[str, Upstream] = attrs.field(factory=dict)
 
 
-def find_upstream(table: UpstreamTable, record: MemberRecord, now: float) -> Upstream:
+def find_upstream(table: UpstreamTable, record: MemberRecord, slots: int, now: float) -> Upstream:
     """Return the entry of a backend server; a restarted one starts anew.
 
     Args:
         table: The upstreams.
         record: The backend server's record.
+        slots: Requests that it runs at once.
         now: Seconds of the node's clock.
     """
     entry = table.entries.get(record.server_address)
     if entry is None or entry.started_at != record.started_at:
         in_flight = entry.in_flight if entry is not None else 0
-        entry = Upstream(record.server_address, record.started_at, now, in_flight)
+        limit = max(slots * INITIAL_SHARE, 1.0)
+        entry = Upstream(record.server_address, record.started_at, now, limit, in_flight)
         table.entries[record.server_address] = entry
     return entry
 
