--- a/src/magnoliasill/servers.py
+++ b/src/magnoliasill/servers.py
@@ -69,6 +69,8 @@
     for record in records:
         if not record.serving or record.status != "alive":
             continue
+        if record.data_centre in node.silent:
+            continue
         key = (record.service, record.release)
         group = groups.get(key)
         if group is None:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -99,7 +99,7 @@
             incarnation=1,
             service="gallery",
             release="r1",
-            server_address=f"{place}:{number}",
+            server_address=f"10.0.0.{number}:80",
             serving=True,
         )
         for number, place in enumerate(places)
@@ -150,10 +150,10 @@
     """Retries, budgets, draining, data centres and headers."""
 
     def test_killed_server_costs_no_call(self) -> None:
-        bench = build_bench(lambda address, _: "unreachable" if address == "a:0" else "ok")
+        bench = build_bench(lambda address, _: "unreachable" if address == "10.0.0.0:80" else "ok")
         for _ in range(200):
             self.assertEqual(200, bench.call(idempotent=False).status)
-        self.assertLess(bench.sent.count("a:0"), 20)
+        self.assertLess(bench.sent.count("10.0.0.0:80"), 20)
 
     def test_retry_storm_is_bounded_by_the_budget(self) -> None:
         bench = build_bench(lambda *_: "broken", ["a"] * 30)
@@ -170,34 +170,34 @@
         self.assertEqual("2", bench.headers[0]["X-Attempt"])
 
     def test_draining_server_gets_no_more_work(self) -> None:
-        bench = build_bench(lambda address, _: "draining" if address == "a:0" else "ok")
+        bench = build_bench(lambda address, _: "draining" if address == "10.0.0.0:80" else "ok")
         for _ in range(300):
             bench.call()
             bench.now += 0.01
-        self.assertEqual(1, bench.sent.count("a:0"))
+        self.assertEqual(1, bench.sent.count("10.0.0.0:80"))
 
     def test_other_data_centres_only_without_local_room(self) -> None:
         bench = build_bench(lambda *_: "ok", ["a", "b", "b"])
         for _ in range(50):
             bench.call()
-        self.assertEqual({"a:0"}, set(bench.sent))
-        bench.behaviour = lambda address, _: "shed" if address == "a:0" else "ok"
+        self.assertEqual({"10.0.0.0:80"}, set(bench.sent))
+        bench.behaviour = lambda address, _: "shed" if address == "10.0.0.0:80" else "ok"
         for _ in range(50):
             self.assertEqual(200, bench.call().status)
-        self.assertEqual({"a:0", "b:1", "b:2"}, set(bench.sent))
+        self.assertEqual({"10.0.0.0:80", "10.0.0.1:80", "10.0.0.2:80"}, set(bench.sent))
 
     def test_failing_server_is_ejected_and_tried_again_later(self) -> None:
-        bench = build_bench(lambda address, _: "failed" if address == "a:0" else "ok")
+        bench = build_bench(lambda address, _: "failed" if address == "10.0.0.0:80" else "ok")
         for _ in range(200):
             bench.call()
             bench.now += 0.01
-        self.assertLess(bench.sent.count("a:0"), 20)
+        self.assertLess(bench.sent.count("10.0.0.0:80"), 20)
         bench.behaviour = lambda *_: "ok"
         bench.now += 10.0
-        before = bench.sent.count("a:0")
+        before = bench.sent.count("10.0.0.0:80")
         for _ in range(100):
             bench.call()
-        self.assertGreater(bench.sent.count("a:0"), before + 10)
+        self.assertGreater(bench.sent.count("10.0.0.0:80"), before + 10)
 
     def test_failure_of_all_ejects_a_bounded_part(self) -> None:
         bench = build_bench(lambda *_: "failed", ["a"] * 6)
