Refuse malformed requests with a code and pass on chunked bodies

The caller port trusted Content-Length, ignored chunked request bodies and left the refusals of malformed heads to the WSGI server, without a code.

--- a/src/magnoliasill/answers.py
+++ b/src/magnoliasill/answers.py
@@ -22,7 +22,24 @@
     ErrorCode.NO_SERVER: "503 Service Unavailable",
     ErrorCode.NOT_RUN: "503 Service Unavailable",
     ErrorCode.OUTCOME_UNKNOWN: "502 Bad Gateway",
+    ErrorCode.KEY_IN_PROGRESS: "409 Conflict",
+    ErrorCode.KEY_USED: "502 Bad Gateway",
+    ErrorCode.KEY_REUSED: "422 Unprocessable Content",
+    ErrorCode.KEY_EXPIRED: "410 Gone",
+    ErrorCode.CLAIM_UNAVAILABLE: "503 Service Unavailable",
+    ErrorCode.REQUEST_MALFORMED: "400 Bad Request",
+    ErrorCode.REQUEST_CRASHES: "500 Internal Server Error",
 }
+_UNKNOWN_RUNS = frozenset(
+    {
+        ErrorCode.OUTCOME_UNKNOWN,
+        ErrorCode.KEY_IN_PROGRESS,
+        ErrorCode.KEY_USED,
+        ErrorCode.KEY_EXPIRED,
+        ErrorCode.REQUEST_CRASHES,
+    }
+)
+_RETRYABLE_STATUSES = ("503", "409")
 
 
 @attrs.frozen
@@ -53,11 +70,16 @@
     Returns:
         The body's chunks.
     """
-    ran = "unknown" if code is ErrorCode.OUTCOME_UNKNOWN else "no"
-    body = msgspec.json.encode(Refusal(code.value, message, ran))
+    body = encode_refusal(code, message)
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
     status = _STATUSES[code]
-    if status.startswith("503"):
+    if status.startswith(_RETRYABLE_STATUSES):
         headers.append(("Retry-After", str(RETRY_AFTER_S)))
     start_response(status, headers)
     return [body]
+
+
+def encode_refusal(code: ErrorCode, message: str) -> bytes:
+    """Return the JSON body that says why the daemon did not pass a request on."""
+    ran = "unknown" if code in _UNKNOWN_RUNS else "no"
+    return msgspec.json.encode(Refusal(code.value, message, ran))
--- a/src/magnoliasill/call.py
+++ b/src/magnoliasill/call.py
@@ -64,14 +64,12 @@
         The call.
 
     Raises:
-        CallError: If its body is too long, or a key is needed and missing.
+        CallError: If its body is too long or cut short, or a key is needed and missing.
     """
-    length = int(environ.get("CONTENT_LENGTH") or 0)
-    if length > target.service.limits.max_body_bytes:
-        raise CallError(ErrorCode.BODY_TOO_LARGE, f"{length} bytes")
     key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
     if not target.route.idempotent and not key:
         raise CallError(ErrorCode.KEY_MISSING, "this route needs an Idempotency-Key header")
+    body = _read_body(environ, target.service.limits.max_body_bytes)
     path = environ["PATH_INFO"]
     query = environ.get("QUERY_STRING", "")
     return Call(
@@ -79,12 +77,36 @@
         path=path,
         target=f"{path}?{query}" if query else path,
         headers=_read_headers(environ),
-        body=environ["wsgi.input"].read(length) if length else None,
+        body=body,
         key=key,
         deadline=now + target.route.deadline_ms / 1000,
     )
 
 
+def _read_body(environ: dict[str, Any], limit: int) -> bytes | None:
+    if "HTTP_TRANSFER_ENCODING" in environ:
+        return _read_chunked(environ["wsgi.input"], limit)
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > limit:
+        raise CallError(ErrorCode.BODY_TOO_LARGE, f"{length} bytes")
+    if not length:
+        return None
+    body = environ["wsgi.input"].read(length)
+    if len(body) < length:
+        raise CallError(ErrorCode.REQUEST_MALFORMED, f"{len(body)} of {length} bytes arrived")
+    return body
+
+
+def _read_chunked(source: Any, limit: int) -> bytes:
+    try:
+        body = source.read(limit + 1)
+    except (ValueError, OSError) as error:
+        raise CallError(ErrorCode.REQUEST_MALFORMED, f"chunked body: {error}") from error
+    if len(body) > limit:
+        raise CallError(ErrorCode.BODY_TOO_LARGE, f"more than {limit} bytes")
+    return body
+
+
 def _read_headers(environ: dict[str, Any]) -> dict[str, str]:
     headers = {
         name[5:].replace("_", "-").title(): value
--- /dev/null
+++ b/src/magnoliasill/callers.py
@@ -0,0 +1,65 @@
+"""The caller port's HTTP protocol: refuses malformed requests with a code in a JSON body."""
+
+from __future__ import annotations
+
+import http.client
+from typing import Any
+
+from eventlet.wsgi import HeaderLineTooLong, HeadersTooLarge, HttpProtocol
+
+from .answers import encode_refusal
+from .codes import ErrorCode
+
+CHUNKED = "chunked"
+
+
+class CallerProtocol(HttpProtocol):
+    """Checks what frames a request before anything of it is passed on."""
+
+    def _read_request_line(self) -> Any:
+        line = super()._read_request_line()
+        if len(line) < self.server.url_length_limit:
+            return line
+        self._refuse(414, ErrorCode.URI_TOO_LONG, f"more than {len(line) - 1} bytes")
+        return b""
+
+    def parse_request(self) -> bool:
+        """Read the request's head and refuse one whose body can't be told from the next."""
+        try:
+            if not super().parse_request():
+                return False
+        except (HeaderLineTooLong, HeadersTooLarge) as error:
+            self._refuse(431, ErrorCode.HEADERS_TOO_LARGE, type(error).__name__)
+            return False
+        problem = _find_framing_problem(self.headers)
+        if problem:
+            self._refuse(400, ErrorCode.REQUEST_MALFORMED, problem)
+        return not problem
+
+    def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
+        """Refuse a request whose first line or headers can't be parsed."""
+        error = ErrorCode.HEADERS_TOO_LARGE if code == 431 else ErrorCode.REQUEST_MALFORMED
+        self._refuse(code, error, message or "")
+
+    def _refuse(self, status: int, code: ErrorCode, message: str) -> None:
+        reason = http.client.responses.get(status, "Refused")
+        body = encode_refusal(code, message)
+        head = (
+            f"HTTP/1.1 {status} {reason}\r\nConnection: close\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        self.wfile.write(head.encode("latin-1") + body)
+        self.wfile.flush()
+        self.close_connection = True
+
+
+def _find_framing_problem(headers: Any) -> str:
+    lengths = headers.get_all("content-length") or []
+    encodings = headers.get_all("transfer-encoding") or []
+    if len(lengths) + len(encodings) > 1:
+        return "more than one Content-Length or Transfer-Encoding"
+    if lengths and not (lengths[0].isascii() and lengths[0].isdigit()):
+        return f"Content-Length {lengths[0][:40]!r}"
+    if encodings and encodings[0].strip().lower() != CHUNKED:
+        return f"Transfer-Encoding {encodings[0][:40]!r}"
+    return ""
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -16,6 +16,7 @@
 
 from .actions import Log, SendMessage
 from .administration import build_administration
+from .callers import CallerProtocol
 from .codes import ErrorCode, LogEvent
 from .distribution import build_digest
 from .engine import step
@@ -96,7 +97,7 @@
     eventlet.spawn(receive_from_peers, daemon.peers, lambda data: _receive(daemon, data))
     eventlet.spawn(_tick, daemon)
     application = build_application(daemon.proxy)
-    caller_server = eventlet.spawn(_serve, callers, application)
+    caller_server = eventlet.spawn(_serve, callers, application, CallerProtocol)
     administration = build_administration(daemon.proxy, lambda event: submit(daemon, event))
     eventlet.spawn(_serve, admin, administration)
     write_log(daemon.logger, LogEvent.DAEMON_STARTED, caller_port=settings.caller_port)
@@ -190,10 +191,11 @@
         raise SettingsError(ErrorCode.PORT_IN_USE, message) from error
 
 
-def _serve(sock: Any, application: Any) -> None:
+def _serve(sock: Any, application: Any, protocol: type = eventlet.wsgi.HttpProtocol) -> None:
     eventlet.wsgi.server(
         sock,
         application,
+        protocol=protocol,
         log_output=False,
         keepalive=True,
         socket_timeout=KEEPALIVE_TIMEOUT_S,
--- /dev/null
+++ b/tests/serving.py
@@ -0,0 +1,77 @@
+"""Serves WSGI applications inside a test, and speaks raw HTTP to them."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+import eventlet.wsgi
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+eventlet.monkey_patch()
+
+TIMEOUT_S = 20.0
+
+
+def serve_locally(application: Any, protocol: type = eventlet.wsgi.HttpProtocol) -> tuple[str, int]:
+    """Serve an application on a free port of this machine until the test's process ends."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    eventlet.spawn(
+        eventlet.wsgi.server,
+        listener,
+        application,
+        log_output=False,
+        debug=False,
+        protocol=protocol,
+    )
+    return listener.getsockname()
+
+
+def serve_bytes(handle: Callable[[Any], None]) -> str:
+    """Accept connections on a free port and pass each to a function; returns `ip:port`."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    eventlet.spawn(eventlet.serve, listener, lambda sock, _: handle(sock))
+    host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
+def read_request(sock: Any) -> bytes:
+    """Read one request without a body from a socket; empty when the peer has closed."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65_536)
+        if not more:
+            return b""
+        data += more
+    return data
+
+
+def exchange_bytes(address: tuple[str, int], data: bytes, end: bool = False) -> tuple[int, Any]:
+    """Send bytes and read one answer until the peer closes.
+
+    Args:
+        address: The server.
+        data: What to send.
+        end: Whether to end the sending side afterwards.
+
+    Returns:
+        The status, and the decoded JSON body or None where it is no JSON.
+    """
+    with eventlet.Timeout(TIMEOUT_S):
+        sock = eventlet.connect(address)
+        sock.sendall(data)
+        if end:
+            sock.shutdown(socket.SHUT_WR)
+        answer = b""
+        while more := sock.recv(65_536):
+            answer += more
+    head, _, body = answer.partition(b"\r\n\r\n")
+    status = int(head.split(b" ")[1])
+    try:
+        return status, msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return status, None
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,152 @@
+"""Tests of bad input from callers: a clear status, a code, and nothing forwarded."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+from testscenarios import WithScenarios
+
+from magnoliasill.callers import CallerProtocol
+from magnoliasill.configuration import apply_head
+from magnoliasill.messages import MemberRecord
+from magnoliasill.metrics import build_metrics
+from magnoliasill.node import Node
+from magnoliasill.proxy import Proxy, build_application
+from magnoliasill.service_file import Limits, Release, Route, ServiceFile
+
+from .builders import build_head
+from .serving import exchange_bytes, read_request, serve_bytes, serve_locally
+
+LIMIT = 100
+
+
+def build_proxy(server_address: str, idempotent: bool = True) -> Proxy:
+    """Return a proxy with one service `fees`, whose only backend server is on the own VM."""
+    routes = [
+        Route("pay", "POST", "/fees", idempotent=False),
+        Route("view", "GET", "/fees"),
+        Route("put", "PUT", "/fees"),
+    ]
+    limits = Limits(max_body_bytes=LIMIT)
+    file = ServiceFile("fees", "team", routes, [Release("r1")], "r1", limits=limits)
+    own = MemberRecord("a-1", "a", "127.0.0.1:1", 1, "alive", "fees", "r1", server_address, True)
+    node = Node(own, random.Random(1))
+    head, blobs = build_head(1, [file])
+    node.configuration.blobs.update(blobs)
+    apply_head(node.configuration, 0.0, head)
+    return Proxy(node, lambda action: None, build_metrics())
+
+
+def frame(line: str, *headers: str, body: str = "") -> bytes:
+    """Return the bytes of a request that asks for the connection's end."""
+    lines = [line, "Host: x", "Connection: close", *headers, "", body]
+    return "\r\n".join(lines).encode()
+
+
+class BadInputTest(WithScenarios, testtools.TestCase):
+    """Each kind of malformed request."""
+
+    scenarios = [
+        (name, {"data": data, "status": status, "code": code})
+        for name, data, status, code in (
+            ("negative length", frame("PUT /fees HTTP/1.1", "Content-Length: -1"), 400, 525),
+            ("text length", frame("PUT /fees HTTP/1.1", "Content-Length: ten"), 400, 525),
+            ("signed length", frame("PUT /fees HTTP/1.1", "Content-Length: +3"), 400, 525),
+            (
+                "two lengths",
+                frame("PUT /fees HTTP/1.1", "Content-Length: 3", "Content-Length: 4", body="abc"),
+                400,
+                525,
+            ),
+            (
+                "length and chunks",
+                frame(
+                    "PUT /fees HTTP/1.1",
+                    "Content-Length: 3",
+                    "Transfer-Encoding: chunked",
+                    body="0\r\n\r\n",
+                ),
+                400,
+                525,
+            ),
+            ("unknown coding", frame("PUT /fees HTTP/1.1", "Transfer-Encoding: zip"), 400, 525),
+            (
+                "bad chunk",
+                frame("PUT /fees HTTP/1.1", "Transfer-Encoding: chunked", body="zz\r\nabc\r\n"),
+                400,
+                525,
+            ),
+            (
+                "chunks too long",
+                frame(
+                    "PUT /fees HTTP/1.1",
+                    "Transfer-Encoding: chunked",
+                    body=f"c8\r\n{'x' * 200}\r\n0\r\n\r\n",
+                ),
+                413,
+                507,
+            ),
+            (
+                "chunks cut short",
+                frame("PUT /fees HTTP/1.1", "Transfer-Encoding: chunked", body="a\r\nabc"),
+                400,
+                525,
+            ),
+            (
+                "body too long",
+                frame("PUT /fees HTTP/1.1", "Content-Length: 101", body="x" * 101),
+                413,
+                507,
+            ),
+            (
+                "body cut short",
+                frame("PUT /fees HTTP/1.1", "Content-Length: 50", body="x" * 10),
+                400,
+                525,
+            ),
+            ("long header", frame("GET /fees HTTP/1.1", f"X-A: {'a' * 9000}"), 431, 526),
+            (
+                "many headers",
+                frame("GET /fees HTTP/1.1", *(f"X-{n}: {'a' * 900}" for n in range(90))),
+                431,
+                526,
+            ),
+            ("long target", frame(f"GET /{'a' * 9000} HTTP/1.1"), 414, 527),
+            ("no request", b"nonsense\r\n\r\n", 400, 525),
+            ("missing key", frame("POST /fees HTTP/1.1", "Content-Length: 0"), 400, 506),
+            ("unknown route", frame("GET /nothing HTTP/1.1"), 404, 501),
+        )
+    ]
+
+    def test_refused(self) -> None:
+        forwarded: list[bytes] = []
+        backend = serve_bytes(lambda sock: forwarded.append(read_request(sock)))
+        address = serve_locally(build_application(build_proxy(backend)), CallerProtocol)
+        status, body = exchange_bytes(address, self.data, end=True)
+        self.assertEqual((self.status, f"MS-{self.code}"), (status, body and body["code"]))
+        self.assertEqual("no", body["ran"])
+        self.assertEqual([], forwarded)
+
+
+class ChunkedTest(testtools.TestCase):
+    """A request body in chunks."""
+
+    def test_forwarded_whole(self) -> None:
+        received: list[bytes] = []
+
+        def application(environ: dict, start_response: object) -> list[bytes]:
+            received.append(environ["wsgi.input"].read(int(environ["CONTENT_LENGTH"])))
+            start_response("200 OK", [("Content-Type", "application/json")])
+            return [b"{}"]
+
+        host, port = serve_locally(application)
+        proxy = build_proxy(f"{host}:{port}")
+        address = serve_locally(build_application(proxy), CallerProtocol)
+        data = frame(
+            "PUT /fees HTTP/1.1",
+            "Transfer-Encoding: chunked",
+            body="3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+        )
+        self.assertEqual((200, {}), exchange_bytes(address, data))
+        self.assertEqual([b"abcde"], received)
