Claim keys in groups through the holder of their range

Before: one compare-and-swap create in the store for each key, and a repeated key was answered 'unknown' for ever, also where its request never ran.

A successor closes the open bucket and moves the head, both by compare-and-swap, so that a paused holder's write fails: safety does not rest on the lease. The daemon that made a claim says what became of it: the answer is repeated, a request that did not run is claimed anew.

Shown by tests.test_idempotency (66 tests).

--- a/src/magnoliasill/actions.py
+++ b/src/magnoliasill/actions.py
@@ -98,7 +98,15 @@
     fields: dict[str, Any] = attrs.field(factory=dict)
 
 
+@attrs.frozen
+class ResolveWait:
+    """Hand a message to the call that waits for it under a token, if it still does."""
+
+    token: bytes
+    message: Message
+
+
 StoreAction: TypeAlias = (
     StoreRead | StoreWatch | StoreWrite | StoreDelete | LeaseGrant | LeaseKeepAlive | LeaseRevoke
 )
-Action: TypeAlias = SendMessage | StoreAction | Log
+Action: TypeAlias = SendMessage | StoreAction | Log | ResolveWait
--- a/src/magnoliasill/answers.py
+++ b/src/magnoliasill/answers.py
@@ -81,5 +81,10 @@
 
 def encode_refusal(code: ErrorCode, message: str) -> bytes:
     """Return the JSON body that says why the daemon did not pass a request on."""
-    ran = "unknown" if code in _UNKNOWN_RUNS else "no"
+    ran = "no" if is_not_run(code) else "unknown"
     return msgspec.json.encode(Refusal(code.value, message, ran))
+
+
+def is_not_run(code: ErrorCode) -> bool:
+    """Return whether a refusal with this code says that the request certainly did not run."""
+    return code not in _UNKNOWN_RUNS
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -14,7 +14,7 @@
 import eventlet.wsgi
 import fire
 
-from .actions import Log, SendMessage
+from .actions import Log, ResolveWait, SendMessage
 from .administration import build_administration
 from .callers import CallerProtocol
 from .codes import ErrorCode, LogEvent
@@ -28,6 +28,7 @@
     StoreOutcomeUnknownError,
 )
 from .events import Event, MessageReceived, StoreFailed, Tick
+from .idempotency import resolve_wait
 from .logs import bind_logger, configure_logs, write_log
 from .membership import leave
 from .messages import MemberRecord, decode_message, encode_message
@@ -116,7 +117,9 @@
     node = Node(own, random.Random(), seeds=settings.seeds)
     proxy = Proxy(node, store, build_metrics(), clock_offset)
     peers = open_peers(peer_address)
-    return Daemon(settings, node, proxy, store, peers, logger, clock_offset)
+    daemon = Daemon(settings, node, proxy, store, peers, logger, clock_offset)
+    proxy.peers.send = lambda address, message: _carry_out(daemon, SendMessage(address, message))
+    return daemon
 
 
 def submit(daemon: Daemon, event: Event) -> None:
@@ -140,12 +143,16 @@
 
 def _carry_out(daemon: Daemon, action: Action) -> None:
     match action:
+        case SendMessage(address=address) if address == daemon.node.own.peer_address:
+            eventlet.spawn(submit, daemon, MessageReceived(action.message))
         case SendMessage():
             data = encode_message(action.message)
             counters = daemon.proxy.metrics.counters
             counters["messages_sent"].inc()
             counters["message_bytes_sent"].inc(len(data))
             send_to_peer(daemon.peers, action.address, data)
+        case ResolveWait():
+            resolve_wait(daemon.proxy.peers, action.token, action.message)
         case Log():
             write_log(daemon.logger, action.event, **action.fields)
         case _:
--- a/src/magnoliasill/messages.py
+++ b/src/magnoliasill/messages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TypeAlias
+from typing import TypeAlias, get_args
 
 import attrs
 import msgspec
@@ -72,11 +72,103 @@
     blobs: dict[str, bytes] = attrs.field(factory=dict)
 
 
-Message: TypeAlias = Digest | ConfigurationRequest | ConfigurationReply
+@attrs.frozen
+class ClaimRequest:
+    """Asks the holder of a key range to record a claim, or to release it.
+
+    Attributes:
+        asker: The sender's peer address.
+        number: The range.
+        key: Digest of the service and the caller's key.
+        body: Digest of the request that the key belongs to.
+        claim: The claim's identifier, made before the first request for it.
+        instead_of: A claim of the same key whose request certainly did not run.
+        release: Whether the request of this claim certainly did not run and will not.
+    """
+
+    asker: str
+    number: int
+    key: bytes
+    body: bytes
+    claim: bytes
+    instead_of: bytes = b""
+    release: bool = False
+
+
+@attrs.frozen
+class ClaimReply:
+    """Answers a claim request.
+
+    Attributes:
+        claim: The claim.
+        verdict: `granted`, `used`, `reused`, `moved` or `unavailable`.
+        holder: The peer address of the holder, where it is known.
+        used_by: The claim that holds the key.
+        asker: Digest of the peer address of the daemon that made that claim.
+    """
+
+    claim: bytes
+    verdict: str
+    holder: str = ""
+    used_by: bytes = b""
+    asker: bytes = b""
+
+
+@attrs.frozen
+class ClaimQuery:
+    """Asks the daemon that made a claim what became of it."""
+
+    asker: str
+    token: bytes
+    claim: bytes
+
+
+@attrs.frozen
+class ClaimReport:
+    """Says what became of a claim, with its answer where that is still known.
+
+    Attributes:
+        token: Of the query.
+        status: A claim status; `unknown` also where the claim is not known.
+        answer_status: The HTTP status of the answer, 0 where there is none.
+        reason: Its reason phrase.
+        headers: Its headers.
+        body: Its body.
+    """
+
+    token: bytes
+    status: str
+    answer_status: int = 0
+    reason: str = ""
+    headers: list[tuple[str, str]] = attrs.field(factory=list)
+    body: bytes = b""
+
+
+@attrs.frozen
+class CrashNotice:
+    """Says that backend servers broke while they ran a request.
+
+    Attributes:
+        fingerprint: Digest of the request.
+        servers: Digests of the addresses of those servers.
+    """
+
+    fingerprint: bytes
+    servers: list[bytes]
+
+
+Message: TypeAlias = (
+    Digest
+    | ConfigurationRequest
+    | ConfigurationReply
+    | ClaimRequest
+    | ClaimReply
+    | ClaimQuery
+    | ClaimReport
+    | CrashNotice
+)
 
-_KINDS: dict[str, type] = {
-    kind.__name__: kind for kind in (Digest, ConfigurationRequest, ConfigurationReply)
-}
+_KINDS: dict[str, type] = {kind.__name__: kind for kind in get_args(Message)}
 
 
 @attrs.frozen
--- a/src/magnoliasill/node.py
+++ b/src/magnoliasill/node.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from .claim_table import ClaimTable
 from .configuration import ConfigurationTable
 from .messages import MemberRecord
 
@@ -65,6 +66,7 @@
         configuration: What is applied and pending.
         members: Other daemons by name.
         relay: The node's duty as a relay.
+        claims: Claims of keys whose requests must not be repeated.
         seeds: Peer addresses from the settings.
         gossip_at: When to gossip next, in seconds of the node's clock.
         requested_at: When the last configuration request was sent.
@@ -76,6 +78,7 @@
     configuration: ConfigurationTable = attrs.field(factory=ConfigurationTable)
     members: dict[str, Member] = attrs.field(factory=dict)
     relay: RelayTable = attrs.field(factory=RelayTable)
+    claims: ClaimTable = attrs.field(factory=ClaimTable)
     seeds: tuple[str, ...] = ()
     gossip_at: float = 0.0
     requested_at: float = 0.0
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -12,15 +12,16 @@
 from .call import HOP_HEADERS, read_call
 from .codes import ErrorCode
 from .connections import ConnectionTable
-from .errors import CallError, StoreError
+from .errors import CallError
 from .forwarder import forward_call
-from .idempotency import claim_key
+from .idempotency import Peers, run_once
 from .routing import find_route
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from .call import Call
+    from .exchange import Answer
     from .metrics import Metrics
     from .node import Node
     from .outcomes import Outcome
@@ -39,6 +40,7 @@
         clock_offset: Added to the monotonic clock, it gives the node's clock.
         connections: Idle connections to backend servers.
         load: Requests in flight to each backend server.
+        peers: Reaches other daemons for calls that must not be repeated.
         open_calls: Calls that are being served.
         stopping: Whether the daemon takes no more calls.
     """
@@ -49,6 +51,7 @@
     clock_offset: float = 0.0
     connections: ConnectionTable = attrs.field(factory=ConnectionTable)
     load: LoadTable = attrs.field(factory=LoadTable)
+    peers: Peers = attrs.field(factory=lambda: Peers(lambda address, message: None))
     open_calls: int = 0
     stopping: bool = False
 
@@ -78,9 +81,7 @@
 def _serve(proxy: Proxy, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
     target = _route(proxy, environ["REQUEST_METHOD"], environ["PATH_INFO"])
     call = read_call(environ, target, monotonic())
-    if not target.route.idempotent:
-        _claim(proxy, target, call)
-    answer = forward_call(proxy, target, call)
+    answer = _run(proxy, target, call)
     headers = [(name, value) for name, value in answer.headers if name.lower() not in HOP_HEADERS]
     headers.append(("Content-Length", str(len(answer.body))))
     start_response(f"{answer.status} {answer.reason}", headers)
@@ -98,8 +99,10 @@
     return target
 
 
-def _claim(proxy: Proxy, target: RouteTarget, call: Call) -> None:
-    try:
-        claim_key(proxy.store, target.service.service, call.key, call.body or b"")
-    except StoreError as error:
-        raise CallError(ErrorCode.NOT_RUN, error.message) from error
+def _run(proxy: Proxy, target: RouteTarget, call: Call) -> Answer:
+    def forward() -> Answer:
+        return forward_call(proxy, target, call)
+
+    if target.route.idempotent:
+        return forward()
+    return run_once(proxy.node, proxy.peers, target.service.service, call, forward)
--- /dev/null
+++ b/tests/claim_cluster.py
@@ -0,0 +1,203 @@
+"""Several nodes with the store's tables in one process, for failure tests of claims."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import eventlet
+
+from fakes.store import StoreTables, apply_request
+from magnoliasill.actions import Log, ResolveWait, SendMessage, StoreWrite
+from magnoliasill.call import Call
+from magnoliasill.engine import step
+from magnoliasill.errors import CallError, StoreError, StoreOutcomeUnknownError
+from magnoliasill.events import MessageReceived, StoreFailed, Tick
+from magnoliasill.exchange import Answer
+from magnoliasill.idempotency import Peers, resolve_wait, run_once
+from magnoliasill.messages import ClaimQuery, ClaimReply, ClaimRequest, MemberRecord
+from magnoliasill.node import Member, Node
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TICK_S = 0.02
+LEASE_OVER_S = 4.0
+STORE_TIMEOUT_S = 0.2
+
+
+@attrs.define
+class Cluster:
+    """The nodes, what lies between them, and what happened.
+
+    Attributes:
+        nodes: The nodes by peer address.
+        peers: How the calls of each node wait.
+        tables: The store.
+        skew: Added to the clock of every node and of the store.
+        dead: Addresses whose process is gone.
+        frozen: What each frozen process does when it goes on.
+        cut: Pairs of addresses that can't reach each other; `store` stands for the store.
+        faults: What to do once, before a step of the given name.
+        runs: How often each key was run.
+        steps: The steps seen.
+    """
+
+    nodes: dict[str, Node] = attrs.field(factory=dict)
+    peers: dict[str, Peers] = attrs.field(factory=dict)
+    tables: StoreTables = attrs.field(factory=StoreTables)
+    skew: float = 0.0
+    dead: set[str] = attrs.field(factory=set)
+    frozen: dict[str, list[Callable[[], None]]] = attrs.field(factory=dict)
+    cut: set[frozenset[str]] = attrs.field(factory=set)
+    faults: dict[str, Callable[[str], None]] = attrs.field(factory=dict)
+    runs: dict[str, int] = attrs.field(factory=dict)
+    steps: list[str] = attrs.field(factory=list)
+    ticker: Any = None
+
+    def now(self) -> float:
+        """Return the common clock."""
+        return time.monotonic() + self.skew
+
+
+def build_cluster(names: tuple[str, ...] = ("a-1", "a-2", "b-1"), seed: int = 1) -> Cluster:
+    """Return a cluster whose nodes know each other and tick."""
+    cluster = Cluster()
+    for name in names:
+        start_node(cluster, name, seed)
+    cluster.ticker = eventlet.spawn(_tick, cluster)
+    return cluster
+
+
+def start_node(cluster: Cluster, name: str, seed: int) -> str:
+    """Start a process with empty tables; returns its peer address."""
+    address = f"peer-{name}"
+    node = Node(MemberRecord(name, name[0], address, 1), random.Random(f"{name} {seed}"))
+    cluster.dead.discard(address)
+    cluster.nodes[address] = node
+    cluster.peers[address] = Peers(
+        lambda to, message: carry_out(cluster, address, SendMessage(to, message))
+    )
+    for other in cluster.nodes.values():
+        if other is not node:
+            other.members[name] = Member(node.own, 0.0)
+            node.members[other.own.name] = Member(other.own, 0.0)
+    return address
+
+
+def submit(cluster: Cluster, address: str, event: Any) -> None:
+    """Run a node's engine, unless its process is gone; a frozen one does it later."""
+    if address in cluster.frozen:
+        cluster.frozen[address].append(lambda: submit(cluster, address, event))
+        return
+    if address in cluster.dead:
+        return
+    for action in step(cluster.nodes[address], cluster.now(), event):
+        carry_out(cluster, address, action)
+
+
+def carry_out(cluster: Cluster, address: str, action: Any) -> None:
+    """Do what a node asks for."""
+    match action:
+        case Log():
+            return
+        case ResolveWait():
+            resolve_wait(cluster.peers[address], action.token, action.message)
+        case SendMessage():
+            eventlet.spawn(_deliver, cluster, address, action)
+        case _:
+            eventlet.spawn(_request_store, cluster, address, cluster.nodes[address], action)
+
+
+def call_once(cluster: Cluster, address: str, key: str, body: bytes = b"x") -> Any:
+    """Run one call at a node.
+
+    Returns:
+        The answer's body, or the error's code.
+    """
+    call = Call("POST", "/fees", "/fees", {}, body, key, time.monotonic() + 5.0)
+
+    def run() -> Answer:
+        reach(cluster, "run", address)
+        cluster.runs[key] = cluster.runs.get(key, 0) + 1
+        answer = Answer(200, "OK", [], f"ran {key}".encode())
+        reach(cluster, "answer", address)
+        return answer
+
+    try:
+        node, peers = cluster.nodes[address], cluster.peers[address]
+        return run_once(node, peers, "fees", call, run).body
+    except CallError as error:
+        return error.code
+
+
+def reach(cluster: Cluster, name: str, address: str) -> None:
+    """Note a step and cause the fault that waits for it."""
+    cluster.steps.append(name)
+    fault = cluster.faults.pop(name, None)
+    if fault is not None:
+        fault(address)
+
+
+def thaw(cluster: Cluster, address: str) -> None:
+    """Let a frozen process go on with what it was about to do."""
+    for go_on in cluster.frozen.pop(address, []):
+        go_on()
+
+
+def _tick(cluster: Cluster) -> None:
+    while True:
+        for address in list(cluster.nodes):
+            if address not in cluster.frozen:
+                submit(cluster, address, Tick())
+        eventlet.sleep(TICK_S)
+
+
+def _deliver(cluster: Cluster, sender: str, action: SendMessage) -> None:
+    match action.message:
+        case ClaimRequest(release=False):
+            reach(cluster, "ask", action.address)
+        case ClaimReply(verdict="granted"):
+            reach(cluster, "grant", sender)
+        case ClaimQuery():
+            reach(cluster, "query", action.address)
+    if sender in cluster.dead or frozenset((sender, action.address)) in cluster.cut:
+        return
+    if sender in cluster.frozen:
+        cluster.frozen[sender].append(lambda: _deliver(cluster, sender, action))
+        return
+    submit(cluster, action.address, MessageReceived(action.message))
+
+
+def _request_store(cluster: Cluster, address: str, node: Node, action: Any) -> None:
+    is_record = isinstance(action, StoreWrite) and action.purpose.endswith("bucket")
+    if is_record:
+        reach(cluster, "record", address)
+    if address in cluster.frozen:
+        cluster.frozen[address].append(lambda: _request_store(cluster, address, node, action))
+        return
+    if address in cluster.dead or cluster.nodes[address] is not node:
+        return
+    if frozenset((address, "store")) in cluster.cut:
+        eventlet.sleep(STORE_TIMEOUT_S)
+        event = StoreFailed(action.purpose)
+    else:
+        event = _perform(cluster, action)
+    if is_record:
+        reach(cluster, "recorded", address)
+    if cluster.nodes[address] is node:
+        submit(cluster, address, event)
+
+
+def _perform(cluster: Cluster, action: Any) -> Any:
+    if cluster.tables.faults.delay_ms:
+        eventlet.sleep(cluster.tables.faults.delay_ms / 1000)
+    try:
+        return apply_request(cluster.tables, cluster.now(), action)
+    except StoreOutcomeUnknownError:
+        eventlet.sleep(STORE_TIMEOUT_S)
+        return StoreFailed(action.purpose, unknown=True)
+    except StoreError:
+        return StoreFailed(action.purpose)
--- /dev/null
+++ b/tests/test_idempotency.py
@@ -0,0 +1,246 @@
+"""Failure tests of at most once: steps of a claimed request x faults."""
+
+from __future__ import annotations
+
+import contextlib
+
+import eventlet
+import testtools
+from testscenarios import WithScenarios
+
+from fakes.store import StoreFaults
+from magnoliasill.claim_ranges import list_candidates
+from magnoliasill.claim_records import digest_key, find_range
+from magnoliasill.codes import ErrorCode
+
+from . import serving
+from .claim_cluster import (
+    LEASE_OVER_S,
+    Cluster,
+    build_cluster,
+    call_once,
+    start_node,
+    thaw,
+)
+
+KEY = "k-1"
+ANSWER = b"ran k-1"
+TRIES = 40
+PAUSE_S = 0.1
+FINAL = {ErrorCode.KEY_USED, ErrorCode.KEY_REUSED, ErrorCode.OUTCOME_UNKNOWN}
+STEPS = ("ask", "record", "recorded", "grant", "run", "answer")
+
+
+def kill(cluster: Cluster, address: str, asker: str) -> None:
+    cluster.dead.add(address)
+
+
+def restart(cluster: Cluster, address: str, asker: str) -> None:
+    start_node(cluster, address.removeprefix("peer-"), seed=2)
+
+
+def freeze_past_lease(cluster: Cluster, address: str, asker: str) -> None:
+    cluster.frozen[address] = []
+    cluster.skew += LEASE_OVER_S
+
+
+def lose_lease(cluster: Cluster, address: str, asker: str) -> None:
+    cluster.skew += LEASE_OVER_S
+
+
+def stop_store(cluster: Cluster, address: str, asker: str) -> None:
+    cluster.tables.faults = StoreFaults(outage=True)
+
+
+def slow_store(cluster: Cluster, address: str, asker: str) -> None:
+    cluster.tables.faults = StoreFaults(delay_ms=400)
+
+
+def lose_store_answers(cluster: Cluster, address: str, asker: str) -> None:
+    cluster.tables.faults = StoreFaults(lose_answers=2)
+
+
+def cut_peers(cluster: Cluster, address: str, asker: str) -> None:
+    for other in cluster.nodes:
+        cluster.cut.add(frozenset((asker, other)))
+
+
+def cut_store(cluster: Cluster, address: str, asker: str) -> None:
+    cluster.cut.add(frozenset((address, "store")))
+
+
+FAULTS = (
+    kill,
+    restart,
+    freeze_past_lease,
+    lose_lease,
+    stop_store,
+    slow_store,
+    lose_store_answers,
+    cut_peers,
+    cut_store,
+)
+
+
+def find_holder(cluster: Cluster) -> str:
+    """Return the address that the key's range falls to first."""
+    node = next(iter(cluster.nodes.values()))
+    return list_candidates(node, find_range(digest_key("fees", KEY)))[0]
+
+
+def heal(cluster: Cluster) -> None:
+    """End every fault, after the leases; a process that was killed stays gone."""
+    cluster.skew += LEASE_OVER_S
+    cluster.cut.clear()
+    cluster.tables.faults = StoreFaults()
+    for address in list(cluster.frozen):
+        thaw(cluster, address)
+
+
+def call_until_final(cluster: Cluster, address: str) -> object:
+    """Call as a program does: again and again, until an answer or a final refusal."""
+    result: object = None
+    for _ in range(TRIES):
+        result = call_once(cluster, address, KEY)
+        if isinstance(result, bytes) or result in FINAL:
+            return result
+        eventlet.sleep(PAUSE_S)
+    return result
+
+
+class FaultTableTest(WithScenarios, testtools.TestCase):
+    """Each fault of the holder, the store or the network at each step of a claimed request."""
+
+    scenarios = [
+        (f"{fault.__name__} at {step}", {"fault": fault, "step": step})
+        for fault in FAULTS
+        for step in STEPS
+    ]
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster = build_cluster()
+        self.addCleanup(self.cluster.ticker.kill)
+        self.holder = find_holder(self.cluster)
+        others = [address for address in self.cluster.nodes if address != self.holder]
+        self.asker, self.other = others
+
+    def test_at_most_once(self) -> None:
+        cluster = self.cluster
+        cluster.faults[self.step] = lambda _: self.fault(cluster, self.holder, self.asker)
+        with eventlet.Timeout(serving.TIMEOUT_S):
+            first = call_once(cluster, self.asker, KEY)
+            runs_after_first = cluster.runs.get(KEY, 0)
+            during = call_once(cluster, self.other, KEY)
+            heal(cluster)
+            second = call_until_final(cluster, self.other)
+            third = call_until_final(cluster, self.asker)
+        self.assertNotIn(self.step, cluster.faults, "the fault never came")
+        self.assertEqual(1, cluster.runs.get(KEY, 0), (first, during, second, third))
+        if isinstance(first, bytes):
+            self.assertEqual(ANSWER, first)
+        else:
+            self.assertEqual(0, runs_after_first, "told as not run")
+        self.assertEqual((ANSWER, ANSWER), (second, third))
+
+
+class AskerFaultTest(WithScenarios, testtools.TestCase):
+    """The daemon that runs the request dies at each step."""
+
+    scenarios = [(step, {"step": step}) for step in STEPS]
+
+    def test_at_most_once(self) -> None:
+        cluster = build_cluster()
+        self.addCleanup(cluster.ticker.kill)
+        holder = find_holder(cluster)
+        asker, other = (address for address in cluster.nodes if address != holder)
+
+        def restart_asker(_: str) -> None:
+            start_node(cluster, asker.removeprefix("peer-"), seed=3)
+            if self.step in ("run", "answer"):
+                raise eventlet.greenlet.GreenletExit
+            caller.kill()
+
+        cluster.faults[self.step] = restart_asker
+        with eventlet.Timeout(serving.TIMEOUT_S):
+            caller = eventlet.spawn(call_once, cluster, asker, KEY)
+            with contextlib.suppress(eventlet.greenlet.GreenletExit):
+                caller.wait()
+            result = call_until_final(cluster, other)
+        self.assertNotIn(self.step, cluster.faults, "the fault never came")
+        runs = cluster.runs.get(KEY, 0)
+        if result == ANSWER:
+            self.assertEqual(1, runs)
+        else:
+            self.assertEqual(ErrorCode.KEY_USED, result)
+            self.assertIn(runs, (0, 1))
+
+
+class PausedHolderTest(testtools.TestCase):
+    """A holder paused past its lease goes on while the first caller still waits for it."""
+
+    def test_stale_grant(self) -> None:
+        cluster = build_cluster()
+        self.addCleanup(cluster.ticker.kill)
+        holder = find_holder(cluster)
+        asker, other = (address for address in cluster.nodes if address != holder)
+        cluster.cut.add(frozenset((asker, other)))
+        number = find_range(digest_key("fees", KEY))
+        cluster.nodes[other].claims.holders[number] = other
+        cluster.faults["record"] = lambda _: freeze_past_lease(cluster, holder, asker)
+        with eventlet.Timeout(serving.TIMEOUT_S):
+            first = eventlet.spawn(call_once, cluster, asker, KEY)
+            while not cluster.frozen:
+                eventlet.sleep(0)
+            second = call_until_final(cluster, other)
+            self.assertEqual((ANSWER, 1), (second, cluster.runs[KEY]))
+            self.assertFalse(first.dead, "the first caller no longer waits")
+            thaw(cluster, holder)
+            result = first.wait()
+        self.assertEqual({KEY: 1}, cluster.runs)
+        self.assertNotEqual(ANSWER, result)
+
+
+class KeyTest(testtools.TestCase):
+    """What a key's second request gets."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.cluster = build_cluster()
+        self.addCleanup(self.cluster.ticker.kill)
+
+    def test_answer_again_everywhere(self) -> None:
+        answers = {call_once(self.cluster, address, KEY) for address in self.cluster.nodes}
+        self.assertEqual({ANSWER}, answers)
+        self.assertEqual({KEY: 1}, self.cluster.runs)
+
+    def test_other_body(self) -> None:
+        self.assertEqual(ANSWER, call_once(self.cluster, "peer-a-1", KEY))
+        for address in self.cluster.nodes:
+            code = call_once(self.cluster, address, KEY, b"other")
+            self.assertEqual(ErrorCode.KEY_REUSED, code)
+
+    def test_running_elsewhere(self) -> None:
+        go_on = eventlet.Event()
+        self.cluster.faults["run"] = lambda _: go_on.wait()
+        first = eventlet.spawn(call_once, self.cluster, "peer-a-1", KEY)
+        while "run" not in self.cluster.steps:
+            eventlet.sleep(0)
+        for address in self.cluster.nodes:
+            code = call_once(self.cluster, address, KEY)
+            self.assertEqual(ErrorCode.KEY_IN_PROGRESS, code)
+        go_on.send()
+        self.assertEqual(ANSWER, first.wait())
+        self.assertEqual({KEY: 1}, self.cluster.runs)
+
+    def test_many_callers_at_once(self) -> None:
+        addresses = list(self.cluster.nodes) * 10
+        calls = [eventlet.spawn(call_once, self.cluster, where, KEY) for where in addresses]
+        results = {call.wait() for call in calls}
+        self.assertEqual({KEY: 1}, self.cluster.runs)
+        self.assertEqual(set(), results - {ANSWER, ErrorCode.KEY_IN_PROGRESS})
+
+    def test_expired_key(self) -> None:
+        old = "01890a5d-ac96-774b-bcce-b302099a8057"
+        code = call_once(self.cluster, "peer-a-1", old)
+        self.assertEqual((ErrorCode.KEY_EXPIRED, {}), (code, self.cluster.runs))
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -10,8 +10,13 @@
 from magnoliasill.errors import MessageError
 from magnoliasill.messages import (
     MAX_MESSAGE_BYTES,
+    ClaimQuery,
+    ClaimReply,
+    ClaimReport,
+    ClaimRequest,
     ConfigurationReply,
     ConfigurationRequest,
+    CrashNotice,
     Digest,
     MemberRecord,
     decode_message,
@@ -26,6 +31,11 @@
     Digest(SENDER, 3, [SENDER]),
     ConfigurationRequest(SENDER, 1, ["x"]),
     ConfigurationReply(SENDER, HEAD, BLOBS),
+    ClaimRequest("127.0.0.1:1", 3, b"k" * 12, b"body", b"c" * 8, b"d" * 8, True),
+    ClaimReply(b"c" * 8, "used", "127.0.0.1:1", b"d" * 8, b"addr"),
+    ClaimQuery("127.0.0.1:1", b"t" * 8, b"c" * 8),
+    ClaimReport(b"t" * 8, "finished", 200, "OK", [("A", "b")], b"{}"),
+    CrashNotice(b"f" * 12, [b"addr"]),
 ]
 
 
