--- a/src/magnoliasill/answers.py
+++ b/src/magnoliasill/answers.py
@@ -22,6 +22,9 @@
     ErrorCode.NO_SERVER: "503 Service Unavailable",
     ErrorCode.NOT_RUN: "503 Service Unavailable",
     ErrorCode.OUTCOME_UNKNOWN: "502 Bad Gateway",
+    ErrorCode.OVERLOADED: "503 Service Unavailable",
+    ErrorCode.DEADLINE_EXPIRED: "504 Gateway Timeout",
+    ErrorCode.DEADLINE_INVALID: "400 Bad Request",
     ErrorCode.KEY_IN_PROGRESS: "409 Conflict",
     ErrorCode.KEY_USED: "502 Bad Gateway",
     ErrorCode.KEY_REUSED: "422 Unprocessable Content",
@@ -58,7 +61,7 @@
 
 
 def answer_refusal(
-    start_response: Callable[..., object], code: ErrorCode, message: str
+    start_response: Callable[..., object], code: ErrorCode, message: str, retry_after_s: int = 0
 ) -> Iterable[bytes]:
     """Answer a call by the daemon itself.
 
@@ -66,6 +69,7 @@
         start_response: The WSGI function that starts the answer.
         code: What happened.
         message: Details for a person.
+        retry_after_s: Seconds after which the caller may return, or 0 for the default.
 
     Returns:
         The body's chunks.
@@ -74,7 +78,7 @@
     headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
     status = _STATUSES[code]
     if status.startswith(_RETRYABLE_STATUSES):
-        headers.append(("Retry-After", str(RETRY_AFTER_S)))
+        headers.append(("Retry-After", str(retry_after_s or RETRY_AFTER_S)))
     start_response(status, headers)
     return [body]
 
--- a/src/magnoliasill/idempotency.py
+++ b/src/magnoliasill/idempotency.py
@@ -154,8 +154,7 @@
 
 def _ask(node: Node, peers: Peers, own: OwnClaim, instead_of: bytes, until: float) -> ClaimReply:
     number = find_range(own.key)
-    candidates = list_candidates(node, number)
-    address = node.claims.holders.get(number, candidates[0])
+    address = node.claims.holders.get(number) or list_candidates(node, number)[0]
     request = ClaimRequest(node.own.peer_address, number, own.key, own.body, own.claim, instead_of)
     turn = 0
     while monotonic() < until:
@@ -163,11 +162,11 @@
         if reply is None:
             turn += 1
             node.claims.holders.pop(number, None)
-            address = candidates[turn % len(candidates)]
+            address = _choose_candidate(node, number, turn)
         elif reply.verdict == "moved":
             if not reply.holder or reply.holder == address:
                 eventlet.sleep(MOVE_PAUSE_S)
-            address = reply.holder or candidates[turn % len(candidates)]
+            address = reply.holder or _choose_candidate(node, number, turn)
         elif reply.verdict == "unavailable":
             break
         else:
@@ -176,6 +175,11 @@
     raise CallError(ErrorCode.CLAIM_UNAVAILABLE, "the key can't be claimed at present")
 
 
+def _choose_candidate(node: Node, number: int, turn: int) -> str:
+    candidates = list_candidates(node, number)
+    return candidates[turn % len(candidates)]
+
+
 def _wait(
     peers: Peers, token: bytes, address: str, message: Message, timeout_s: float
 ) -> Message | None:
--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -71,9 +71,14 @@
     return cluster
 
 
+def name_address(name: str) -> str:
+    """Return the peer address of a node."""
+    return f"10.0.0.{name[-1]}:{ord(name[0])}"
+
+
 def start_node(cluster: Cluster, name: str, seed: int) -> str:
     """Start a process with empty tables; returns its peer address."""
-    address = f"peer-{name}"
+    address = name_address(name)
     node = Node(MemberRecord(name, name[0], address, 1), random.Random(f"{name} {seed}"))
     cluster.dead.discard(address)
     cluster.nodes[address] = node
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 from typing import TYPE_CHECKING, Any
 
@@ -9,6 +10,15 @@
 import eventlet.wsgi
 import msgspec
 
+from magnoliasill.configuration import build_snapshot
+from magnoliasill.messages import MemberRecord
+from magnoliasill.metrics import build_metrics
+from magnoliasill.node import Node
+from magnoliasill.proxy import Proxy
+from magnoliasill.service_file import Limits, Release, Route, ServiceFile
+
+from .builders import build_head
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -17,6 +27,21 @@
 TIMEOUT_S = 20.0
 
 
+def build_proxy(server_address: str, max_body_bytes: int = 100) -> Proxy:
+    """Return a proxy with one service `fees`, whose only backend server is on the own VM."""
+    routes = [
+        Route("pay", "POST", "/fees", idempotent=False),
+        Route("view", "GET", "/fees"),
+        Route("put", "PUT", "/fees"),
+    ]
+    limits = Limits(max_body_bytes=max_body_bytes)
+    file = ServiceFile("fees", "team", routes, [Release("r1")], "r1", limits=limits)
+    own = MemberRecord("a-1", "a", "127.0.0.1:1", 1, "alive", "fees", "r1", server_address, True)
+    node = Node(own, random.Random(1))
+    node.configuration.applied = build_snapshot(*build_head(1, [file]))
+    return Proxy(node, lambda action: None, build_metrics())
+
+
 def serve_locally(application: Any, protocol: type = eventlet.wsgi.HttpProtocol) -> tuple[str, int]:
     """Serve an application on a free port of this machine until the test's process ends."""
     listener = eventlet.listen(("127.0.0.1", 0))
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -2,40 +2,13 @@
 
 from __future__ import annotations
 
-import random
-
 import testtools
 from testscenarios import WithScenarios
 
 from magnoliasill.callers import CallerProtocol
-from magnoliasill.configuration import apply_head
-from magnoliasill.messages import MemberRecord
-from magnoliasill.metrics import build_metrics
-from magnoliasill.node import Node
-from magnoliasill.proxy import Proxy, build_application
-from magnoliasill.service_file import Limits, Release, Route, ServiceFile
-
-from .builders import build_head
-from .serving import exchange_bytes, read_request, serve_bytes, serve_locally
-
-LIMIT = 100
+from magnoliasill.proxy import build_application
 
-
-def build_proxy(server_address: str, idempotent: bool = True) -> Proxy:
-    """Return a proxy with one service `fees`, whose only backend server is on the own VM."""
-    routes = [
-        Route("pay", "POST", "/fees", idempotent=False),
-        Route("view", "GET", "/fees"),
-        Route("put", "PUT", "/fees"),
-    ]
-    limits = Limits(max_body_bytes=LIMIT)
-    file = ServiceFile("fees", "team", routes, [Release("r1")], "r1", limits=limits)
-    own = MemberRecord("a-1", "a", "127.0.0.1:1", 1, "alive", "fees", "r1", server_address, True)
-    node = Node(own, random.Random(1))
-    head, blobs = build_head(1, [file])
-    node.configuration.blobs.update(blobs)
-    apply_head(node.configuration, 0.0, head)
-    return Proxy(node, lambda action: None, build_metrics())
+from .serving import build_proxy, exchange_bytes, read_request, serve_bytes, serve_locally
 
 
 def frame(line: str, *headers: str, body: str = "") -> bytes:
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -19,12 +19,14 @@
     Cluster,
     build_cluster,
     call_once,
+    name_address,
     start_node,
     thaw,
 )
 
 KEY = "k-1"
 ANSWER = b"ran k-1"
+FIRST = name_address("a-1")
 TRIES = 40
 PAUSE_S = 0.1
 FINAL = {ErrorCode.KEY_USED, ErrorCode.KEY_REUSED, ErrorCode.OUTCOME_UNKNOWN}
@@ -36,7 +38,7 @@
 
 
 def restart(cluster: Cluster, address: str, asker: str) -> None:
-    start_node(cluster, address.removeprefix("peer-"), seed=2)
+    start_node(cluster, cluster.nodes[address].own.name, seed=2)
 
 
 def freeze_past_lease(cluster: Cluster, address: str, asker: str) -> None:
@@ -156,7 +158,7 @@
         asker, other = (address for address in cluster.nodes if address != holder)
 
         def restart_asker(_: str) -> None:
-            start_node(cluster, asker.removeprefix("peer-"), seed=3)
+            start_node(cluster, cluster.nodes[asker].own.name, seed=3)
             if self.step in ("run", "answer"):
                 raise eventlet.greenlet.GreenletExit
             caller.kill()
@@ -215,7 +217,7 @@
         self.assertEqual({KEY: 1}, self.cluster.runs)
 
     def test_other_body(self) -> None:
-        self.assertEqual(ANSWER, call_once(self.cluster, "peer-a-1", KEY))
+        self.assertEqual(ANSWER, call_once(self.cluster, FIRST, KEY))
         for address in self.cluster.nodes:
             code = call_once(self.cluster, address, KEY, b"other")
             self.assertEqual(ErrorCode.KEY_REUSED, code)
@@ -223,7 +225,7 @@
     def test_running_elsewhere(self) -> None:
         go_on = eventlet.Event()
         self.cluster.faults["run"] = lambda _: go_on.wait()
-        first = eventlet.spawn(call_once, self.cluster, "peer-a-1", KEY)
+        first = eventlet.spawn(call_once, self.cluster, FIRST, KEY)
         while "run" not in self.cluster.steps:
             eventlet.sleep(0)
         for address in self.cluster.nodes:
@@ -242,5 +244,5 @@
 
     def test_expired_key(self) -> None:
         old = "01890a5d-ac96-774b-bcce-b302099a8057"
-        code = call_once(self.cluster, "peer-a-1", old)
+        code = call_once(self.cluster, FIRST, old)
         self.assertEqual((ErrorCode.KEY_EXPIRED, {}), (code, self.cluster.runs))
