--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -14,8 +14,9 @@
 import eventlet.wsgi
 import fire
 
-from .actions import Log, ResetPeer, SendMessage
+from .actions import Log, ResetPeer, ResolveWait, SendMessage
 from .administration import build_administration
+from .callers import CallerProtocol
 from .codes import ErrorCode, LogEvent
 from .engine import step
 from .errors import (
@@ -26,6 +27,7 @@
     StoreOutcomeUnknownError,
 )
 from .events import Event, MessageReceived, StoreFailed, Tick
+from .idempotency import resolve_wait
 from .logs import bind_logger, configure_logs, write_log
 from .membership import leave
 from .messages import MemberRecord, decode_message, encode_message
@@ -101,7 +103,7 @@
     eventlet.spawn(receive_from_peers, daemon.peers, lambda data: _receive(daemon, data))
     eventlet.spawn(_tick, daemon)
     application = build_application(daemon.proxy)
-    caller_server = eventlet.spawn(_serve, callers, application)
+    caller_server = eventlet.spawn(_serve, callers, application, CallerProtocol)
     administration = build_administration(daemon.proxy, lambda event: submit(daemon, event))
     eventlet.spawn(_serve, admin, administration)
     write_log(daemon.logger, LogEvent.DAEMON_STARTED, caller_port=settings.caller_port)
@@ -121,7 +123,9 @@
     proxy = Proxy(node, store, build_metrics(), clock_offset)
     peers = open_peers(peer_address)
     proxy.notify = lambda entry: write_log(logger, entry.event, **entry.fields)
-    return Daemon(settings, node, proxy, store, peers, logger, clock_offset)
+    daemon = Daemon(settings, node, proxy, store, peers, logger, clock_offset)
+    proxy.peers.send = lambda address, message: _carry_out(daemon, SendMessage(address, message))
+    return daemon
 
 
 def submit(daemon: Daemon, event: Event) -> None:
@@ -145,12 +149,16 @@
 
 def _carry_out(daemon: Daemon, action: Action) -> None:
     match action:
+        case SendMessage(address=address) if address == daemon.node.own.peer_address:
+            eventlet.spawn(submit, daemon, MessageReceived(action.message))
         case SendMessage():
             data = encode_message(action.message)
             counters = daemon.proxy.metrics.counters
             counters["messages_sent"].inc()
             counters["message_bytes_sent"].inc(len(data))
             send_to_peer(daemon.peers, action.address, data)
+        case ResolveWait():
+            resolve_wait(daemon.proxy.peers, action.token, action.message)
         case ResetPeer(address=address):
             reset_peer(daemon.peers, address)
         case Log():
@@ -198,10 +206,11 @@
         raise SettingsError(ErrorCode.PORT_IN_USE, message) from error
 
 
-def _serve(sock: Any, application: Any) -> None:
+def _serve(sock: Any, application: Any, protocol: type = eventlet.wsgi.HttpProtocol) -> None:
     eventlet.wsgi.server(
         sock,
         application,
+        protocol=protocol,
         log_output=False,
         keepalive=True,
         socket_timeout=KEEPALIVE_TIMEOUT_S,
--- a/src/magnoliasill/node.py
+++ b/src/magnoliasill/node.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from .claim_table import ClaimTable
 from .configuration import ConfigurationTable
 from .messages import MemberRecord
 
@@ -164,6 +165,7 @@
         members: Other daemons by name.
         members_revision: Counts the changes of the own record and of the members.
         relay: The node's duty as a relay.
+        claims: Claims of keys whose requests must not be repeated.
         seeds: Peer addresses from the settings.
         probes: The search for daemons that failed.
         suspects: Names of the members that are suspected.
@@ -187,6 +189,7 @@
     members: dict[str, Member] = attrs.field(factory=dict)
     members_revision: int = 0
     relay: RelayTable = attrs.field(factory=RelayTable)
+    claims: ClaimTable = attrs.field(factory=ClaimTable)
     seeds: tuple[str, ...] = ()
     probes: ProbeTable = attrs.field(factory=ProbeTable)
     suspects: set[str] = attrs.field(factory=set)
--- /dev/null
+++ b/tests/serving.py
@@ -0,0 +1,102 @@
+"""Serves WSGI applications inside a test, and speaks raw HTTP to them."""
+
+from __future__ import annotations
+
+import random
+import socket
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+import eventlet.wsgi
+import msgspec
+
+from magnoliasill.configuration import build_snapshot
+from magnoliasill.messages import MemberRecord
+from magnoliasill.metrics import build_metrics
+from magnoliasill.node import Node
+from magnoliasill.proxy import Proxy
+from magnoliasill.service_file import Limits, Release, Route, ServiceFile
+
+from .builders import build_head
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+eventlet.monkey_patch()
+
+TIMEOUT_S = 20.0
+
+
+def build_proxy(server_address: str, max_body_bytes: int = 100) -> Proxy:
+    """Return a proxy with one service `fees`, whose only backend server is on the own VM."""
+    routes = [
+        Route("pay", "POST", "/fees", idempotent=False),
+        Route("view", "GET", "/fees"),
+        Route("put", "PUT", "/fees"),
+    ]
+    limits = Limits(max_body_bytes=max_body_bytes)
+    file = ServiceFile("fees", "team", routes, [Release("r1")], "r1", limits=limits)
+    own = MemberRecord("a-1", "a", "127.0.0.1:1", 1, "alive", "fees", "r1", server_address, True)
+    node = Node(own, random.Random(1))
+    node.configuration.applied = build_snapshot(*build_head(1, [file]))
+    return Proxy(node, lambda action: None, build_metrics())
+
+
+def serve_locally(application: Any, protocol: type = eventlet.wsgi.HttpProtocol) -> tuple[str, int]:
+    """Serve an application on a free port of this machine until the test's process ends."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    eventlet.spawn(
+        eventlet.wsgi.server,
+        listener,
+        application,
+        log_output=False,
+        debug=False,
+        protocol=protocol,
+    )
+    return listener.getsockname()
+
+
+def serve_bytes(handle: Callable[[Any], None]) -> str:
+    """Accept connections on a free port and pass each to a function; returns `ip:port`."""
+    listener = eventlet.listen(("127.0.0.1", 0))
+    eventlet.spawn(eventlet.serve, listener, lambda sock, _: handle(sock))
+    host, port = listener.getsockname()
+    return f"{host}:{port}"
+
+
+def read_request(sock: Any) -> bytes:
+    """Read one request without a body from a socket; empty when the peer has closed."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65_536)
+        if not more:
+            return b""
+        data += more
+    return data
+
+
+def exchange_bytes(address: tuple[str, int], data: bytes, end: bool = False) -> tuple[int, Any]:
+    """Send bytes and read one answer until the peer closes.
+
+    Args:
+        address: The server.
+        data: What to send.
+        end: Whether to end the sending side afterwards.
+
+    Returns:
+        The status, and the decoded JSON body or None where it is no JSON.
+    """
+    with eventlet.Timeout(TIMEOUT_S):
+        sock = eventlet.connect(address)
+        sock.sendall(data)
+        if end:
+            sock.shutdown(socket.SHUT_WR)
+        answer = b""
+        while more := sock.recv(65_536):
+            answer += more
+    head, _, body = answer.partition(b"\r\n\r\n")
+    status = int(head.split(b" ")[1])
+    try:
+        return status, msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return status, None
