--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -12,10 +12,10 @@
 from .codes import ErrorCode
 from .connections import ConnectionTable
 from .dispatch import Dispatcher
-from .errors import CallError, StoreError
+from .errors import CallError
 from .exchange import exchange_call
 from .forwarder import forward_call
-from .idempotency import claim_key
+from .idempotency import Peers, run_once
 from .routing import find_route
 from .tally import count_attempt
 
@@ -24,7 +24,7 @@
 
     from .actions import Log
     from .call import Call
-    from .exchange import ExchangeFunction
+    from .exchange import Answer, ExchangeFunction
     from .metrics import Metrics
     from .node import Node
     from .outcomes import Outcome
@@ -46,6 +46,7 @@
         notify: Writes a log event.
         exchange: Sends a call to one backend server.
         clock: The monotonic clock, in seconds.
+        peers: Reaches other daemons for calls that must not be repeated.
         open_calls: Calls that are being served.
         stopping: Whether the daemon takes no more calls.
     """
@@ -59,6 +60,7 @@
     notify: Callable[[Log], None] = lambda entry: None
     exchange: ExchangeFunction = exchange_call
     clock: Callable[[], float] = monotonic
+    peers: Peers = attrs.field(factory=lambda: Peers(lambda address, message: None))
     open_calls: int = 0
     stopping: bool = False
 
@@ -91,9 +93,7 @@
 def _serve(proxy: Proxy, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
     target = _route(proxy, environ["REQUEST_METHOD"], environ["PATH_INFO"])
     call = read_call(environ, target, proxy.clock())
-    if not target.route.idempotent:
-        _claim(proxy, target, call)
-    answer = forward_call(proxy, target, call)
+    answer = _run(proxy, target, call)
     headers = [(name, value) for name, value in answer.headers if name.lower() not in HOP_HEADERS]
     headers.append(("Content-Length", str(len(answer.body))))
     start_response(f"{answer.status} {answer.reason}", headers)
@@ -111,8 +111,10 @@
     return target
 
 
-def _claim(proxy: Proxy, target: RouteTarget, call: Call) -> None:
-    try:
-        claim_key(proxy.store, target.service.service, call.key, call.body or b"")
-    except StoreError as error:
-        raise CallError(ErrorCode.NOT_RUN, error.message) from error
+def _run(proxy: Proxy, target: RouteTarget, call: Call) -> Answer:
+    def forward() -> Answer:
+        return forward_call(proxy, target, call)
+
+    if target.route.idempotent:
+        return forward()
+    return run_once(proxy.node, proxy.peers, target.service.service, call, forward)
