Pass long answers on in pieces and find connections that went silent

Before: answers were held whole in memory, a body without a length or chunks counted as complete, a malformed head ended in a 500, and a connection that went silent was found only at the call's deadline.

'cut in the head', 'no HTTP' and 'until the end' (HTTP/1.0 without a length) were wrong kinds; the four long answers used more than the bound; a silent connection took the whole deadline.

A daemon that stops lingers, tells callers to close, gives up its key ranges and counts a call as ended only when its answer was written.

--- a/src/magnoliasill/call.py
+++ b/src/magnoliasill/call.py
@@ -42,6 +42,8 @@
         body: The body, or None.
         key: The idempotency key, or an empty string.
         deadline: Seconds on the monotonic clock by which the caller needs the answer.
+        fresh: Whether it goes over a new connection, where no earlier answer can be pending
+            and nothing between the ends can have lost track of it.
     """
 
     method: str
@@ -51,6 +53,7 @@
     body: bytes | None
     key: str
     deadline: float
+    fresh: bool = False
 
 
 def read_call(environ: dict[str, Any], target: RouteTarget, now: float) -> Call:
@@ -81,6 +84,7 @@
         body=body,
         key=key,
         deadline=read_deadline(environ.get("HTTP_X_DEADLINE_MS"), target.route.deadline_ms, now),
+        fresh=not target.route.idempotent,
     )
 
 
--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -1,12 +1,14 @@
-"""Kept-alive connections to backend servers, bounded for each of them."""
+"""Connections to backend servers: kept alive, bounded, and dropped when they went silent."""
 
 from __future__ import annotations
 
+import socket
 from collections import deque
 from time import monotonic
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
+import eventlet.hubs
 from urllib3.connection import HTTPConnection
 
 if TYPE_CHECKING:
@@ -16,73 +18,129 @@
 
 IDLE_LIMIT_S = 5.0
 MAX_IDLE = 16
+KEEPALIVE_S = 1  # before the first probe of an idle connection, and between probes
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 2_000
+SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+]
 
 
 @attrs.define
-class Idle:
-    """An idle connection and the time at which it became idle, on the monotonic clock."""
+class Link:
+    """A connection to a backend server.
 
-    connection: HTTPConnection
-    since: float
+    Attributes:
+        http: The connection.
+        opened_at: When it was made, in seconds on the monotonic clock.
+        idle_at: When it became idle, or None before its first answer.
+    """
+
+    http: HTTPConnection
+    opened_at: float
+    idle_at: float | None = None
 
 
 @attrs.define
 class ConnectionTable:
     """Idle connections by the backend server's address, the one used last at the end."""
 
-    idle: dict[str, deque[Idle]] = attrs.field(factory=dict)
+    idle: dict[str, deque[Link]] = attrs.field(factory=dict)
 
 
-def take_connection(table: ConnectionTable, address: str, timeout_s: float) -> HTTPConnection:
+def take_connection(
+    table: ConnectionTable, address: str, timeout_s: float, fresh: bool = False
+) -> Link:
     """Return an idle connection, or a new one that connects on first use.
 
     Args:
         table: The idle connections.
         address: The backend server's `ip:port`.
         timeout_s: Seconds that connecting, and each read, may take.
+        fresh: Whether only a new connection will do.
     """
     idle = table.idle.get(address)
-    while idle:
-        kept = idle.pop()
-        if monotonic() - kept.since < IDLE_LIMIT_S and kept.connection.is_connected:
-            kept.connection.timeout = timeout_s
-            kept.connection.sock.settimeout(timeout_s)
-            return kept.connection
-        kept.connection.close()
+    while idle and not fresh:
+        link = idle.pop()
+        if monotonic() - link.idle_at < IDLE_LIMIT_S and link.http.is_connected:
+            link.http.timeout = timeout_s
+            link.http.sock.settimeout(timeout_s)
+            return link
+        link.http.close()
+    return open_connection(address, timeout_s)
+
+
+def open_connection(address: str, timeout_s: float) -> Link:
+    """Return a new connection, which connects on first use."""
     host, _, port = address.rpartition(":")
-    return HTTPConnection(host, int(port), timeout=timeout_s)
+    http = HTTPConnection(host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS)
+    return Link(http, monotonic())
 
 
-def give_back(table: ConnectionTable, address: str, connection: HTTPConnection) -> None:
+def give_back(table: ConnectionTable, address: str, link: Link) -> None:
     """Keep a connection whose answer was read whole, or close it when enough are idle."""
     idle = table.idle.setdefault(address, deque())
-    if len(idle) >= MAX_IDLE:
-        connection.close()
+    if len(idle) >= MAX_IDLE or link.http.sock is None:
+        link.http.close()
         return
-    idle.append(Idle(connection, monotonic()))
-
-
-def drop_kin(table: ConnectionTable, address: str) -> None:
-    """Close every idle connection to a backend server, after one of them failed."""
-    for kept in table.idle.pop(address, ()):
-        kept.connection.close()
+    link.idle_at = monotonic()
+    idle.append(link)
+
+
+def take_kin(table: ConnectionTable, address: str, before: float) -> Link | None:
+    """Return the idle connection opened last before a time, or None."""
+    idle = table.idle.get(address, ())
+    kin = [link for link in idle if link.opened_at < before and link.http.is_connected]
+    if not kin:
+        return None
+    link = max(kin, key=lambda found: found.opened_at)
+    idle.remove(link)
+    return link
+
+
+def drop_kin(table: ConnectionTable, address: str, before: float) -> None:
+    """Close the idle connections to a backend server that were opened before a time."""
+    kept: deque[Link] = deque()
+    for link in table.idle.pop(address, ()):
+        if link.opened_at < before:
+            link.http.close()
+        else:
+            kept.append(link)
+    if kept:
+        table.idle[address] = kept
+
+
+def wait_readable(link: Link, timeout_s: float) -> bool:
+    """Wait until a connection has something to read; returns whether it has."""
+    try:
+        eventlet.hubs.trampoline(
+            link.http.sock, read=True, timeout=timeout_s, timeout_exc=TimeoutError
+        )
+    except TimeoutError:
+        return False
+    return True
 
 
 def send_request(
-    connection: HTTPConnection,
-    method: str,
-    target: str,
-    headers: Mapping[str, str],
-    body: bytes | None,
-) -> BaseHTTPResponse:
-    """Send one request and return its response, whose body is not yet read.
+    link: Link, method: str, target: str, headers: Mapping[str, str], body: Any
+) -> None:
+    """Send one request, whose answer is not yet waited for.
 
     Args:
-        connection: From `take_connection`.
+        link: From `take_connection`.
         method: The HTTP method.
         target: Path and query.
         headers: The request's headers.
-        body: The request's body, or None.
+        body: The request's body: bytes, chunks, or None.
     """
-    connection.request(method, target, body=body, headers=headers, preload_content=False)
-    return connection.getresponse()
+    link.http.request(method, target, body=body, headers=headers, preload_content=False)
+
+
+def read_response(link: Link) -> BaseHTTPResponse:
+    """Return the response to the request that was sent, whose body is not yet read."""
+    return link.http.getresponse()
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -7,16 +7,19 @@
 import signal
 import sys
 import time
+from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
 import attrs
 import eventlet
 import eventlet.wsgi
 import fire
+import greenlet
 
 from .actions import Log, ResetPeer, ResolveWait, SendMessage
 from .administration import build_administration
 from .callers import CallerProtocol
+from .claim_ranges import release_ranges
 from .codes import ErrorCode, LogEvent
 from .engine import step
 from .errors import (
@@ -53,6 +56,7 @@
 LISTEN_BACKLOG = 512
 KEEPALIVE_TIMEOUT_S = 60
 DRAIN_POLL_S = 0.02
+LINGER_S = 0.5  # callers on kept-alive connections are told to close them meanwhile
 
 
 @attrs.define
@@ -228,11 +232,21 @@
     daemon.proxy.stopping = True
     for action in leave(daemon.node):
         _carry_out(daemon, action)
-    deadline = time.monotonic() + daemon.settings.drain_ms / 1000
-    while daemon.proxy.open_calls and time.monotonic() < deadline:
+    for action in release_ranges(daemon.node, time.monotonic() + daemon.clock_offset):
+        _carry_out(daemon, action)
+    started = time.monotonic()
+    deadline = started + daemon.settings.drain_ms / 1000
+    linger_until = min(started + LINGER_S, deadline)
+    while time.monotonic() < linger_until or (
+        daemon.proxy.open_calls and time.monotonic() < deadline
+    ):
         eventlet.sleep(DRAIN_POLL_S)
-    eventlet.sleep(DRAIN_POLL_S * 5)
-    caller_server.kill()
+    caller_server.kill()  # ends idle connections at once and waits for the others
+    with (
+        suppress(greenlet.GreenletExit),
+        eventlet.Timeout(max(deadline - time.monotonic(), 0), False),
+    ):
+        caller_server.wait()
     callers.close()
     close_peers(daemon.peers)
     write_log(daemon.logger, LogEvent.DAEMON_STOPPED, open_calls=daemon.proxy.open_calls)
--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/exchange.py
@@ -1,33 +1,61 @@
-"""One exchange: sends a call to one backend server and reads the whole answer."""
+"""One exchange: sends a call to one backend server and reads its answer."""
 
 from __future__ import annotations
 
+import http.client
+from time import monotonic
 from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
 import urllib3
 
-from .connections import drop_kin, give_back, send_request, take_connection
+from .connections import (
+    drop_kin,
+    give_back,
+    open_connection,
+    read_response,
+    send_request,
+    take_connection,
+    take_kin,
+    wait_readable,
+)
 from .outcomes import OutcomeKind
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
+
+    from urllib3.response import BaseHTTPResponse
 
     from .call import Call
-    from .connections import ConnectionTable
+    from .connections import ConnectionTable, Link
 
 NOT_RUN_HEADER = "X-Not-Run"
 MIN_TIMEOUT_S = 0.001
+MAX_WHOLE_BYTES = 262_144  # a longer answer is passed on in pieces
+PIECE_BYTES = 65_536
+SILENT_AFTER_S = 1.0
+PROBE_TIMEOUT_S = 0.5
+PROBE_PATH = "/healthz"
+_BREAKS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
 
 
 @attrs.frozen
 class Answer:
-    """A whole answer of a backend server."""
+    """An answer of a backend server.
+
+    Attributes:
+        status: The HTTP status.
+        reason: The reason phrase.
+        headers: The headers.
+        body: The whole body, or its first piece where `rest` follows.
+        rest: The further pieces; it raises an error where the body breaks off.
+    """
 
     status: int
     reason: str
     headers: list[tuple[str, str]]
     body: bytes
+    rest: Iterator[bytes] | None = None
 
 
 @attrs.frozen
@@ -36,7 +64,7 @@
 
     Attributes:
         kind: How it ended.
-        answer: The whole answer, or None where there is none.
+        answer: The answer, or None where there is none.
         problem: What went wrong, for a person.
     """
 
@@ -62,28 +90,111 @@
     Returns:
         How it ended; never an answer that was cut short.
     """
-    connection = take_connection(connections, address, max(timeout_s, MIN_TIMEOUT_S))
+    timeout_s = max(timeout_s, MIN_TIMEOUT_S)
+    link = take_connection(connections, address, timeout_s, call.fresh)
+    sent_at = monotonic()
     try:
-        response = send_request(connection, call.method, call.target, call.headers, call.body)
-        body = response.read(decode_content=False)
+        send_request(link, call.method, call.target, call.headers, call.body)
+        if link.idle_at is not None and _is_silent(connections, address, link, sent_at, timeout_s):
+            return _break(connections, address, link, OutcomeKind.BROKEN, "silent connection")
+        response = read_response(link)
+        answer = _read_answer(connections, address, link, response)
     except urllib3.exceptions.NewConnectionError as error:
         return Exchange(OutcomeKind.UNREACHABLE, problem=str(error))
     except (urllib3.exceptions.TimeoutError, TimeoutError) as error:
-        connection.close()
-        drop_kin(connections, address)
-        return Exchange(OutcomeKind.TIMED_OUT, problem=str(error))
-    except (urllib3.exceptions.HTTPError, OSError) as error:
-        connection.close()
-        drop_kin(connections, address)
-        return Exchange(OutcomeKind.BROKEN, problem=str(error))
+        return _break(connections, address, link, OutcomeKind.TIMED_OUT, str(error))
+    except _BREAKS as error:
+        return _break(connections, address, link, OutcomeKind.BROKEN, str(error))
     except BaseException:
-        connection.close()
+        link.http.close()
         raise
-    give_back(connections, address, connection)
-    answer = Answer(response.status, response.reason or "", list(response.headers.items()), body)
     return Exchange(_classify(answer), answer)
 
 
+def _break(
+    connections: ConnectionTable, address: str, link: Link, kind: OutcomeKind, problem: str
+) -> Exchange:
+    link.http.close()
+    drop_kin(connections, address, monotonic())
+    return Exchange(kind, problem=problem)
+
+
+def _read_answer(
+    connections: ConnectionTable, address: str, link: Link, response: BaseHTTPResponse
+) -> Answer:
+    length = response.length_remaining
+    if length is None and not response.chunked:
+        raise urllib3.exceptions.ProtocolError("the answer does not tell where it ends")
+    headers = list(response.headers.items())
+    if length is not None and length <= MAX_WHOLE_BYTES:
+        body = response.read(decode_content=False)
+        give_back(connections, address, link)
+        return Answer(response.status, response.reason or "", headers, body)
+    pieces = _read_pieces(connections, address, link, response)
+    first, ended = _gather(pieces)
+    rest = None if ended else pieces
+    return Answer(response.status, response.reason or "", headers, first, rest)
+
+
+def _gather(pieces: Iterator[bytes]) -> tuple[bytes, bool]:
+    gathered: list[bytes] = []
+    size = 0
+    for piece in pieces:
+        gathered.append(piece)
+        size += len(piece)
+        if size >= MAX_WHOLE_BYTES:
+            return b"".join(gathered), False
+    return b"".join(gathered), True
+
+
+def _read_pieces(
+    connections: ConnectionTable, address: str, link: Link, response: BaseHTTPResponse
+) -> Iterator[bytes]:
+    whole = False
+    try:
+        yield from response.stream(PIECE_BYTES, decode_content=False)
+        whole = True
+    finally:
+        if whole:
+            give_back(connections, address, link)
+        else:
+            link.http.close()
+
+
+def _is_silent(
+    connections: ConnectionTable, address: str, link: Link, sent_at: float, timeout_s: float
+) -> bool:
+    """Tell a connection that something between the ends forgot from a slow answer.
+
+    A slow backend server answers a probe on every connection; one behind a box that lost track
+    of the open connections answers on a new connection only.
+    """
+    if timeout_s <= SILENT_AFTER_S or wait_readable(link, SILENT_AFTER_S):
+        return False
+    kin = take_kin(connections, address, sent_at)
+    if kin is None or _probe(kin):
+        if kin is not None:
+            give_back(connections, address, kin)
+        return False
+    kin.http.close()
+    fresh = open_connection(address, PROBE_TIMEOUT_S)
+    answered = _probe(fresh)
+    fresh.http.close()
+    return answered and not wait_readable(link, MIN_TIMEOUT_S)
+
+
+def _probe(link: Link) -> bool:
+    link.http.timeout = PROBE_TIMEOUT_S
+    if link.http.sock is not None:
+        link.http.sock.settimeout(PROBE_TIMEOUT_S)
+    try:
+        send_request(link, "GET", PROBE_PATH, {}, None)
+        read_response(link).read(decode_content=False)
+    except _BREAKS:
+        return False
+    return True
+
+
 def _classify(answer: Answer) -> OutcomeKind:
     if any(name.lower() == NOT_RUN_HEADER.lower() for name, _ in answer.headers):
         return OutcomeKind.SHED
--- a/src/magnoliasill/idempotency.py
+++ b/src/magnoliasill/idempotency.py
@@ -86,7 +86,9 @@
     finally:
         if claimed.status is ClaimStatus.RUNNING:
             claimed.status = ClaimStatus.UNKNOWN
-    kept = KeptAnswer(answer.status, answer.reason, answer.headers, answer.body)
+    kept = None
+    if answer.rest is None:
+        kept = KeptAnswer(answer.status, answer.reason, answer.headers, answer.body)
     finish_claim(node.claims, claimed, kept)
     return answer
 
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -19,7 +19,7 @@
 from .routing import find_route
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator
 
     from .actions import Log
     from .call import Call
@@ -74,32 +74,57 @@
     def application(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         started = perf_counter()
         proxy.open_calls += 1
+        environ["eventlet.posthooks"].append((_finish, (proxy, started), {}))
         try:
             return _serve(proxy, environ, start_response)
         except CallError as error:
             proxy.metrics.counters["refusals"].inc()
             return answer_refusal(start_response, error.code, error.message, error.retry_after_s)
-        finally:
-            proxy.open_calls -= 1
-            proxy.metrics.latency.record_value(int((perf_counter() - started) * 1e6))
 
     return application
 
 
+def _finish(environ: dict[str, Any], proxy: Proxy, started: float) -> None:
+    """Count a call as ended, once its answer was written or its caller is gone."""
+    proxy.open_calls -= 1
+    proxy.metrics.latency.record_value(int((perf_counter() - started) * 1e6))
+
+
 def _serve(proxy: Proxy, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
     target = _route(proxy, environ["REQUEST_METHOD"], environ["PATH_INFO"])
     call = read_call(environ, target, proxy.clock())
     answer = _run(proxy, target, call)
     headers = [(name, value) for name, value in answer.headers if name.lower() not in HOP_HEADERS]
-    headers.append(("Content-Length", str(len(answer.body))))
+    length = _find_length(answer)
+    if length:
+        headers.append(("Content-Length", length))
+    if proxy.stopping:
+        headers.append(("Connection", "close"))
     start_response(f"{answer.status} {answer.reason}", headers)
     proxy.metrics.counters["calls"].inc()
-    return [answer.body]
+    if answer.rest is None:
+        return [answer.body]
+    return _pass_on(answer.body, answer.rest)
+
+
+def _pass_on(first: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
+    """Yield an answer in pieces; where it breaks off, the caller's connection ends improperly."""
+    yield first
+    yield from rest
+
+
+def _find_length(answer: Answer) -> str:
+    if answer.rest is None and answer.body:
+        return str(len(answer.body))
+    lengths = [value for name, value in answer.headers if name.lower() == "content-length"]
+    if lengths:
+        return lengths[0]
+    return "0" if answer.rest is None else ""
 
 
 def _route(proxy: Proxy, method: str, path: str) -> RouteTarget:
     applied = proxy.node.configuration.applied
-    if applied is None or proxy.stopping:
+    if applied is None:
         raise CallError(ErrorCode.NOT_READY, "no configuration is in force on this daemon")
     target = find_route(applied.routes, method, path)
     if target is None:
--- /dev/null
+++ b/tests/test_exchange.py
@@ -0,0 +1,265 @@
+"""Tests of answers: late, cut short, twice, too long to keep, or on a connection gone silent."""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from collections import Counter
+from typing import Any
+
+import attrs
+import eventlet
+import testtools
+import urllib3
+from testscenarios import WithScenarios
+
+from magnoliasill.call import Call
+from magnoliasill.callers import CallerProtocol
+from magnoliasill.connections import ConnectionTable
+from magnoliasill.exchange import PROBE_TIMEOUT_S, SILENT_AFTER_S, exchange_call
+from magnoliasill.outcomes import OutcomeKind
+from magnoliasill.proxy import build_application
+
+from .serving import TIMEOUT_S, build_proxy, read_request, serve_bytes, serve_locally
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+DEADLINE_S = 5.0
+MB = 1_000_000
+
+
+def build_call(path: str = "/fees", fresh: bool = False) -> Call:
+    """Return a call without a body."""
+    return Call("GET", path, path, {}, None, "", time.monotonic() + DEADLINE_S, fresh)
+
+
+class AnswerTest(WithScenarios, testtools.TestCase):
+    """What a backend server may send, and whether it counts as a whole answer."""
+
+    scenarios = [
+        (name, {"data": data, "kind": kind, "timeout_s": timeout_s})
+        for name, data, kind, timeout_s in (
+            ("whole", OK, OutcomeKind.SUCCEEDED, 5.0),
+            ("cut short", OK[:-1], OutcomeKind.BROKEN, 5.0),
+            ("cut in the head", OK[:20], OutcomeKind.BROKEN, 5.0),
+            ("nothing", b"", OutcomeKind.BROKEN, 5.0),
+            (
+                "chunks",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                OutcomeKind.SUCCEEDED,
+                5.0,
+            ),
+            (
+                "chunks cut between",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                OutcomeKind.BROKEN,
+                5.0,
+            ),
+            (
+                "chunks cut inside",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok",
+                OutcomeKind.BROKEN,
+                5.0,
+            ),
+            ("until the end", b"HTTP/1.0 200 OK\r\n\r\nok", OutcomeKind.BROKEN, 5.0),
+            ("no HTTP", b"nonsense\r\n\r\n", OutcomeKind.BROKEN, 5.0),
+            (
+                "two lengths",
+                b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+                OutcomeKind.BROKEN,
+                5.0,
+            ),
+            ("never", None, OutcomeKind.TIMED_OUT, 0.1),
+        )
+    ]
+
+    def test_kind(self) -> None:
+        def handle(sock: Any) -> None:
+            read_request(sock)
+            if self.data is None:
+                eventlet.sleep(TIMEOUT_S)
+            sock.sendall(self.data)
+            sock.close()
+
+        table = ConnectionTable()
+        with eventlet.Timeout(TIMEOUT_S):
+            result = exchange_call(table, serve_bytes(handle), build_call(), self.timeout_s)
+        self.assertEqual(self.kind, result.kind, result.problem)
+        if self.kind is OutcomeKind.SUCCEEDED:
+            self.assertEqual(b"ok", result.answer.body)
+        else:
+            self.assertIsNone(result.answer)
+            self.assertEqual({}, table.idle)
+
+
+class ReuseTest(testtools.TestCase):
+    """A connection is used again only after an answer that was read whole."""
+
+    def test_second_answer_is_not_taken(self) -> None:
+        connections: Counter[str] = Counter()
+
+        def handle(sock: Any) -> None:
+            connections["opened"] += 1
+            number = connections["opened"]
+            while read_request(sock):
+                body = f"{number}".encode()
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + body)
+                eventlet.sleep(0.05)
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale")
+
+        table, address = ConnectionTable(), serve_bytes(handle)
+        with eventlet.Timeout(TIMEOUT_S):
+            first = exchange_call(table, address, build_call(), DEADLINE_S)
+            (link,) = table.idle[address]
+            while link.http.is_connected:
+                eventlet.sleep(0.01)
+            second = exchange_call(table, address, build_call(), DEADLINE_S)
+        self.assertEqual((b"1", b"2"), (first.answer.body, second.answer.body))
+
+    def test_late_answer_is_not_taken(self) -> None:
+        go_on = eventlet.Event()
+
+        def handle(sock: Any) -> None:
+            while request := read_request(sock):
+                if b"/late" in request:
+                    go_on.wait()
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" + request[4:9])
+
+        table, address = ConnectionTable(), serve_bytes(handle)
+        with eventlet.Timeout(TIMEOUT_S):
+            late = exchange_call(table, address, build_call("/late"), 0.1)
+            go_on.send()
+            other = exchange_call(table, address, build_call("/next"), DEADLINE_S)
+        self.assertEqual(OutcomeKind.TIMED_OUT, late.kind)
+        self.assertEqual(b"/next", other.answer.body)
+
+    def test_fresh_connection(self) -> None:
+        opened: list[Any] = []
+
+        def handle(sock: Any) -> None:
+            opened.append(sock)
+            while read_request(sock):
+                sock.sendall(OK)
+
+        table, address = ConnectionTable(), serve_bytes(handle)
+        for fresh, count in ((False, 1), (False, 1), (True, 2)):
+            exchange_call(table, address, build_call(fresh=fresh), DEADLINE_S)
+            self.assertEqual(count, len(opened))
+
+
+@attrs.define
+class Middlebox:
+    """Forwards TCP connections, and can lose track of those that are open.
+
+    Attributes:
+        target: Where it forwards to.
+        epoch: Raised to lose track of every open connection.
+        opened: Connections by epoch.
+    """
+
+    target: str
+    epoch: int = 0
+    opened: Counter[int] = attrs.field(factory=Counter)
+
+    def handle(self, sock: Any) -> None:
+        """Forward one connection for as long as it is tracked."""
+        epoch = self.epoch
+        self.opened[epoch] += 1
+        host, _, port = self.target.rpartition(":")
+        other = eventlet.connect((host, int(port)))
+        eventlet.spawn(self._pump, other, sock, epoch)
+        self._pump(sock, other, epoch)
+
+    def _pump(self, source: Any, sink: Any, epoch: int) -> None:
+        while data := source.recv(65_536):
+            if self.epoch == epoch:
+                sink.sendall(data)
+
+
+class SilentTest(testtools.TestCase):
+    """Open connections went silent while new ones work; or the server is only slow."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.delay_s = 0.0
+
+        def handle(sock: Any) -> None:
+            while request := read_request(sock):
+                if b"/healthz" not in request:
+                    eventlet.sleep(self.delay_s)
+                sock.sendall(OK)
+
+        self.box = Middlebox(serve_bytes(handle))
+        self.address = serve_bytes(self.box.handle)
+        self.table = ConnectionTable()
+        calls = [eventlet.spawn(self._call) for _ in range(4)]
+        kinds = {call.wait().kind for call in calls}
+        self.assertEqual({OutcomeKind.SUCCEEDED}, kinds)
+        self.assertEqual(4, len(self.table.idle[self.address]))
+
+    def _call(self) -> Any:
+        return exchange_call(self.table, self.address, build_call(), DEADLINE_S)
+
+    def test_found_and_dropped_with_kin(self) -> None:
+        self.box.epoch += 1
+        started = time.monotonic()
+        with eventlet.Timeout(TIMEOUT_S):
+            found = self._call()
+            took_s = time.monotonic() - started
+            after = self._call()
+        self.assertEqual((OutcomeKind.BROKEN, "silent connection"), (found.kind, found.problem))
+        self.assertLess(took_s, DEADLINE_S)
+        self.assertGreater(took_s, SILENT_AFTER_S)
+        self.assertEqual(OutcomeKind.SUCCEEDED, after.kind)
+        self.assertEqual(1, len(self.table.idle[self.address]))
+
+    def test_slow_server_is_not_silent(self) -> None:
+        self.delay_s = SILENT_AFTER_S + 2 * PROBE_TIMEOUT_S
+        with eventlet.Timeout(TIMEOUT_S):
+            self.assertEqual(OutcomeKind.SUCCEEDED, self._call().kind)
+
+
+class LongAnswerTest(WithScenarios, testtools.TestCase):
+    """Long answers pass in pieces, and end improperly where they break off."""
+
+    scenarios = [
+        (f"{name}, {framing}", {"framing": framing, "sent": sent})
+        for name, sent in (("whole", 1.0), ("broken", 0.5))
+        for framing in ("length", "chunks")
+    ]
+    size = 40 * MB
+
+    def test_bounded_and_never_complete_when_broken(self) -> None:
+        piece = bytes(100_000)
+        count = int(self.size / len(piece) * self.sent)
+
+        def handle(sock: Any) -> None:
+            read_request(sock)
+            if self.framing == "length":
+                sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {self.size}\r\n\r\n".encode())
+                for _ in range(count):
+                    sock.sendall(piece)
+            else:
+                sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                for _ in range(count):
+                    sock.sendall(b"%x\r\n%b\r\n" % (len(piece), piece))
+                if self.sent == 1.0:
+                    sock.sendall(b"0\r\n\r\n")
+            sock.close()
+
+        proxy = build_proxy(serve_bytes(handle))
+        host, port = serve_locally(build_application(proxy), CallerProtocol)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        received, problem = 0, None
+        with eventlet.Timeout(TIMEOUT_S):
+            answer = urllib3.request(
+                "GET", f"http://{host}:{port}/fees", preload_content=False, retries=False
+            )
+            try:
+                for part in answer.stream(65_536):
+                    received += len(part)
+            except urllib3.exceptions.HTTPError as error:
+                problem = error
+        self.assertLess(tracemalloc.get_traced_memory()[1], 10 * MB)
+        self.assertEqual(self.sent == 1.0, problem is None)
+        self.assertEqual(self.sent == 1.0, received == self.size)
