--- a/src/magnoliasill/answers.py
+++ b/src/magnoliasill/answers.py
@@ -31,7 +31,7 @@
     ErrorCode.KEY_EXPIRED: "410 Gone",
     ErrorCode.CLAIM_UNAVAILABLE: "503 Service Unavailable",
     ErrorCode.REQUEST_MALFORMED: "400 Bad Request",
-    ErrorCode.REQUEST_CRASHES: "500 Internal Server Error",
+    ErrorCode.REQUEST_CRASHES: "422 Unprocessable Content",
 }
 _UNKNOWN_RUNS = frozenset(
     {
--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections import deque
+from http.client import HTTPConnection as BaseConnection
 from time import monotonic
 from typing import TYPE_CHECKING, Any
 
@@ -13,8 +14,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
-
-    from urllib3.response import BaseHTTPResponse
+    from http.client import HTTPResponse
 
 IDLE_LIMIT_S = 5.0
 MAX_IDLE = 16
@@ -67,7 +67,7 @@
     idle = table.idle.get(address)
     while idle and not fresh:
         link = idle.pop()
-        if monotonic() - link.idle_at < IDLE_LIMIT_S and link.http.is_connected:
+        if monotonic() - link.idle_at < IDLE_LIMIT_S and _is_open(link):
             link.http.timeout = timeout_s
             link.http.sock.settimeout(timeout_s)
             return link
@@ -95,7 +95,7 @@
 def take_kin(table: ConnectionTable, address: str, before: float) -> Link | None:
     """Return the idle connection opened last before a time, or None."""
     idle = table.idle.get(address, ())
-    kin = [link for link in idle if link.opened_at < before and link.http.is_connected]
+    kin = [link for link in idle if link.opened_at < before and _is_open(link)]
     if not kin:
         return None
     link = max(kin, key=lambda found: found.opened_at)
@@ -141,6 +141,24 @@
     link.http.request(method, target, body=body, headers=headers, preload_content=False)
 
 
-def read_response(link: Link) -> BaseHTTPResponse:
-    """Return the response to the request that was sent, whose body is not yet read."""
-    return link.http.getresponse()
+def read_response(link: Link) -> HTTPResponse:
+    """Return the response to the request that was sent, whose body is not yet read.
+
+    It is that of the standard library: the one that urllib3 puts around it takes longer to build
+    than the request to send.
+    """
+    return BaseConnection.getresponse(link.http)
+
+
+def _is_open(link: Link) -> bool:
+    """Look whether the other end has closed or sent; a socket that is just silent would block."""
+    sock = link.http.sock
+    if sock is None:
+        return False
+    try:
+        sock.fd.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -30,6 +30,7 @@
     StoreOutcomeUnknownError,
 )
 from .events import Event, MessageReceived, StoreFailed, Tick
+from .guard import guard_exchange
 from .idempotency import resolve_wait
 from .logs import bind_logger, configure_logs, write_log
 from .membership import leave
@@ -128,6 +129,12 @@
     peers = open_peers(peer_address)
     proxy.notify = lambda entry: write_log(logger, entry.event, **entry.fields)
     daemon = Daemon(settings, node, proxy, store, peers, logger, clock_offset)
+    proxy.exchange = guard_exchange(
+        node,
+        proxy.exchange,
+        lambda: time.monotonic() + clock_offset,
+        lambda action: _carry_out(daemon, action),
+    )
     proxy.peers.send = lambda address, message: _carry_out(daemon, SendMessage(address, message))
     return daemon
 
--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/exchange.py
@@ -23,8 +23,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
-
-    from urllib3.response import BaseHTTPResponse
+    from http.client import HTTPResponse
 
     from .call import Call
     from .connections import ConnectionTable, Link
@@ -120,14 +119,15 @@
 
 
 def _read_answer(
-    connections: ConnectionTable, address: str, link: Link, response: BaseHTTPResponse
+    connections: ConnectionTable, address: str, link: Link, response: HTTPResponse
 ) -> Answer:
-    length = response.length_remaining
-    if length is None and not response.chunked:
-        raise urllib3.exceptions.ProtocolError("the answer does not tell where it ends")
-    headers = list(response.headers.items())
-    if length is not None and length <= MAX_WHOLE_BYTES:
-        body = response.read(decode_content=False)
+    if response.length is None and not response.chunked:
+        raise http.client.HTTPException("the answer does not tell where it ends")
+    headers = response.getheaders()
+    if sum(name.lower() == "content-length" for name, _ in headers) > 1:
+        raise http.client.HTTPException("the answer has more than one length")
+    if not response.chunked and response.length <= MAX_WHOLE_BYTES:
+        body = response.read()
         give_back(connections, address, link)
         return Answer(response.status, response.reason or "", headers, body)
     pieces = _read_pieces(connections, address, link, response)
@@ -148,11 +148,14 @@
 
 
 def _read_pieces(
-    connections: ConnectionTable, address: str, link: Link, response: BaseHTTPResponse
+    connections: ConnectionTable, address: str, link: Link, response: HTTPResponse
 ) -> Iterator[bytes]:
     whole = False
     try:
-        yield from response.stream(PIECE_BYTES, decode_content=False)
+        while piece := response.read(PIECE_BYTES):
+            yield piece
+        if response.length:
+            raise http.client.IncompleteRead(b"", response.length)
         whole = True
     finally:
         if whole:
@@ -177,10 +180,15 @@
             give_back(connections, address, kin)
         return False
     kin.http.close()
-    fresh = open_connection(address, PROBE_TIMEOUT_S)
-    answered = _probe(fresh)
-    fresh.http.close()
-    return answered and not wait_readable(link, MIN_TIMEOUT_S)
+    return probe_server(address) and not wait_readable(link, MIN_TIMEOUT_S)
+
+
+def probe_server(address: str) -> bool:
+    """Return whether a backend server answers on a new connection."""
+    link = open_connection(address, PROBE_TIMEOUT_S)
+    answered = _probe(link)
+    link.http.close()
+    return answered
 
 
 def _probe(link: Link) -> bool:
@@ -189,7 +197,7 @@
         link.http.sock.settimeout(PROBE_TIMEOUT_S)
     try:
         send_request(link, "GET", PROBE_PATH, {}, None)
-        read_response(link).read(decode_content=False)
+        read_response(link).read()
     except _BREAKS:
         return False
     return True
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -15,7 +15,7 @@
 
 from magnoliasill.call import Call
 from magnoliasill.callers import CallerProtocol
-from magnoliasill.connections import ConnectionTable
+from magnoliasill.connections import ConnectionTable, _is_open
 from magnoliasill.exchange import PROBE_TIMEOUT_S, SILENT_AFTER_S, exchange_call
 from magnoliasill.outcomes import OutcomeKind
 from magnoliasill.proxy import build_application
@@ -110,7 +110,7 @@
         with eventlet.Timeout(TIMEOUT_S):
             first = exchange_call(table, address, build_call(), DEADLINE_S)
             (link,) = table.idle[address]
-            while link.http.is_connected:
+            while _is_open(link):
                 eventlet.sleep(0.01)
             second = exchange_call(table, address, build_call(), DEADLINE_S)
         self.assertEqual((b"1", b"2"), (first.answer.body, second.answer.body))
