--- a/src/magnoliasill/engine.py
+++ b/src/magnoliasill/engine.py
@@ -16,6 +16,7 @@
     tick_claims,
 )
 from .codes import LogEvent
+from .crashes import receive_crash_notice
 from .distribution import receive_digest, receive_reply, receive_request, tick_distribution
 from .events import Event, MessageReceived, ServerAnnounced, StoreAnswered, StoreFailed, Tick
 from .joining import tick_joining
@@ -27,6 +28,7 @@
     ClaimRequest,
     ConfigurationReply,
     ConfigurationRequest,
+    CrashNotice,
     Digest,
     MemberNews,
     MemberPage,
@@ -119,4 +121,6 @@
             return receive_claim_query(node, now, message)
         case ClaimReport():
             return receive_claim_report(node, now, message)
+        case CrashNotice():
+            return receive_crash_notice(node, now, message)
     raise TypeError(f"no system for {type(message).__name__}")
--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/exchange.py
@@ -23,6 +23,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
+    from http.client import HTTPResponse
 
     from .call import Call
     from .connections import ConnectionTable, Link
@@ -118,15 +119,14 @@
 
 
 def _read_answer(
-    connections: ConnectionTable, address: str, link: Link, response: http.client.HTTPResponse
+    connections: ConnectionTable, address: str, link: Link, response: HTTPResponse
 ) -> Answer:
-    length = response.length
-    if length is None and not response.chunked:
+    if response.length is None and not response.chunked:
         raise http.client.HTTPException("the answer does not tell where it ends")
-    if len(response.headers.get_all("Content-Length", ())) > 1:
-        raise http.client.HTTPException("the answer has two lengths")
     headers = response.getheaders()
-    if length is not None and length <= MAX_WHOLE_BYTES:
+    if sum(name.lower() == "content-length" for name, _ in headers) > 1:
+        raise http.client.HTTPException("the answer has more than one length")
+    if not response.chunked and response.length <= MAX_WHOLE_BYTES:
         body = response.read()
         give_back(connections, address, link)
         return Answer(response.status, response.reason or "", headers, body)
@@ -148,7 +148,7 @@
 
 
 def _read_pieces(
-    connections: ConnectionTable, address: str, link: Link, response: http.client.HTTPResponse
+    connections: ConnectionTable, address: str, link: Link, response: HTTPResponse
 ) -> Iterator[bytes]:
     whole = False
     try:
@@ -180,10 +180,15 @@
             give_back(connections, address, kin)
         return False
     kin.http.close()
-    fresh = open_connection(address, PROBE_TIMEOUT_S)
-    answered = _probe(fresh)
-    fresh.http.close()
-    return answered and not wait_readable(link, MIN_TIMEOUT_S)
+    return probe_server(address) and not wait_readable(link, MIN_TIMEOUT_S)
+
+
+def probe_server(address: str) -> bool:
+    """Return whether a backend server answers on a new connection."""
+    link = open_connection(address, PROBE_TIMEOUT_S)
+    answered = _probe(link)
+    link.http.close()
+    return answered
 
 
 def _probe(link: Link) -> bool:
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -15,6 +15,7 @@
 from .errors import CallError
 from .exchange import exchange_call
 from .forwarder import forward_call
+from .guard import refuse_crashing
 from .idempotency import Peers, run_once
 from .routing import find_route
 
@@ -136,6 +137,8 @@
     def forward() -> Answer:
         return forward_call(proxy, target, call)
 
+    if proxy.node.crashes.suspects:
+        refuse_crashing(proxy.node, call, proxy.clock() + proxy.clock_offset)
     if target.route.idempotent:
         return forward()
     return run_once(proxy.node, proxy.peers, target.service.service, call, forward)
