--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: setup demo test lint format ci stats clean
+.PHONY: setup demo test lint format docs ci stats clean
 
 setup: .venv/.ready
 
@@ -27,6 +27,9 @@
 	$(BIN)/black --quiet src fakes tests tools bench
 	$(BIN)/ruff check --fix --quiet src fakes tests tools bench
 
+docs: setup
+	$(BIN)/python -m tools.docs
+
 stats: setup
 	$(BIN)/python -m tools.stats
 
--- /dev/null
+++ b/src/magnoliasill/error_catalogue.py
@@ -0,0 +1,125 @@
+"""The catalogue of error codes: what each means and what to try."""
+
+from __future__ import annotations
+
+import attrs
+
+from .codes import ErrorCode
+
+
+@attrs.frozen
+class ErrorEntry:
+    """The explanation of one error code.
+
+    Attributes:
+        meaning: What happened.
+        remedy: What the reader can try next.
+    """
+
+    meaning: str
+    remedy: str
+
+
+ERRORS: dict[ErrorCode, ErrorEntry] = {
+    ErrorCode.SETTING_INVALID: ErrorEntry(
+        "A setting is missing, malformed or out of its range.",
+        "set the named flag or environment variable as docs/SETTINGS.md says",
+    ),
+    ErrorCode.SETTING_UNKNOWN: ErrorEntry(
+        "A flag names no setting.", "compare the spelling with docs/SETTINGS.md"
+    ),
+    ErrorCode.PORT_IN_USE: ErrorEntry(
+        "The daemon can't listen on an address.",
+        "stop the other process, or choose another port or host",
+    ),
+    ErrorCode.FILE_UNREADABLE: ErrorEntry(
+        "A folder holds no service file, or a file can't be read.",
+        "check the path and the permissions",
+    ),
+    ErrorCode.FILE_SYNTAX: ErrorEntry(
+        "A service file is not TOML.", "correct the line that the message names"
+    ),
+    ErrorCode.FILE_INVALID: ErrorEntry(
+        "A key of a service file is missing, of the wrong type or out of its range.",
+        "correct the key that the message names",
+    ),
+    ErrorCode.FILE_UNKNOWN_KEY: ErrorEntry(
+        "A service file has a key that does not exist.",
+        "compare the spelling with the keys that the message lists",
+    ),
+    ErrorCode.REFERENCE_MISSING: ErrorEntry(
+        "A route depends on a route that no service has.",
+        "publish the other service in the same or an earlier publish, or drop the reference",
+    ),
+    ErrorCode.ROUTE_OVERLAP: ErrorEntry(
+        "Two routes serve the same method and path.", "change the path of one of them"
+    ),
+    ErrorCode.SERVICE_DUPLICATE: ErrorEntry(
+        "Two files of a folder describe the same service.", "remove one of them"
+    ),
+    ErrorCode.TAKEOVER_INVALID: ErrorEntry(
+        "The releases or the times of a takeover don't fit the service.",
+        "correct the key that the message names",
+    ),
+    ErrorCode.BLOB_TOO_LARGE: ErrorEntry(
+        "The encoded service file is larger than a stored value may be.", "split the service"
+    ),
+    ErrorCode.PUBLISH_CONFLICT: ErrorEntry(
+        "Another publish changed the same service since the base version.",
+        "pull, adapt the files, publish again",
+    ),
+    ErrorCode.STORE_UNAVAILABLE: ErrorEntry(
+        "The platform's store did not answer; the request had no effect.",
+        "check the store's address and state, then try again",
+    ),
+    ErrorCode.STORE_OUTCOME_UNKNOWN: ErrorEntry(
+        "The answer of a write was lost; it may have taken effect.",
+        "repeat the same command with the same identifier",
+    ),
+    ErrorCode.BLOB_CORRUPT: ErrorEntry(
+        "A stored value or a received blob is not what its hash or type says.",
+        "publish the named service again; look for other writers of the store's keys",
+    ),
+    ErrorCode.VERSION_STALE: ErrorEntry(
+        "A configuration is not newer than the one in force.", "nothing: the newer one stays"
+    ),
+    ErrorCode.MESSAGE_INVALID: ErrorEntry(
+        "A message of a peer is malformed or of another wire version.",
+        "compare the versions of both daemons; look for other senders on the peer port",
+    ),
+    ErrorCode.ROUTE_UNKNOWN: ErrorEntry(
+        "No route serves the method and path of a call.",
+        "check the path; `magnoliasill status` shows the services that are accepted",
+    ),
+    ErrorCode.NO_SERVER: ErrorEntry(
+        "No backend server of the service and release takes work. The call did not run.",
+        "look for the service's backend servers with `magnoliasill members`",
+    ),
+    ErrorCode.NOT_RUN: ErrorEntry(
+        "The call certainly did not run.", "send it again after the Retry-After time"
+    ),
+    ErrorCode.OUTCOME_UNKNOWN: ErrorEntry(
+        "The call may have run, but no whole answer arrived.",
+        "ask the service for the outcome, or repeat with the same idempotency key",
+    ),
+    ErrorCode.NOT_READY: ErrorEntry(
+        "The daemon has no configuration yet, or is stopping. The call did not run.",
+        "send it to another daemon; see `/readyz` and `magnoliasill dump`",
+    ),
+    ErrorCode.KEY_MISSING: ErrorEntry(
+        "The route must not be repeated and the call has no idempotency key.",
+        "send an Idempotency-Key header that is unique to the request",
+    ),
+    ErrorCode.BODY_TOO_LARGE: ErrorEntry(
+        "The body of a call is larger than the service's limit.",
+        "send less, or raise `limits.max_body_bytes` of the service",
+    ),
+    ErrorCode.ADMIN_REFUSED: ErrorEntry(
+        "The administration port refused the request.",
+        "read the message; docs/ADMINISTRATION.md describes each call",
+    ),
+    ErrorCode.ADMIN_UNREACHABLE: ErrorEntry(
+        "The administration address does not answer, or not as a daemon does.",
+        "check that the address is the administration `ip:port` of a running daemon",
+    ),
+}
--- /dev/null
+++ b/src/magnoliasill/event_catalogue.py
@@ -0,0 +1,90 @@
+"""The catalogue of log events: what each means, its fields, and what to do."""
+
+from __future__ import annotations
+
+import attrs
+
+from .codes import LogEvent
+
+
+@attrs.frozen
+class EventEntry:
+    """The explanation of one kind of log event.
+
+    Attributes:
+        meaning: What happened.
+        fields: The names of its fields, in any order.
+        reaction: What the person on call does.
+    """
+
+    meaning: str
+    fields: tuple[str, ...] = ()
+    reaction: str = "nothing"
+
+
+EVENTS: dict[LogEvent, EventEntry] = {
+    LogEvent.DAEMON_STARTED: EventEntry(
+        "The daemon listens on its ports.", fields=("caller_port",)
+    ),
+    LogEvent.DAEMON_STOPPING: EventEntry(
+        "A signal asked the daemon to stop; it takes no more calls.", fields=("open_calls",)
+    ),
+    LogEvent.DAEMON_STOPPED: EventEntry(
+        "The daemon has stopped.",
+        fields=("open_calls",),
+        reaction="where `open_calls` is not 0, raise `--drain-ms`",
+    ),
+    LogEvent.DAEMON_REFUSED: EventEntry(
+        "The daemon can't start.",
+        fields=("code", "reason"),
+        reaction="correct the setting that the reason names",
+    ),
+    LogEvent.CONFIGURATION_APPLIED: EventEntry(
+        "A newer configuration is in force on this daemon.", fields=("version", "publish_id")
+    ),
+    LogEvent.CONFIGURATION_REFUSED: EventEntry(
+        "A newer configuration was refused whole; the one in force stays.",
+        fields=("version", "code", "reason"),
+        reaction="publish a corrected version; the code says what was wrong",
+    ),
+    LogEvent.RELAY_ACQUIRED: EventEntry(
+        "This daemon reads the platform's store for its data centre.", fields=("slot",)
+    ),
+    LogEvent.RELAY_LOST: EventEntry(
+        "This daemon no longer reads the platform's store.",
+        fields=("slot",),
+        reaction="nothing, unless the data centre has no relay for minutes while the store is up",
+    ),
+    LogEvent.MEMBER_JOINED: EventEntry(
+        "A daemon is known and alive.", fields=("member", "member_data_centre")
+    ),
+    LogEvent.MEMBER_SUSPECTED: EventEntry(
+        "A daemon was not heard of for some time.", fields=("member", "member_data_centre")
+    ),
+    LogEvent.MEMBER_FAILED: EventEntry(
+        "A daemon is taken to be gone; its backend server gets no more work.",
+        fields=("member", "member_data_centre"),
+        reaction="look at its VM where it does not return",
+    ),
+    LogEvent.MEMBER_LEFT: EventEntry(
+        "A daemon has stopped gracefully.", fields=("member", "member_data_centre")
+    ),
+    LogEvent.MESSAGE_REFUSED: EventEntry(
+        "A message on the peer port was malformed or of another wire version.",
+        fields=("reason",),
+        reaction="look for daemons of another version, or for a stranger on the peer port",
+    ),
+    LogEvent.STORE_UNAVAILABLE: EventEntry(
+        "The platform's store does not answer this daemon; the configuration in force stays.",
+        reaction="tell the platform's operators where several daemons say so",
+    ),
+    LogEvent.STORE_AVAILABLE: EventEntry("The platform's store answers again."),
+    LogEvent.CALL_FAILED: EventEntry(
+        "A call ended without a whole answer.", fields=("code", "reason")
+    ),
+    LogEvent.SYSTEM_FAILED: EventEntry(
+        "The daemon failed to handle one event and serves on.",
+        fields=("event_kind", "reason"),
+        reaction="report it with the reason: it is a defect",
+    ),
+}
--- a/src/magnoliasill/settings.py
+++ b/src/magnoliasill/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import difflib
 import ipaddress
 from typing import TYPE_CHECKING, Any
 
@@ -26,19 +27,12 @@
     return str(ipaddress.ip_address(text))
 
 
-def _parse_port(text: str) -> int:
-    port = int(text)
-    if not 1 <= port <= 65_535:
-        raise ValueError("must be from 1 to 65535")
-    return port
-
-
 def _parse_addresses(text: str) -> tuple[str, ...]:
     addresses = tuple(part.strip() for part in text.split(",") if part.strip())
     for address in addresses:
         host, _, port = address.rpartition(":")
         _parse_ip(host)
-        _parse_port(port)
+        _PORT.parse(port)
     return addresses
 
 
@@ -48,20 +42,38 @@
     return text.rstrip("/")
 
 
-def _parse_milliseconds(minimum: int, maximum: int) -> Callable[[str], int]:
+@attrs.frozen
+class Kind:
+    """A kind of value.
+
+    Attributes:
+        parse: Turns a text into a value; raises ValueError for an unacceptable one.
+        range: The acceptable values, for a person.
+    """
+
+    parse: Callable[[str], Any]
+    range: str
+
+
+def _integer(minimum: int, maximum: int) -> Kind:
     def parse(text: str) -> int:
         value = int(text)
         if not minimum <= value <= maximum:
             raise ValueError(f"must be from {minimum} to {maximum}")
         return value
 
-    return parse
+    return Kind(parse, f"{minimum} to {maximum}")
 
 
-def _setting(
-    parse: Callable[[str], Any], meaning: str, unit: str = "", default: str | None = None
-) -> Any:
-    metadata = {"parse": parse, "meaning": meaning, "unit": unit, "default": default}
+_TEXT = Kind(_parse_text, "not empty")
+_IP = Kind(_parse_ip, "an IPv4 or IPv6 address")
+_PORT = _integer(1, 65_535)
+_ADDRESSES = Kind(_parse_addresses, "`ip:port,ip:port,...`, may be empty")
+_URL = Kind(_parse_url, "`http://ip:port`")
+
+
+def _setting(kind: Kind, meaning: str, unit: str = "", default: str | None = None) -> Any:
+    metadata = {"kind": kind, "meaning": meaning, "unit": unit, "default": default}
     return attrs.field(metadata=metadata)
 
 
@@ -69,30 +81,38 @@
 class Settings:
     """The checked settings of one daemon."""
 
-    name: str = _setting(_parse_text, "unique name of the daemon")
-    data_centre: str = _setting(_parse_text, "data centre in which the daemon runs")
-    host: str = _setting(_parse_ip, "IP address that the daemon listens on", default="127.0.0.1")
-    caller_port: int = _setting(_parse_port, "port for callers")
-    peer_port: int = _setting(_parse_port, "port for messages of other daemons")
-    admin_port: int = _setting(_parse_port, "port for administration")
-    store: str = _setting(_parse_url, "address of the platform's store")
+    name: str = _setting(_TEXT, "unique name of the daemon")
+    data_centre: str = _setting(_TEXT, "data centre in which the daemon runs")
+    host: str = _setting(_IP, "IP address that the daemon listens on", default="127.0.0.1")
+    caller_port: int = _setting(_PORT, "port for callers")
+    peer_port: int = _setting(_PORT, "port for messages of other daemons")
+    admin_port: int = _setting(_PORT, "port for administration")
+    store: str = _setting(_URL, "address of the platform's store")
     seeds: tuple[str, ...] = _setting(
-        _parse_addresses, "peer addresses to join through, separated by commas", default=""
-    )
-    tick_ms: int = _setting(
-        _parse_milliseconds(10, 1_000), "interval of the tick", "milliseconds", "100"
+        _ADDRESSES, "peer addresses to join through, separated by commas", default=""
     )
+    tick_ms: int = _setting(_integer(10, 1_000), "interval of the tick", "milliseconds", "100")
     store_timeout_ms: int = _setting(
-        _parse_milliseconds(10, 60_000), "timeout of a store request", "milliseconds", "1000"
+        _integer(10, 60_000), "timeout of a store request", "milliseconds", "1000"
     )
     drain_ms: int = _setting(
-        _parse_milliseconds(0, 600_000),
+        _integer(0, 600_000),
         "longest wait for calls in progress at shutdown",
         "milliseconds",
         "30000",
     )
 
 
+def format_flag(name: str) -> str:
+    """Return the flag of a setting."""
+    return f"--{name.replace('_', '-')}"
+
+
+def format_variable(name: str) -> str:
+    """Return the environment variable of a setting."""
+    return ENVIRONMENT_PREFIX + name.upper()
+
+
 def load_settings(flags: Mapping[str, Any], environment: Mapping[str, str]) -> Settings:
     """Read and check every setting; a flag goes before its environment variable.
 
@@ -109,8 +129,10 @@
     known = {field.name for field in attrs.fields(Settings)}
     for flag in flags:
         if flag not in known:
-            message = f"unknown setting --{flag.replace('_', '-')}"
-            raise SettingsError(ErrorCode.SETTING_UNKNOWN, message)
+            close = difflib.get_close_matches(flag, known, 1)
+            advice = f"did you mean {format_flag(close[0])}?" if close else ""
+            message = f"unknown setting {format_flag(flag)}"
+            raise SettingsError(ErrorCode.SETTING_UNKNOWN, message, advice)
     return Settings(
         **{field.name: _load(field, flags, environment) for field in attrs.fields(Settings)}
     )
@@ -119,15 +141,15 @@
 def _load(
     field: attrs.Attribute[Any], flags: Mapping[str, Any], environment: Mapping[str, str]
 ) -> Any:
-    flag = f"--{field.name.replace('_', '-')}"
-    variable = ENVIRONMENT_PREFIX + field.name.upper()
+    flag = format_flag(field.name)
+    variable = format_variable(field.name)
     raw = flags.get(field.name, environment.get(variable, field.metadata["default"]))
     if raw is None:
         message = f"{flag} ({variable}) is missing: {field.metadata['meaning']}"
         raise SettingsError(ErrorCode.SETTING_INVALID, message)
     text = ",".join(map(str, raw)) if isinstance(raw, (tuple, list)) else str(raw)
     try:
-        return field.metadata["parse"](text)
+        return field.metadata["kind"].parse(text)
     except ValueError as error:
         message = f"{flag} ({variable}) is {text!r}: {error}"
         raise SettingsError(ErrorCode.SETTING_INVALID, message) from error
