--- a/src/magnoliasill/administration.py
+++ b/src/magnoliasill/administration.py
@@ -1,4 +1,4 @@
-"""The administration port: health, metrics, the state dump and the server's announcement."""
+"""The administration port: health, metrics, reports, announcements and the teams' changes."""
 
 from __future__ import annotations
 
@@ -7,44 +7,79 @@
 import attrs
 import msgspec
 
+from .changes import MAX_CHANGE_BYTES, carry_out_change
+from .codes import ErrorCode
+from .error_catalogue import ERRORS
+from .errors import AdministrationError, MagnoliasillError
 from .events import ServerAnnounced
 from .metrics import format_metrics
+from .reports import dump_state, list_members, list_services, report_version
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from .changes import ChangeDesk
     from .events import Event
     from .proxy import Proxy
 
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; version=0.0.4"
 MAX_BODY_BYTES = 65_536
+RETRY_AFTER_S = 1
+MAX_CODE_CHARACTERS = 200
+
+_STATUSES: dict[ErrorCode, str] = {
+    ErrorCode.TOKEN_REFUSED: "401 Unauthorized",
+    ErrorCode.TEAM_MISMATCH: "403 Forbidden",
+    ErrorCode.PATH_UNKNOWN: "404 Not Found",
+    ErrorCode.SERVICE_UNKNOWN: "404 Not Found",
+    ErrorCode.VERSION_UNKNOWN: "404 Not Found",
+    ErrorCode.METHOD_UNKNOWN: "405 Method Not Allowed",
+    ErrorCode.PUBLISH_CONFLICT: "409 Conflict",
+    ErrorCode.REQUEST_TOO_LARGE: "413 Content Too Large",
+    ErrorCode.STORE_OUTCOME_UNKNOWN: "502 Bad Gateway",
+    ErrorCode.STORE_UNAVAILABLE: "503 Service Unavailable",
+    ErrorCode.ADMIN_BUSY: "503 Service Unavailable",
+}
 
 
 @attrs.frozen
 class Reply:
-    """Status line, content type and body of an answer."""
+    """Status line, content type, body and further headers of an answer."""
 
     status: str
     content_type: str
     body: bytes
+    headers: tuple[tuple[str, str], ...] = ()
 
 
-def build_administration(
-    proxy: Proxy, submit: Callable[[Event], None]
-) -> Callable[..., Iterable[bytes]]:
-    """Return the WSGI application of the administration port.
+@attrs.frozen
+class Administration:
+    """What the administration port works on.
 
-    Args:
+    Attributes:
         proxy: The daemon's serving state.
         submit: Passes an event to the engine.
+        desk: Carries out the teams' changes.
     """
 
+    proxy: Proxy
+    submit: Callable[[Event], None]
+    desk: ChangeDesk
+
+
+def build_administration(administration: Administration) -> Callable[..., Iterable[bytes]]:
+    """Return the WSGI application of the administration port."""
+
     def application(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-        reply = _answer(proxy, submit, environ)
+        try:
+            reply = _answer(administration, environ)
+        except MagnoliasillError as error:
+            reply = _refuse(error, environ["PATH_INFO"])
         headers = [
             ("Content-Type", reply.content_type),
             ("Content-Length", str(len(reply.body))),
+            *reply.headers,
         ]
         start_response(reply.status, headers)
         return [reply.body]
@@ -52,46 +87,106 @@
     return application
 
 
-def dump_state(proxy: Proxy) -> dict[str, Any]:
-    """Return the state of the daemon as plain data."""
-    node = proxy.node
-    applied = node.configuration.applied
-    return {
-        "own": attrs.asdict(node.own),
-        "version": node.configuration.version,
-        "applied_at": node.configuration.applied_at,
-        "head": attrs.asdict(applied.head) if applied is not None else None,
-        "members": [attrs.asdict(member.record) for member in node.members.values()],
-        "relay_slot": node.relay.slot,
-        "store_available": node.store_available,
-        "open_calls": proxy.open_calls,
-        "in_flight": dict(proxy.load.in_flight),
-    }
-
-
-def _answer(proxy: Proxy, submit: Callable[[Event], None], environ: dict[str, Any]) -> Reply:
-    match environ["REQUEST_METHOD"], environ["PATH_INFO"]:
-        case "GET", "/healthz":
-            return Reply("200 OK", JSON_TYPE, b'{"status":"ok"}')
-        case "GET", "/readyz":
-            ready = proxy.node.configuration.applied is not None and not proxy.stopping
-            status = "200 OK" if ready else "503 Service Unavailable"
-            return Reply(status, JSON_TYPE, msgspec.json.encode({"ready": ready}))
-        case "GET", "/metrics":
-            return Reply("200 OK", TEXT_TYPE, format_metrics(proxy.metrics))
-        case "GET", "/v1/state":
-            return Reply("200 OK", JSON_TYPE, msgspec.json.encode(dump_state(proxy)))
-        case "POST", "/v1/server":
-            return _announce(submit, environ)
-    return Reply("404 Not Found", JSON_TYPE, b'{"error":"unknown path"}')
-
-
-def _announce(submit: Callable[[Event], None], environ: dict[str, Any]) -> Reply:
-    length = min(int(environ.get("CONTENT_LENGTH") or 0), MAX_BODY_BYTES)
+def _answer(administration: Administration, environ: dict[str, Any]) -> Reply:
+    path, method = environ["PATH_INFO"], environ["REQUEST_METHOD"]
+    handlers = CALLS.get(path)
+    if handlers is None:
+        raise AdministrationError(ErrorCode.PATH_UNKNOWN, path[:MAX_CODE_CHARACTERS])
+    handler = handlers.get(method)
+    if handler is None:
+        raise AdministrationError(ErrorCode.METHOD_UNKNOWN, f"{path} does not take {method}")
+    return handler(administration, environ)
+
+
+def _refuse(error: MagnoliasillError, path: str) -> Reply:
+    status = _STATUSES.get(error.code, "400 Bad Request")
+    advice = error.advice or ERRORS[error.code].remedy
+    content = {"code": error.code.value, "message": error.message, "advice": advice}
+    headers: tuple[tuple[str, str], ...] = ()
+    if error.code is ErrorCode.METHOD_UNKNOWN:
+        headers = (("Allow", ", ".join(sorted(CALLS[path]))),)
+    elif error.code is ErrorCode.TOKEN_REFUSED:
+        headers = (("WWW-Authenticate", "Bearer"),)
+    elif status.startswith("503"):
+        headers = (("Retry-After", str(RETRY_AFTER_S)),)
+    return Reply(status, JSON_TYPE, msgspec.json.encode(content), headers)
+
+
+def _encode(content: Any) -> Reply:
+    return Reply("200 OK", JSON_TYPE, msgspec.json.encode(content))
+
+
+def _read_body(environ: dict[str, Any], limit: int) -> bytes:
+    try:
+        length = int(environ.get("CONTENT_LENGTH") or 0)
+    except ValueError:
+        length = -1
+    if length < 0:
+        raise AdministrationError(ErrorCode.REQUEST_INVALID, "Content-Length is not a number")
+    if length > limit:
+        message = f"{length} bytes, the limit is {limit}"
+        raise AdministrationError(ErrorCode.REQUEST_TOO_LARGE, message)
+    return environ["wsgi.input"].read(length) if length else b""
+
+
+def _show_health(administration: Administration, environ: dict[str, Any]) -> Reply:
+    return _encode({"status": "ok"})
+
+
+def _show_readiness(administration: Administration, environ: dict[str, Any]) -> Reply:
+    proxy = administration.proxy
+    ready = proxy.node.configuration.applied is not None and not proxy.stopping
+    status = "200 OK" if ready else "503 Service Unavailable"
+    return Reply(status, JSON_TYPE, msgspec.json.encode({"ready": ready}))
+
+
+def _show_metrics(administration: Administration, environ: dict[str, Any]) -> Reply:
+    return Reply("200 OK", TEXT_TYPE, format_metrics(administration.proxy.metrics))
+
+
+def _show_state(administration: Administration, environ: dict[str, Any]) -> Reply:
+    return _encode(dump_state(administration.proxy))
+
+
+def _show_members(administration: Administration, environ: dict[str, Any]) -> Reply:
+    return _encode(list_members(administration.proxy.node))
+
+
+def _show_version(administration: Administration, environ: dict[str, Any]) -> Reply:
+    return _encode(report_version(administration.proxy.node))
+
+
+def _show_services(administration: Administration, environ: dict[str, Any]) -> Reply:
+    return _encode(list_services(administration.proxy.node))
+
+
+def _announce(administration: Administration, environ: dict[str, Any]) -> Reply:
+    body = _read_body(environ, MAX_BODY_BYTES)
     try:
-        event = msgspec.json.decode(environ["wsgi.input"].read(length), type=ServerAnnounced)
-    except msgspec.MsgspecError as error:
-        body = msgspec.json.encode({"error": str(error)})
-        return Reply("400 Bad Request", JSON_TYPE, body)
-    submit(event)
-    return Reply("200 OK", JSON_TYPE, b"{}")
+        event = msgspec.json.decode(body, type=ServerAnnounced)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise AdministrationError(ErrorCode.REQUEST_INVALID, str(error)) from error
+    administration.submit(event)
+    return _encode({})
+
+
+def _change(administration: Administration, environ: dict[str, Any]) -> Reply:
+    body = _read_body(environ, MAX_CHANGE_BYTES)
+    authorization = environ.get("HTTP_AUTHORIZATION", "")
+    accepted = carry_out_change(administration.desk, environ["PATH_INFO"], authorization, body)
+    return _encode(accepted)
+
+
+CALLS: dict[str, dict[str, Callable[[Administration, dict[str, Any]], Reply]]] = {
+    "/healthz": {"GET": _show_health},
+    "/readyz": {"GET": _show_readiness},
+    "/metrics": {"GET": _show_metrics},
+    "/v1/state": {"GET": _show_state},
+    "/v1/members": {"GET": _show_members},
+    "/v1/version": {"GET": _show_version},
+    "/v1/services": {"GET": _show_services},
+    "/v1/server": {"POST": _announce},
+    "/v1/publish": {"POST": _change},
+    "/v1/remove": {"POST": _change},
+    "/v1/undo": {"POST": _change},
+}
--- a/src/magnoliasill/configuration.py
+++ b/src/magnoliasill/configuration.py
@@ -43,6 +43,7 @@
         blobs: Blobs by hash: those of the applied head and of the pending one.
         pending: A newer head, some of whose blobs are still missing.
         refused_version: The greatest version that was refused as a whole.
+        refused_reason: Why it was refused.
     """
 
     applied: Snapshot | None = None
@@ -50,6 +51,7 @@
     blobs: dict[str, bytes] = attrs.field(factory=dict)
     pending: Head | None = None
     refused_version: int = 0
+    refused_reason: str = ""
 
     @property
     def version(self) -> int:
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -15,7 +16,8 @@
 import fire
 
 from .actions import Log, SendMessage
-from .administration import build_administration
+from .administration import Administration, build_administration
+from .changes import ChangeDesk
 from .codes import ErrorCode, LogEvent
 from .distribution import build_digest
 from .engine import step
@@ -46,6 +48,7 @@
 KEEPALIVE_TIMEOUT_S = 60
 DRAIN_POLL_S = 0.02
 LEAVE_NOTICES = 8
+CHANGE_RETRY_PAUSE_S = 0.2
 
 
 @attrs.define
@@ -97,8 +100,7 @@
     eventlet.spawn(_tick, daemon)
     application = build_application(daemon.proxy)
     caller_server = eventlet.spawn(_serve, callers, application)
-    administration = build_administration(daemon.proxy, lambda event: submit(daemon, event))
-    eventlet.spawn(_serve, admin, administration)
+    eventlet.spawn(_serve, admin, build_administration(_build_administration(daemon)))
     write_log(daemon.logger, LogEvent.DAEMON_STARTED, caller_port=settings.caller_port)
     daemon.stop_requested.wait()
     _stop(daemon, callers, caller_server)
@@ -111,13 +113,29 @@
     peer_address = f"{settings.host}:{settings.peer_port}"
     clock_offset = time.time() - time.monotonic()
     incarnation = int(time.time() * 1000)
-    own = MemberRecord(settings.name, settings.data_centre, peer_address, incarnation)
+    own = MemberRecord(
+        settings.name,
+        settings.data_centre,
+        peer_address,
+        incarnation,
+        admin_port=settings.admin_port,
+    )
     node = Node(own, random.Random(), seeds=settings.seeds)
     proxy = Proxy(node, store, build_metrics(), clock_offset)
     peers = open_peers(peer_address)
     return Daemon(settings, node, proxy, store, peers, logger, clock_offset)
 
 
+def _build_administration(daemon: Daemon) -> Administration:
+    desk = ChangeDesk(
+        daemon.store,
+        lambda: datetime.now(UTC),
+        lambda attempt: eventlet.sleep(CHANGE_RETRY_PAUSE_S * attempt),
+        lambda event, **fields: write_log(daemon.logger, event, **fields),
+    )
+    return Administration(daemon.proxy, lambda event: submit(daemon, event), desk)
+
+
 def submit(daemon: Daemon, event: Event) -> None:
     """Run the engine for one event and carry out the actions.
 
--- a/src/magnoliasill/distribution.py
+++ b/src/magnoliasill/distribution.py
@@ -123,6 +123,7 @@
 def _refuse(node: Node, head: Head, error: ConfigurationError) -> list[Action]:
     table = node.configuration
     table.refused_version = head.version
+    table.refused_reason = str(error)
     kept = set(table.applied.head.services.values()) if table.applied is not None else set()
     table.blobs = {digest: blob for digest, blob in table.blobs.items() if digest in kept}
     fields = {"version": head.version, "code": error.code.value, "reason": error.message}
--- a/src/magnoliasill/error_catalogue.py
+++ b/src/magnoliasill/error_catalogue.py
@@ -32,6 +32,9 @@
         "The daemon can't listen on an address.",
         "stop the other process, or choose another port or host",
     ),
+    ErrorCode.USAGE_INVALID: ErrorEntry(
+        "The arguments of a command don't go together.", "read `magnoliasill COMMAND --help`"
+    ),
     ErrorCode.FILE_UNREADABLE: ErrorEntry(
         "A folder holds no service file, or a file can't be read.",
         "check the path and the permissions",
@@ -64,6 +67,22 @@
     ErrorCode.BLOB_TOO_LARGE: ErrorEntry(
         "The encoded service file is larger than a stored value may be.", "split the service"
     ),
+    ErrorCode.SERVICE_UNKNOWN: ErrorEntry(
+        "The accepted configuration has no such service.",
+        "compare the name with `magnoliasill status`",
+    ),
+    ErrorCode.TEAM_MISMATCH: ErrorEntry(
+        "The service belongs to another team.",
+        "ask that team, or an administrator of the platform for `publish --transfer`",
+    ),
+    ErrorCode.VERSION_UNKNOWN: ErrorEntry(
+        "The version is not in the history that the store keeps.",
+        "publish the older files instead; `magnoliasill history` lists the versions",
+    ),
+    ErrorCode.LOCAL_EDITS: ErrorEntry(
+        "A pull would overwrite files that were edited here.",
+        "move the edits aside, or give --force to lose them",
+    ),
     ErrorCode.PUBLISH_CONFLICT: ErrorEntry(
         "Another publish changed the same service since the base version.",
         "pull, adapt the files, publish again",
@@ -122,4 +141,37 @@
         "The administration address does not answer, or not as a daemon does.",
         "check that the address is the administration `ip:port` of a running daemon",
     ),
+    ErrorCode.TOKEN_REFUSED: ErrorEntry(
+        "The team's token is missing or wrong.",
+        "set MAGNOLIASILL_TOKEN or --token-file; an administrator can rotate the token",
+    ),
+    ErrorCode.REQUEST_INVALID: ErrorEntry(
+        "The body of a request to the administration port is malformed.",
+        "compare it with docs/ADMINISTRATION.md",
+    ),
+    ErrorCode.REQUEST_TOO_LARGE: ErrorEntry(
+        "The body of a request to the administration port is too large.",
+        "publish fewer services at once",
+    ),
+    ErrorCode.PATH_UNKNOWN: ErrorEntry(
+        "The administration port has no such path.",
+        "compare it with docs/ADMINISTRATION.md",
+    ),
+    ErrorCode.METHOD_UNKNOWN: ErrorEntry(
+        "The path does not take this HTTP method.", "use the method that the Allow header names"
+    ),
+    ErrorCode.ADMIN_BUSY: ErrorEntry(
+        "The daemon carries out enough changes already; this one was not begun.",
+        "try again after the Retry-After time, or at another daemon",
+    ),
+    ErrorCode.TEAM_EXISTS: ErrorEntry(
+        "The team has a token already.", "use `magnoliasill team rotate NAME` to replace it"
+    ),
+    ErrorCode.TEAM_UNKNOWN: ErrorEntry(
+        "No such team has a token.", "create it with `magnoliasill team create NAME`"
+    ),
+    ErrorCode.NOT_CONVERGED: ErrorEntry(
+        "Some daemons don't have the newest version in force in the given time.",
+        "read why each of them is behind; docs/OPERATIONS.md says what to do",
+    ),
 }
--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -82,6 +82,15 @@
     LogEvent.CALL_FAILED: EventEntry(
         "A call ended without a whole answer.", fields=("code", "reason")
     ),
+    LogEvent.CHANGE_ACCEPTED: EventEntry(
+        "A team's change was accepted through this daemon.",
+        fields=("team", "version", "publish_id"),
+    ),
+    LogEvent.CHANGE_REFUSED: EventEntry(
+        "A team's change was refused by this daemon.",
+        fields=("team", "code", "reason"),
+        reaction="nothing, unless MS-603 repeats: then look for who tries tokens",
+    ),
     LogEvent.SYSTEM_FAILED: EventEntry(
         "The daemon failed to handle one event and serves on.",
         fields=("event_kind", "reason"),
--- a/src/magnoliasill/manifest.py
+++ b/src/magnoliasill/manifest.py
@@ -33,6 +33,8 @@
         published_at: Seconds since the epoch at the publisher.
         services: For each service name, the hash of its blob.
         recent_publishes: In the store only: identifiers of the latest publishes, this one last.
+        previous: In the store only: for each service that this version changed, the hash of its
+            blob before, empty where there was none.
     """
 
     version: int
@@ -40,6 +42,7 @@
     published_at: float
     services: dict[str, str]
     recent_publishes: list[str] = attrs.field(factory=list)
+    previous: dict[str, str] = attrs.field(factory=dict)
 
 
 def hash_blob(blob: bytes) -> str:
@@ -70,6 +73,11 @@
         raise ConfigurationError(ErrorCode.BLOB_CORRUPT, f"head: {error}") from error
 
 
+def strip_head(head: Head) -> Head:
+    """Return a head without what only publishers need."""
+    return attrs.evolve(head, recent_publishes=[], previous={})
+
+
 def check_services(services: Mapping[str, ServiceFile]) -> None:
     """Check that a set of services is closed: no missing reference, no overlapping route.
 
--- a/src/magnoliasill/messages.py
+++ b/src/magnoliasill/messages.py
@@ -30,6 +30,7 @@
         server_address: The backend server's `ip:port`.
         serving: Whether the backend server takes new work.
         started_at: Seconds since the epoch at which the backend server announced itself.
+        admin_port: The daemon's administration port, on the address of `peer_address`.
     """
 
     name: str
@@ -42,6 +43,7 @@
     server_address: str = ""
     serving: bool = False
     started_at: float = 0.0
+    admin_port: int = 0
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/magnoliasill/publishing_commands.py
@@ -0,0 +1,252 @@
+"""The commands that check, publish, take back and show the accepted configuration."""
+
+from __future__ import annotations
+
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import msgspec
+
+from .base_file import read_base_file, write_base_file
+from .codes import ErrorCode
+from .errors import AdministrationError, PublishError, ServiceFileError
+from .history import read_changes
+from .manifest import check_deadlines, check_services, hash_blob
+from .publisher import Publish, collect_services, locate_services, read_head
+from .service_file import encode_service_file
+from .targets import (
+    choose_target,
+    connect_platform,
+    make_publish_id,
+    read_services,
+    resolve_base,
+    send_publish,
+    send_undo,
+)
+
+if TYPE_CHECKING:
+    from .changes import Accepted
+    from .service_file import ServiceFile
+
+
+def check(folder: str, json: bool = False) -> str:
+    """Check every service file of a folder without publishing.
+
+    Args:
+        folder: The folder with the service files.
+        json: Print JSON.
+    """
+    services = collect_services(Path(str(folder)))
+    check_services(services)
+    check_deadlines(services, datetime.now(UTC))
+    text = f"{len(services)} services are acceptable: {', '.join(sorted(services))}"
+    return format_output({"services": sorted(services)}, text, json)
+
+
+def publish_folder(
+    folder: str,
+    store: str = "",
+    daemon: str = "",
+    team: str = "",
+    token_file: str = "",
+    base: str = "",
+    publish_id: str = "",
+    transfer: bool = False,
+    json: bool = False,
+) -> str:
+    """Publish every service file of a folder.
+
+    Args:
+        folder: The folder with the service files.
+        store: Address of the platform's store, for its administrators.
+        daemon: Administration address of any daemon, for a team with its token.
+        team: The team; by default the one that the files name.
+        token_file: The file with the team's token; else MAGNOLIASILL_TOKEN.
+        base: The version that the files started from, or `latest` to replace what is accepted;
+            by default what `.magnoliasill-base` in the folder records.
+        publish_id: Identifier of an earlier try whose outcome is unknown.
+        transfer: Give services to the teams that the files name; with --store only.
+        json: Print JSON.
+    """
+    path = Path(str(folder))
+    services = collect_services(path)
+    target = choose_target(store, daemon, token_file)
+    if transfer and target.store is None:
+        message = "--transfer is for administrators, with --store"
+        raise AdministrationError(ErrorCode.USAGE_INVALID, message)
+    known = resolve_base(target, str(base), read_base_file(path))
+    identity = str(publish_id) or make_publish_id()
+    request = Publish(identity, services, known, transfer=transfer)
+    accepted = send_publish(target, request, team or _find_team(services))
+    _record(path, services)
+    return _format_accepted(accepted, json)
+
+
+def remove(
+    service: str,
+    store: str = "",
+    daemon: str = "",
+    team: str = "",
+    token_file: str = "",
+    publish_id: str = "",
+    json: bool = False,
+) -> str:
+    """Remove a service from the accepted configuration.
+
+    Args:
+        service: The service's name.
+        store: Address of the platform's store, for its administrators.
+        daemon: Administration address of any daemon, for a team with its token.
+        team: The team, with --daemon.
+        token_file: The file with the team's token; else MAGNOLIASILL_TOKEN.
+        publish_id: Identifier of an earlier try whose outcome is unknown.
+        json: Print JSON.
+    """
+    target = choose_target(store, daemon, token_file)
+    identity = str(publish_id) or make_publish_id()
+    request = Publish(identity, {}, None, frozenset({str(service)}))
+    return _format_accepted(send_publish(target, request, team), json)
+
+
+def undo(
+    version: int,
+    store: str = "",
+    daemon: str = "",
+    team: str = "",
+    token_file: str = "",
+    publish_id: str = "",
+    json: bool = False,
+) -> str:
+    """Take back what one version changed, as a new version.
+
+    Args:
+        version: The version whose change is taken back.
+        store: Address of the platform's store, for its administrators.
+        daemon: Administration address of any daemon, for a team with its token.
+        team: The team, with --daemon.
+        token_file: The file with the team's token; else MAGNOLIASILL_TOKEN.
+        publish_id: Identifier of an earlier try whose outcome is unknown.
+        json: Print JSON.
+    """
+    target = choose_target(store, daemon, token_file)
+    if not str(version).isdecimal():
+        raise AdministrationError(ErrorCode.USAGE_INVALID, f"{version!r} is not a version")
+    identity = str(publish_id) or make_publish_id()
+    return _format_accepted(send_undo(target, identity, int(version), team), json)
+
+
+def pull(
+    folder: str, store: str = "", daemon: str = "", force: bool = False, json: bool = False
+) -> str:
+    """Write the accepted service files into a folder and record them as its base.
+
+    Args:
+        folder: The folder; a file that was edited since its base is not overwritten.
+        store: Address of the platform's store.
+        daemon: Administration address of any daemon.
+        force: Overwrite edited files as well.
+        json: Print JSON.
+    """
+    path = Path(str(folder))
+    version, hashes, services = read_services(choose_target(store, daemon))
+    base = read_base_file(path)
+    local = locate_services(path)
+    present = {name: hash_blob(encode_service_file(file)) for name, (_, file) in local.items()}
+    for name in sorted(services.keys() & local.keys()):
+        if present[name] not in (base.get(name), hashes[name]) and not force:
+            raise ServiceFileError(ErrorCode.LOCAL_EDITS, f"{local[name][0]} was edited here")
+    path.mkdir(parents=True, exist_ok=True)
+    for name, service in sorted(services.items()):
+        if present.get(name) != hashes[name]:
+            file = local[name][0] if name in local else path / f"{name}.toml"
+            file.write_text(format_service(service), encoding="utf-8")
+    write_base_file(path, hashes)
+    text = f"version {version}: {len(services)} services in {path}"
+    return format_output({"version": version, "services": sorted(services)}, text, json)
+
+
+def show(service: str, store: str = "", daemon: str = "", json: bool = False) -> str:
+    """Show the accepted file of one service.
+
+    Args:
+        service: The service's name.
+        store: Address of the platform's store.
+        daemon: Administration address of any daemon.
+        json: Print JSON.
+    """
+    _, _, services = read_services(choose_target(store, daemon))
+    file = services.get(str(service))
+    if file is None:
+        raise PublishError(ErrorCode.SERVICE_UNKNOWN, f"{service} is not accepted at present")
+    return format_output(msgspec.to_builtins(file), format_service(file).rstrip(), json)
+
+
+def status(store: str = "", daemon: str = "", json: bool = False) -> str:
+    """Show the accepted configuration.
+
+    Args:
+        store: Address of the platform's store.
+        daemon: Administration address of any daemon, for the version in force there.
+        json: Print JSON.
+    """
+    version, hashes, services = read_services(choose_target(store, daemon))
+    if not version:
+        return format_output({"version": 0, "services": {}}, "nothing has been published", json)
+    lines = [f"version {version}"]
+    lines += [
+        f"  {name}  team {services[name].team}  {digest}" for name, digest in sorted(hashes.items())
+    ]
+    return format_output({"version": version, "services": hashes}, "\n".join(lines), json)
+
+
+def history(store: str = "", last: int = 10, json: bool = False) -> str:
+    """Show what the latest versions changed, the newest first.
+
+    Args:
+        store: Address of the platform's store.
+        last: How many versions to show.
+        json: Print JSON.
+    """
+    perform = connect_platform(store)
+    head, _ = read_head(perform)
+    if head is None:
+        return format_output([], "nothing has been published", json)
+    oldest = max(0, head.version - int(last))
+    changes = read_changes(perform, head, range(head.version, oldest, -1))
+    lines = []
+    for change in changes:
+        at = datetime.fromtimestamp(change.published_at, UTC).isoformat(timespec="seconds")
+        names = ", ".join(sorted(change.after)) or "nothing"
+        lines.append(f"version {change.version}  {at}  {change.publish_id}  changed {names}")
+    return format_output([attrs.asdict(change) for change in changes], "\n".join(lines), json)
+
+
+def format_output(data: Any, text: str, as_json: bool) -> str:
+    """Return the JSON of some data, or the text for a person."""
+    return msgspec.json.encode(data).decode() if as_json else text
+
+
+def format_service(service: ServiceFile) -> str:
+    """Return a service as the text of a service file."""
+    data = msgspec.to_builtins(service, builtin_types=(datetime,))
+    return msgspec.toml.encode({k: v for k, v in data.items() if v is not None}).decode()
+
+
+def _format_accepted(accepted: Accepted, as_json: bool) -> str:
+    text = f"accepted as version {accepted.version} ({accepted.publish_id})"
+    return format_output(attrs.asdict(accepted), text, as_json)
+
+
+def _find_team(services: dict[str, ServiceFile]) -> str:
+    return sorted(file.team for file in services.values())[0]
+
+
+def _record(folder: Path, services: dict[str, ServiceFile]) -> None:
+    hashes = {name: hash_blob(encode_service_file(file)) for name, file in services.items()}
+    try:
+        write_base_file(folder, hashes)
+    except ServiceFileError as error:
+        print(f"warning: {error}", file=sys.stderr)
--- a/src/magnoliasill/relays.py
+++ b/src/magnoliasill/relays.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import attrs
 import msgspec
 
 from .actions import (
@@ -21,7 +20,7 @@
 from .configuration import list_missing_blobs
 from .distribution import build_digest, offer_configuration
 from .errors import ConfigurationError
-from .manifest import BLOB_PREFIX, HEAD_KEY, decode_head
+from .manifest import BLOB_PREFIX, HEAD_KEY, decode_head, strip_head
 from .node import list_alive
 
 if TYPE_CHECKING:
@@ -151,7 +150,7 @@
     entry = answer.entries[0]
     relay.head_revision = entry.revision
     try:
-        head = attrs.evolve(decode_head(entry.value), recent_publishes=[])
+        head = strip_head(decode_head(entry.value))
     except ConfigurationError as error:
         fields = {"version": 0, "code": error.code.value, "reason": error.message}
         return [Log(LogEvent.CONFIGURATION_REFUSED, fields)]
--- /dev/null
+++ b/src/magnoliasill/reports.py
@@ -0,0 +1,86 @@
+"""What a daemon reports of itself: its state, its members and the version in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from .service_file import encode_service_file
+
+if TYPE_CHECKING:
+    from .node import Node
+    from .proxy import Proxy
+
+
+@attrs.frozen
+class VersionReport:
+    """How far one daemon has come.
+
+    Attributes:
+        name: The daemon's name.
+        data_centre: Its data centre.
+        version: The configuration version in force, 0 before the first.
+        applied_at: When it was put in force, in seconds since the epoch.
+        pending_version: A newer version whose blobs are still missing, or 0.
+        refused_version: The greatest version that was refused whole, or 0.
+        refused_reason: Why it was refused.
+        store_available: Whether the last request to the platform's store was answered.
+    """
+
+    name: str
+    data_centre: str
+    version: int
+    applied_at: float
+    pending_version: int = 0
+    refused_version: int = 0
+    refused_reason: str = ""
+    store_available: bool = True
+
+
+def report_version(node: Node) -> VersionReport:
+    """Return how far a daemon has come."""
+    table = node.configuration
+    return VersionReport(
+        node.own.name,
+        node.own.data_centre,
+        table.version,
+        table.applied_at,
+        table.pending.version if table.pending is not None else 0,
+        table.refused_version if table.refused_version > table.version else 0,
+        table.refused_reason,
+        node.store_available,
+    )
+
+
+def dump_state(proxy: Proxy) -> dict[str, Any]:
+    """Return the state of the daemon as plain data."""
+    node = proxy.node
+    applied = node.configuration.applied
+    return {
+        "own": attrs.asdict(node.own),
+        "version": node.configuration.version,
+        "applied_at": node.configuration.applied_at,
+        "head": attrs.asdict(applied.head) if applied is not None else None,
+        "members": [attrs.asdict(member.record) for member in node.members.values()],
+        "relay_slot": node.relay.slot,
+        "store_available": node.store_available,
+        "open_calls": proxy.open_calls,
+        "in_flight": dict(proxy.load.in_flight),
+    }
+
+
+def list_members(node: Node) -> list[dict[str, Any]]:
+    """Return the records of all members, the daemon itself first."""
+    records = [node.own]
+    records += [member.record for _, member in sorted(node.members.items())]
+    return [attrs.asdict(record) for record in records]
+
+
+def list_services(node: Node) -> dict[str, Any]:
+    """Return the version in force and its service files in the stored form."""
+    applied = node.configuration.applied
+    if applied is None:
+        return {"version": 0, "hashes": {}, "services": []}
+    files = [encode_service_file(file).decode() for file in applied.services.values()]
+    return {"version": applied.head.version, "hashes": applied.head.services, "services": files}
