--- a/src/magnoliasill/cli.py
+++ b/src/magnoliasill/cli.py
@@ -2,22 +2,18 @@
 
 from __future__ import annotations
 
-import functools
 import sys
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-import attrs
 import fire
 
+from .deferred import defer, run_pending
 from .error_catalogue import ERRORS
 from .errors import MagnoliasillError
 from .observing_commands import convergence, dump, members
 from .publishing_commands import check, history, publish_folder, pull, remove, show, status, undo
 from .team_commands import TEAM_COMMANDS
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 EXIT_FAILED = 1
 
 COMMANDS: dict[str, Any] = {
@@ -36,17 +32,10 @@
 }
 
 
-@attrs.frozen
-class Pending:
-    """A command whose arguments were read, and that has not begun."""
-
-    run: Callable[[], str]
-
-
 def main() -> None:
     """Run one command; the exit status is 0 only when it succeeded."""
     try:
-        fire.Fire(_defer_all(COMMANDS), name="magnoliasill", serialize=_run)
+        fire.Fire(_defer_all(COMMANDS), name="magnoliasill", serialize=run_pending)
     except MagnoliasillError as error:
         print(format_error(error), file=sys.stderr)
         sys.exit(EXIT_FAILED)
@@ -59,19 +48,6 @@
 
 def _defer_all(commands: dict[str, Any]) -> dict[str, Any]:
     return {
-        name: _defer_all(command) if isinstance(command, dict) else _defer(command)
+        name: _defer_all(command) if isinstance(command, dict) else defer(command)
         for name, command in commands.items()
     }
-
-
-def _defer(command: Callable[..., str]) -> Callable[..., Pending]:
-    # arguments that no parameter takes are refused before the command has begun
-    @functools.wraps(command)
-    def read_arguments(*args: Any, **kwargs: Any) -> Pending:
-        return Pending(lambda: command(*args, **kwargs))
-
-    return read_arguments
-
-
-def _run(result: Any) -> Any:
-    return result.run() if isinstance(result, Pending) else result
--- a/src/magnoliasill/client.py
+++ b/src/magnoliasill/client.py
@@ -14,6 +14,7 @@
 READ_TIMEOUT_S = 5.0
 CHANGE_TIMEOUT_S = 30.0
 STATUS_OK = 200
+CALLER_CODES = "MS-5"
 
 
 @attrs.frozen
@@ -98,6 +99,9 @@
     try:
         problem = msgspec.json.decode(data, type=Problem)
         code = ErrorCode(problem.code)
+        if code.value.startswith(CALLER_CODES):
+            message = f"{address}: answers as a caller port: {problem.code}"
+            return AdministrationError(ErrorCode.ADMIN_UNREACHABLE, message)
     except (msgspec.MsgspecError, UnicodeDecodeError, ValueError):
         message = f"{address}: status {status}, not as a daemon answers"
         return AdministrationError(ErrorCode.ADMIN_UNREACHABLE, message)
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -19,8 +19,10 @@
 from .administration import Administration, build_administration
 from .changes import ChangeDesk
 from .codes import ErrorCode, LogEvent
+from .deferred import defer, run_pending
 from .distribution import build_digest
 from .engine import step
+from .error_catalogue import ERRORS
 from .errors import (
     MagnoliasillError,
     MessageError,
@@ -36,7 +38,7 @@
 from .node import Node, list_alive
 from .peers import PeerSockets, close_peers, open_peers, receive_from_peers, send_to_peer
 from .proxy import Proxy, build_application
-from .settings import Settings, load_settings
+from .settings import Settings, format_help, load_settings
 from .store import connect_store
 
 if TYPE_CHECKING:
@@ -44,6 +46,7 @@
     from .store import StoreFunction
 
 EXIT_REFUSED = 2
+HELP_FLAGS = frozenset({"--help", "-h"})
 LISTEN_BACKLOG = 512
 KEEPALIVE_TIMEOUT_S = 60
 DRAIN_POLL_S = 0.02
@@ -67,7 +70,10 @@
 
 def main() -> None:
     """Run the daemon until a signal stops it."""
-    fire.Fire(_start, name="magnoliasilld")
+    if HELP_FLAGS & set(sys.argv[1:]):
+        print(format_help())
+        return
+    fire.Fire(defer(_start), name="magnoliasilld", serialize=run_pending)
 
 
 def _start(**flags: Any) -> None:
@@ -77,7 +83,8 @@
         run_daemon(settings)
     except MagnoliasillError as error:
         logger = bind_logger(str(flags.get("name", "")), str(flags.get("data_centre", "")))
-        fields = {"code": error.code.value, "reason": error.message}
+        advice = error.advice or ERRORS[error.code].remedy
+        fields = {"code": error.code.value, "reason": error.message, "advice": advice}
         write_log(logger, LogEvent.DAEMON_REFUSED, **fields)
         sys.exit(EXIT_REFUSED)
 
--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -36,7 +36,7 @@
     ),
     LogEvent.DAEMON_REFUSED: EventEntry(
         "The daemon can't start.",
-        fields=("code", "reason"),
+        fields=("code", "reason", "advice"),
         reaction="correct the setting that the reason names",
     ),
     LogEvent.CONFIGURATION_APPLIED: EventEntry(
--- a/src/magnoliasill/settings.py
+++ b/src/magnoliasill/settings.py
@@ -113,6 +113,18 @@
     return ENVIRONMENT_PREFIX + name.upper()
 
 
+def format_help() -> str:
+    """Return the list of all settings, for a person."""
+    lines = ["magnoliasilld: the daemon; each setting is a flag or an environment variable", ""]
+    for field in attrs.fields(Settings):
+        data = field.metadata
+        lines.append(f"  {format_flag(field.name)} ({format_variable(field.name)})")
+        default = "required" if data["default"] is None else f"default {data['default'] or 'empty'}"
+        unit = f", in {data['unit']}" if data["unit"] else ""
+        lines.append(f"      {data['meaning']}{unit}; {data['kind'].range}; {default}")
+    return "\n".join(lines)
+
+
 def load_settings(flags: Mapping[str, Any], environment: Mapping[str, str]) -> Settings:
     """Read and check every setting; a flag goes before its environment variable.
 
--- /dev/null
+++ b/tests/test_processes_administration.py
@@ -0,0 +1,251 @@
+"""Tests of the tool and of the administration port with real processes."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import testtools
+import urllib3
+from testscenarios import WithScenarios
+
+from fakes.processes import (
+    ROOT,
+    DaemonProcess,
+    find_ports,
+    post_json,
+    read_json,
+    read_version,
+    start_daemon,
+    start_fleet,
+    stop_fleet,
+    wait_until,
+)
+from magnoliasill.cli import COMMANDS
+
+from .tool import run_tool
+
+WAIT_S = 60.0
+DAEMON_START = "from magnoliasill.programs import run_daemon; run_daemon()"
+EXAMPLE = ROOT / "examples" / "ikenna" / "services"
+
+
+def wait_for_event(daemon: DaemonProcess, number: int) -> None:
+    """Wait until a daemon has logged an event."""
+    text = f'"number": {number}'
+    wait_until(lambda: text in daemon.log_path.read_text(), WAIT_S, f"event {number}")
+
+
+class ToolTest(testtools.TestCase):
+    """Two daemons, the store stand-in, two teams and their operators."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.fleet = start_fleet(self.folder)
+        self.addCleanup(lambda: stop_fleet(self.fleet))
+        first = start_daemon(self.fleet, "a-1", "a")
+        seed = f"127.0.0.1:{first.peer_port}"
+        self.daemons = [first, start_daemon(self.fleet, "b-1", "b", seed)]
+        for daemon in self.daemons:
+            wait_for_event(daemon, 1001)
+
+    def _succeed(self, *arguments: str, **environment: str) -> str:
+        done = run_tool(*arguments, **environment)
+        self.assertEqual(0, done.returncode, done.stderr)
+        return done.stdout
+
+    def _fail(self, code: str, *arguments: str, **environment: str) -> str:
+        done = run_tool(*arguments, **environment)
+        self.assertEqual(1, done.returncode, done.stderr)
+        self.assertTrue(done.stderr.startswith(code), done.stderr)
+        self.assertNotIn("Traceback", done.stderr)
+        return done.stderr
+
+    def test_teams_and_operators(self) -> None:
+        store = f"--store={self.fleet.store_url}"
+        through = f"--daemon={self.daemons[1].admin}"
+        mine, theirs = self.folder / "mine", self.folder / "theirs"
+        for path in (mine, theirs):
+            path.mkdir()
+        shutil.copy(EXAMPLE / "media.toml", mine)
+        team = "learning"
+        text = (mine / "media.toml").read_text()
+        (mine / "media.toml").write_text(
+            "\n".join(f'team = "{team}"' if "team =" in line else line for line in text.split("\n"))
+        )
+        token = self._succeed("team", "create", team, store).strip()
+        other = json.loads(self._succeed("team", "create", "rival", store, "--json"))["token"]
+        self._fail("MS-609", "team", "create", team, store)
+        publish = ("publish", str(mine), through)
+        self._fail("MS-603", *publish)
+        self._fail("MS-603", *publish, MAGNOLIASILL_TOKEN=other)
+        self.assertIn("version 1", self._succeed(*publish, MAGNOLIASILL_TOKEN=token))
+        self._fail("MS-211", *publish, "--team=rival", MAGNOLIASILL_TOKEN=other)
+        self._succeed("convergence", self.daemons[0].admin, "--wait=30")
+        self._succeed("pull", str(theirs), f"--daemon={self.daemons[0].admin}")
+        changed = (theirs / "media.toml").read_text().replace('GET"', 'HEAD"')
+        (theirs / "media.toml").write_text(changed)
+        self._succeed("publish", str(theirs), store)
+        (mine / "media.toml").write_text(
+            (mine / "media.toml").read_text().replace("slots = ", "slots = 1")
+        )
+        error = self._fail("MS-301", *publish, MAGNOLIASILL_TOKEN=token)
+        self.assertIn("pull", error)
+        self._fail("MS-213", "pull", str(mine), store)
+        self._succeed(*publish, "--base=latest", MAGNOLIASILL_TOKEN=token)
+        self._succeed("undo", "3", store)
+        shown = json.loads(self._succeed("show", "media", store, "--json"))
+        self.assertIn("HEAD", [route["method"] for route in shown["routes"]])
+        self._succeed("remove", "media", through, f"--team={team}", MAGNOLIASILL_TOKEN=token)
+        self._fail("MS-210", "show", "media", store)
+        lines = self._succeed("history", store).splitlines()
+        self.assertEqual(5, len(lines))
+        report = json.loads(
+            self._succeed("convergence", self.daemons[0].admin, "--wait=30", "--json")
+        )
+        self.assertEqual((5, True), (report["newest"], report["converged"]))
+        self.assertEqual({"a": {"5": 1}, "b": {"5": 1}}, report["versions"])
+
+    def test_who_is_behind(self) -> None:
+        self._succeed("publish", str(self._copy()), f"--store={self.fleet.store_url}")
+        self._succeed("convergence", self.daemons[0].admin, "--wait=30")
+        self.daemons[1].process.kill()
+        self.daemons[1].process.wait()
+        error = self._fail("MS-611", "convergence", self.daemons[0].admin, "--wait=0.1")
+        self.assertIn("b-1 on ?: does not answer", error)
+        self.assertIn("b-1", self._succeed("members", self.daemons[0].admin))
+
+    def test_wrong_addresses(self) -> None:
+        nothing = f"127.0.0.1:{find_ports(1)[0]}"
+        store = self.fleet.store_url.removeprefix("http://")
+        for address in (nothing, store, self.daemons[0].caller, "nowhere:x", "::"):
+            for command in ("dump", "members", "convergence"):
+                self._fail("MS-602", command, address)
+        self._fail("MS-602", "remove", "media", f"--daemon={nothing}")
+        self._fail("MS-302", "status", f"--store=http://{nothing}")
+
+    def test_port_serves_on_after_bad_requests(self) -> None:
+        admin = self.daemons[0].admin
+        for method, path, body in (
+            ("POST", "/v1/publish", b"x" * 2_000_001),
+            ("POST", "/v1/server", b"\xff"),
+            ("BREW", "/v1/state", b""),
+            ("GET", "/" + "x" * 10_000, b""),
+        ):
+            answer = urllib3.request(
+                method, f"http://{admin}{path}", body=body, timeout=WAIT_S, retries=False
+            )
+            self.assertIn(answer.status, (400, 404, 405, 413, 414))
+        self.assertEqual("ok", read_json(admin, "/healthz")["status"])
+        self.assertEqual("MS-604", post_json(admin, "/v1/undo", {"version": "x"})["code"])
+
+    def _copy(self) -> Path:
+        return Path(shutil.copytree(EXAMPLE, self.folder / "services"))
+
+
+class UsageTest(WithScenarios, testtools.TestCase):
+    """Unknown commands and flags end with status 2, before anything has begun."""
+
+    scenarios = [
+        ("command", {"arguments": ("publsh", "x")}),
+        ("flag", {"arguments": ("check", str(EXAMPLE), "--jsno")}),
+        (
+            "flag_of_publish",
+            {"arguments": ("publish", str(EXAMPLE), "--bsae=1", "--store=http://x")},
+        ),
+        ("missing", {"arguments": ("undo",)}),
+        ("more", {"arguments": ("status", "a", "b", "c", "d")}),
+        ("team", {"arguments": ("team", "creat", "x")}),
+    ]
+
+    def test_refused(self) -> None:
+        done = run_tool(*self.arguments)
+        self.assertEqual(2, done.returncode, done.stderr)
+        self.assertNotIn("Traceback", done.stderr)
+        self.assertNotIn("MS-", done.stderr)
+
+
+class HelpTest(testtools.TestCase):
+    """Each command explains itself, and the administration page lists it."""
+
+    def test_help(self) -> None:
+        for arguments in (("--help",), ("publish", "--help"), ("team", "--help")):
+            done = run_tool(*arguments)
+            self.assertEqual(0, done.returncode, done.stderr)
+            self.assertIn("SYNOPSIS", done.stdout + done.stderr)
+
+    def test_each_command_is_documented(self) -> None:
+        text = (ROOT / "docs" / "ADMINISTRATION.md").read_text(encoding="utf-8")
+        names = [name for name in COMMANDS if name != "team"]
+        names += [f"team {name}" for name in COMMANDS["team"]]
+        self.assertEqual([], [name for name in names if f"`magnoliasill {name}" not in text])
+
+
+class DaemonStartTest(WithScenarios, testtools.TestCase):
+    """A bad setting ends the daemon with status 2 and one log line that names it."""
+
+    scenarios = [
+        ("missing", {"flags": {"name": None}, "named": "--name"}),
+        ("misspelt", {"flags": {"pear_port": 1}, "named": "did you mean --peer-port"}),
+        ("range", {"flags": {"tick_ms": 1}, "named": "--tick-ms"}),
+        ("foreign_host", {"flags": {"host": "192.0.2.1"}, "named": "MS-103"}),
+        ("same_port", {"flags": {"admin_port": "caller"}, "named": "MS-103"}),
+        ("argument", {"flags": {"": "word"}, "named": "word"}),
+    ]
+
+    def test_refused(self) -> None:
+        caller, peer, admin = find_ports(3)
+        flags = {
+            "name": "a-1",
+            "data_centre": "a",
+            "caller_port": caller,
+            "peer_port": peer,
+            "admin_port": admin,
+            "store": "http://127.0.0.1:1",
+            **self.flags,
+        }
+        if flags["admin_port"] == "caller":
+            flags["admin_port"] = caller
+        words = [f"--{name.replace('_', '-')}={value}" for name, value in flags.items() if name]
+        words = [word for word in words if not word.endswith("=None")]
+        words += [flags[""]] if "" in flags else []
+        command = [sys.executable, "-c", DAEMON_START, *words]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S)
+        self.assertEqual(2, done.returncode, done.stderr)
+        self.assertIn(self.named, done.stderr)
+        self.assertNotIn("Traceback", done.stderr)
+
+
+class DaemonHelpTest(testtools.TestCase):
+    """The daemon lists its settings."""
+
+    def test_help(self) -> None:
+        command = [sys.executable, "-c", DAEMON_START, "--help"]
+        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S)
+        self.assertEqual(0, done.returncode)
+        self.assertIn("--data-centre (MAGNOLIASILL_DATA_CENTRE)", done.stdout)
+
+
+class DaemonWithoutStoreTest(testtools.TestCase):
+    """A daemon whose store is unreachable starts, waits, and applies once the store is there."""
+
+    def test_starts(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = start_fleet(Path(folder))
+            self.addCleanup(stop_fleet, fleet)
+            post_json(fleet.store_url.removeprefix("http://"), "/control/faults", {"outage": True})
+            daemon = start_daemon(fleet, "a-1", "a")
+            wait_for_event(daemon, 4001)
+            self.assertEqual("ok", read_json(daemon.admin, "/healthz")["status"])
+            post_json(fleet.store_url.removeprefix("http://"), "/control/faults", {})
+            services = Path(shutil.copytree(EXAMPLE, Path(folder) / "services"))
+            done = run_tool("publish", str(services), f"--store={fleet.store_url}")
+            self.assertEqual(0, done.returncode, done.stderr)
+            wait_until(lambda: read_version(daemon) == 1, WAIT_S, "convergence")
