--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+import os
 import signal
 import socket
 import subprocess
@@ -21,9 +23,14 @@
 HTTP_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
+FIRST_PORT = 10_000
+PORT_COUNT = 22_000  # the system takes the ports of outgoing connections from above these
+PORTS_PER_PROCESS = 100
 ROOT = Path(__file__).resolve().parent.parent
 DAEMON_START = "from magnoliasill.programs import run_daemon; run_daemon()"
 
+_offsets = itertools.count(os.getpid() * PORTS_PER_PROCESS)
+
 
 @attrs.define
 class DaemonProcess:
@@ -78,15 +85,13 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on at present."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind((HOST, 0))
-        return [sock.getsockname()[1] for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Return ports that nothing uses at present and no outgoing connection will take."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(_offsets) % PORT_COUNT
+        if _is_free(port):
+            ports.append(port)
+    return ports
 
 
 def start_fleet(folder: Path) -> Fleet:
@@ -235,6 +240,15 @@
         return subprocess.Popen(command, stdout=log, stderr=log, cwd=ROOT)
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
 def _answers(address: str, path: str) -> bool:
     try:
         read_json(address, path)
