--- a/src/magnoliasill/error_catalogue.py
+++ b/src/magnoliasill/error_catalogue.py
@@ -174,4 +174,19 @@
         "Some daemons don't have the newest version in force in the given time.",
         "read why each of them is behind; docs/OPERATIONS.md says what to do",
     ),
+    ErrorCode.DELTA_MISMATCH: ErrorEntry(
+        "A change of the configuration does not fit the version that it is applied to.",
+        "nothing: the daemon asks for the whole",
+    ),
+    ErrorCode.OVERLOADED: ErrorEntry(
+        "Every backend server that may run the call is full. The call did not run.",
+        "send it again after the Retry-After time; add backend servers where it lasts",
+    ),
+    ErrorCode.DEADLINE_EXPIRED: ErrorEntry(
+        "The caller's deadline is over, or too near. The call did not run.",
+        "send it with a later deadline",
+    ),
+    ErrorCode.DEADLINE_INVALID: ErrorEntry(
+        "The call's deadline header is malformed.", "send milliseconds as the message says"
+    ),
 }
--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -47,6 +47,15 @@
         fields=("version", "code", "reason"),
         reaction="publish a corrected version; the code says what was wrong",
     ),
+    LogEvent.JOIN_COMPLETED: EventEntry(
+        "After its start the daemon heard enough to put a configuration in force.",
+        fields=("reason", "answers", "floor"),
+    ),
+    LogEvent.CONFIRMATION_MISSING: EventEntry(
+        "A configuration is in force before other daemons confirmed that they hold it.",
+        fields=("version", "witnesses"),
+        reaction="look for unreachable daemons of this data centre",
+    ),
     LogEvent.RELAY_ACQUIRED: EventEntry(
         "This daemon reads the platform's store for its data centre.", fields=("slot",)
     ),
@@ -74,6 +83,24 @@
         fields=("reason",),
         reaction="look for daemons of another version, or for a stranger on the peer port",
     ),
+    LogEvent.SERVER_SILENT: EventEntry(
+        "The backend server on this VM no longer announces itself; it gets no more work.",
+        fields=("service", "server_address"),
+        reaction="look at the backend server",
+    ),
+    LogEvent.DATA_CENTRE_SILENT: EventEntry(
+        "Nothing was heard from another data centre for long.",
+        fields=("other_data_centre",),
+        reaction="look at the network between the data centres",
+    ),
+    LogEvent.DATA_CENTRE_HEARD: EventEntry(
+        "A silent data centre is heard again.", fields=("other_data_centre",)
+    ),
+    LogEvent.PAUSE_NOTICED: EventEntry(
+        "The daemon itself did not run for a while, and blames nobody for the silence.",
+        fields=("seconds",),
+        reaction="where it repeats, look at the load of the VM",
+    ),
     LogEvent.STORE_UNAVAILABLE: EventEntry(
         "The platform's store does not answer this daemon; the configuration in force stays.",
         reaction="tell the platform's operators where several daemons say so",
@@ -82,6 +109,11 @@
     LogEvent.CALL_FAILED: EventEntry(
         "A call ended without a whole answer.", fields=("code", "reason")
     ),
+    LogEvent.SERVER_EJECTED: EventEntry(
+        "This daemon sends no calls to a backend server for a while, for its failures.",
+        fields=("service", "server"),
+        reaction="look at the backend server where several daemons say so",
+    ),
     LogEvent.CHANGE_ACCEPTED: EventEntry(
         "A team's change was accepted through this daemon.",
         fields=("team", "version", "publish_id"),
--- a/src/magnoliasill/observing_commands.py
+++ b/src/magnoliasill/observing_commands.py
@@ -44,7 +44,7 @@
     """How far all daemons have come.
 
     Attributes:
-        newest: The newest version in force anywhere.
+        newest: The newest version that any daemon knows of.
         converged: Whether every daemon has it in force.
         versions: For each data centre, how many daemons have which version in force.
         behind: The daemons that don't have the newest version.
@@ -85,30 +85,32 @@
     return format_output(data, "\n".join(lines), json)
 
 
-def convergence(address: str, wait: float = 0.0, json: bool = False) -> str:
+def convergence(address: str, version: int = 0, wait: float = 0.0, json: bool = False) -> str:
     """Show how many daemons of each data centre have which version, and who is behind and why.
 
     Args:
         address: The administration address of any daemon, `ip:port`; it names the others.
+        version: The version to look for, where a newer one is not known.
         wait: Seconds to wait for every daemon; the command fails when they are over.
         json: Print JSON.
     """
     until = time.monotonic() + float(wait)
-    report = measure_convergence(str(address))
+    report = measure_convergence(str(address), int(version))
     while not report.converged and time.monotonic() < until:
         time.sleep(POLL_S)
-        report = measure_convergence(str(address))
+        report = measure_convergence(str(address), int(version))
     if wait and not report.converged:
         message = f"after {wait} s\n{_format_convergence(report)}\n"
         raise AdministrationError(ErrorCode.NOT_CONVERGED, message)
     return format_output(attrs.asdict(report), _format_convergence(report), json)
 
 
-def measure_convergence(address: str) -> Convergence:
+def measure_convergence(address: str, version: int = 0) -> Convergence:
     """Ask every daemon that one daemon knows for its version.
 
     Args:
         address: The administration address of a daemon.
+        version: The least version to look for.
 
     Raises:
         AdministrationError: If that daemon does not answer.
@@ -117,7 +119,8 @@
     present = [record for record in records if record.status in ("alive", "suspect")]
     with ThreadPoolExecutor(PARALLEL_REQUESTS) as pool:
         answers = list(pool.map(_read_version, present))
-    newest = max((answer.version for answer in answers if not isinstance(answer, str)), default=0)
+    known = [_find_newest(answer) for answer in answers if not isinstance(answer, str)]
+    newest = max([version, *known])
     pairs = zip(present, answers, strict=True)
     standings = [_judge(record, answer, newest) for record, answer in pairs]
     behind = [standing for standing in standings if standing.version != newest]
@@ -138,6 +141,10 @@
         return f"does not answer ({record.status}): {error.message}"
 
 
+def _find_newest(report: VersionReport) -> int:
+    return max(report.version, report.held_version, report.pending_version, report.refused_version)
+
+
 def _judge(record: MemberRecord, answer: VersionReport | str, newest: int) -> Standing:
     if isinstance(answer, str):
         return Standing(record.name, record.data_centre, None, answer)
@@ -147,6 +154,10 @@
         reason = f"refused version {answer.refused_version}: {answer.refused_reason}"
     elif answer.pending_version:
         reason = f"waits for the content of version {answer.pending_version}"
+    elif not answer.joined:
+        reason = "has not heard enough other daemons since its start"
+    elif answer.held_version == newest:
+        reason = f"holds version {newest} and waits for other daemons to confirm theirs"
     elif answer.store_available:
         reason = f"has not heard of version {newest}"
     else:
--- a/src/magnoliasill/reports.py
+++ b/src/magnoliasill/reports.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from .dispatch import list_entries
 from .service_file import encode_service_file
 
 if TYPE_CHECKING:
@@ -22,6 +23,8 @@
         data_centre: Its data centre.
         version: The configuration version in force, 0 before the first.
         applied_at: When it was put in force, in seconds since the epoch.
+        held_version: The greatest version held whole, in force or about to be.
+        joined: Whether the daemon has heard enough after its start to put one in force.
         pending_version: A newer version whose blobs are still missing, or 0.
         refused_version: The greatest version that was refused whole, or 0.
         refused_reason: Why it was refused.
@@ -32,6 +35,8 @@
     data_centre: str
     version: int
     applied_at: float
+    held_version: int = 0
+    joined: bool = True
     pending_version: int = 0
     refused_version: int = 0
     refused_reason: str = ""
@@ -46,6 +51,8 @@
         node.own.data_centre,
         table.version,
         table.applied_at,
+        table.held_version,
+        node.join.done,
         table.pending.version if table.pending is not None else 0,
         table.refused_version if table.refused_version > table.version else 0,
         table.refused_reason,
@@ -66,7 +73,7 @@
         "relay_slot": node.relay.slot,
         "store_available": node.store_available,
         "open_calls": proxy.open_calls,
-        "in_flight": dict(proxy.load.in_flight),
+        "upstreams": [attrs.asdict(entry) for entry in list_entries(proxy.dispatcher)],
     }
 
 
--- a/tests/test_processes_administration.py
+++ b/tests/test_processes_administration.py
@@ -88,7 +88,7 @@
         self._fail("MS-603", *publish, MAGNOLIASILL_TOKEN=other)
         self.assertIn("version 1", self._succeed(*publish, MAGNOLIASILL_TOKEN=token))
         self._fail("MS-211", *publish, "--team=rival", MAGNOLIASILL_TOKEN=other)
-        self._succeed("convergence", self.daemons[0].admin, "--wait=30")
+        self._succeed("convergence", self.daemons[0].admin, "--version=1", "--wait=30")
         self._succeed("pull", str(theirs), f"--daemon={self.daemons[0].admin}")
         changed = (theirs / "media.toml").read_text().replace('GET"', 'HEAD"')
         (theirs / "media.toml").write_text(changed)
@@ -108,14 +108,16 @@
         lines = self._succeed("history", store).splitlines()
         self.assertEqual(5, len(lines))
         report = json.loads(
-            self._succeed("convergence", self.daemons[0].admin, "--wait=30", "--json")
+            self._succeed(
+                "convergence", self.daemons[0].admin, "--version=5", "--wait=30", "--json"
+            )
         )
         self.assertEqual((5, True), (report["newest"], report["converged"]))
         self.assertEqual({"a": {"5": 1}, "b": {"5": 1}}, report["versions"])
 
     def test_who_is_behind(self) -> None:
         self._succeed("publish", str(self._copy()), f"--store={self.fleet.store_url}")
-        self._succeed("convergence", self.daemons[0].admin, "--wait=30")
+        self._succeed("convergence", self.daemons[0].admin, "--version=1", "--wait=30")
         self.daemons[1].process.kill()
         self.daemons[1].process.wait()
         error = self._fail("MS-611", "convergence", self.daemons[0].admin, "--wait=0.1")
