--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import itertools
-import os
+import random
 import signal
 import socket
 import subprocess
@@ -17,20 +16,19 @@
 import urllib3
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 HOST = "127.0.0.1"
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+BLOCK_PORTS = 100
 HTTP_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 15.0
 POLL_S = 0.05
-FIRST_PORT = 10_000
-PORT_COUNT = 22_000  # the system takes the ports of outgoing connections from above these
-PORTS_PER_PROCESS = 100
+_guards: list[socket.socket] = []
 ROOT = Path(__file__).resolve().parent.parent
 DAEMON_START = "from magnoliasill.programs import run_daemon; run_daemon()"
 
-_offsets = itertools.count(os.getpid() * PORTS_PER_PROCESS)
-
 
 @attrs.define
 class DaemonProcess:
@@ -85,13 +83,37 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Return ports that nothing uses at present and no outgoing connection will take."""
-    ports: list[int] = []
-    while len(ports) < count:
-        port = FIRST_PORT + next(_offsets) % PORT_COUNT
-        if _is_free(port):
-            ports.append(port)
-    return ports
+    """Return ports that nothing listens on, each at most once in the life of this process.
+
+    They lie below the range from which the system picks ports for outgoing connections, in blocks
+    that no other process using this function has claimed.
+    """
+    return [next(_ports) for _ in range(count)]
+
+
+def _generate_ports() -> Iterator[int]:
+    blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+    random.SystemRandom().shuffle(blocks)
+    for first in blocks:
+        guard = _bind(first)
+        if guard is None:
+            continue
+        _guards.append(guard)
+        for port in range(first + 1, first + BLOCK_PORTS):
+            probe = _bind(port)
+            if probe is not None:
+                probe.close()
+                yield port
+
+
+def _bind(port: int) -> socket.socket | None:
+    sock = socket.socket()
+    try:
+        sock.bind((HOST, port))
+    except OSError:
+        sock.close()
+        return None
+    return sock
 
 
 def start_fleet(folder: Path) -> Fleet:
@@ -240,18 +262,12 @@
         return subprocess.Popen(command, stdout=log, stderr=log, cwd=ROOT)
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind((HOST, port))
-        except OSError:
-            return False
-    return True
-
-
 def _answers(address: str, path: str) -> bool:
     try:
         read_json(address, path)
     except urllib3.exceptions.HTTPError:
         return False
     return True
+
+
+_ports = _generate_ports()
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -15,8 +15,9 @@
 import eventlet.wsgi
 import fire
 
-from .actions import Log, ResetPeer, SendMessage
+from .actions import Log, ResetPeer, ResolveWait, SendMessage
 from .administration import Administration, build_administration
+from .callers import CallerProtocol
 from .changes import ChangeDesk
 from .codes import ErrorCode, LogEvent
 from .deferred import defer, run_pending
@@ -30,6 +31,7 @@
     StoreOutcomeUnknownError,
 )
 from .events import Event, MessageReceived, StoreFailed, Tick
+from .idempotency import resolve_wait
 from .logs import bind_logger, configure_logs, write_log
 from .membership import leave
 from .messages import MemberRecord, decode_message, encode_message
@@ -111,7 +113,7 @@
     eventlet.spawn(receive_from_peers, daemon.peers, lambda data: _receive(daemon, data))
     eventlet.spawn(_tick, daemon)
     application = build_application(daemon.proxy)
-    caller_server = eventlet.spawn(_serve, callers, application)
+    caller_server = eventlet.spawn(_serve, callers, application, CallerProtocol)
     eventlet.spawn(_serve, admin, build_administration(_build_administration(daemon)))
     write_log(daemon.logger, LogEvent.DAEMON_STARTED, caller_port=settings.caller_port)
     daemon.stop_requested.wait()
@@ -136,7 +138,9 @@
     proxy = Proxy(node, store, build_metrics(), clock_offset)
     peers = open_peers(peer_address)
     proxy.notify = lambda entry: write_log(logger, entry.event, **entry.fields)
-    return Daemon(settings, node, proxy, store, peers, logger, clock_offset)
+    daemon = Daemon(settings, node, proxy, store, peers, logger, clock_offset)
+    proxy.peers.send = lambda address, message: _carry_out(daemon, SendMessage(address, message))
+    return daemon
 
 
 def _build_administration(daemon: Daemon) -> Administration:
@@ -170,12 +174,16 @@
 
 def _carry_out(daemon: Daemon, action: Action) -> None:
     match action:
+        case SendMessage(address=address) if address == daemon.node.own.peer_address:
+            eventlet.spawn(submit, daemon, MessageReceived(action.message))
         case SendMessage():
             data = encode_message(action.message)
             counters = daemon.proxy.metrics.counters
             counters["messages_sent"].inc()
             counters["message_bytes_sent"].inc(len(data))
             send_to_peer(daemon.peers, action.address, data)
+        case ResolveWait():
+            resolve_wait(daemon.proxy.peers, action.token, action.message)
         case ResetPeer(address=address):
             reset_peer(daemon.peers, address)
         case Log():
@@ -223,10 +231,11 @@
         raise SettingsError(ErrorCode.PORT_IN_USE, message) from error
 
 
-def _serve(sock: Any, application: Any) -> None:
+def _serve(sock: Any, application: Any, protocol: type = eventlet.wsgi.HttpProtocol) -> None:
     eventlet.wsgi.server(
         sock,
         application,
+        protocol=protocol,
         log_output=False,
         keepalive=True,
         socket_timeout=KEEPALIVE_TIMEOUT_S,
--- a/src/magnoliasill/error_catalogue.py
+++ b/src/magnoliasill/error_catalogue.py
@@ -189,4 +189,38 @@
     ErrorCode.DEADLINE_INVALID: ErrorEntry(
         "The call's deadline header is malformed.", "send milliseconds as the message says"
     ),
+    ErrorCode.KEY_IN_PROGRESS: ErrorEntry(
+        "A request with this idempotency key is running.",
+        "send the same request again after the Retry-After time, for its answer",
+    ),
+    ErrorCode.KEY_USED: ErrorEntry(
+        "A request with this key ran or may have run, and its answer is not kept.",
+        "ask the service for the outcome; this request was not run again",
+    ),
+    ErrorCode.KEY_REUSED: ErrorEntry(
+        "The key was used for another request.", "use a new key for each request"
+    ),
+    ErrorCode.KEY_EXPIRED: ErrorEntry(
+        "The key is older than claims are kept. The call did not run.",
+        "ask the service for the outcome of the first try, then use a new key",
+    ),
+    ErrorCode.CLAIM_UNAVAILABLE: ErrorEntry(
+        "The key can't be claimed at present. The call did not run.",
+        "send it again after the Retry-After time; look at the store where it lasts",
+    ),
+    ErrorCode.REQUEST_MALFORMED: ErrorEntry(
+        "The call is not a well-formed HTTP request. The call did not run.",
+        "correct the caller's program",
+    ),
+    ErrorCode.HEADERS_TOO_LARGE: ErrorEntry(
+        "The headers of the call are too large. The call did not run.", "send fewer headers"
+    ),
+    ErrorCode.URI_TOO_LONG: ErrorEntry(
+        "The path and query of the call are too long. The call did not run.",
+        "put the parameters into the body",
+    ),
+    ErrorCode.REQUEST_CRASHES: ErrorEntry(
+        "The same request ended several backend servers; it is not sent to further ones.",
+        "correct the request, or the service's defect that it shows",
+    ),
 }
--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -114,6 +114,16 @@
         fields=("service", "server"),
         reaction="look at the backend server where several daemons say so",
     ),
+    LogEvent.RANGE_ACQUIRED: EventEntry(
+        "This daemon keeps the idempotency keys of a range.", fields=("range",)
+    ),
+    LogEvent.RANGE_LOST: EventEntry(
+        "This daemon no longer keeps the idempotency keys of a range.", fields=("range", "reason")
+    ),
+    LogEvent.REQUEST_BLOCKED: EventEntry(
+        "A request that ended several backend servers is refused from now on.",
+        reaction="look at the service's backend servers and at the request",
+    ),
     LogEvent.CHANGE_ACCEPTED: EventEntry(
         "A team's change was accepted through this daemon.",
         fields=("team", "version", "publish_id"),
