--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,211 @@
+"""A state machine that explores orders of publishes and faults, and fuzzed messages."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import testtools
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from magnoliasill.actions import SendMessage
+from magnoliasill.engine import step
+from magnoliasill.events import MessageReceived, Tick
+from magnoliasill.invariants import check_accepted, check_table, check_versions
+from magnoliasill.manifest import Head, HeadDelta
+from magnoliasill.messages import (
+    MAX_MESSAGE_BYTES,
+    ConfigurationReply,
+    ConfigurationRequest,
+    Digest,
+    MemberNews,
+    MemberPage,
+    MemberRecord,
+    MemberSummary,
+    Probe,
+    ProbeAck,
+    ProbeRequest,
+    decode_message,
+    encode_message,
+)
+from magnoliasill.node import Node
+
+from .builders import build_head, build_service
+from .network import (
+    build_network,
+    freeze_node,
+    kill_node,
+    publish_version,
+    resume_node,
+    start_node,
+)
+
+NAMES = [f"d{place}-{number}" for place in (0, 1) for number in (1, 2, 3)]
+HEAL_S = 15.0
+name_of = st.sampled_from(NAMES)
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """Two data centres of three daemons; at most one daemon is down or stopped at a time."""
+
+    @initialize(seed=st.integers(0, 1_000))
+    def start(self, seed: int) -> None:
+        self.network = build_network(2, 3, seed)
+        self.version = 0
+        self.victim = ""
+        self.publish()
+        self.network.run(6.0)
+
+    @rule()
+    def publish(self) -> None:
+        self.version += 1
+        publish_version(self.network, self.version)
+
+    @rule(seconds=st.sampled_from([0.02, 0.3, 1.0, 4.0]))
+    def wait(self, seconds: float) -> None:
+        self.network.run(seconds)
+
+    @rule(name=name_of)
+    def restart(self, name: str) -> None:
+        if not self.victim:
+            kill_node(self.network, name)
+            start_node(self.network, name)
+            self.network.run(5.0)
+
+    @rule(name=name_of)
+    def freeze(self, name: str) -> None:
+        if not self.victim:
+            self.victim = name
+            freeze_node(self.network, name)
+
+    @rule()
+    def resume(self) -> None:
+        if self.victim:
+            resume_node(self.network, self.victim)
+            self.victim = ""
+
+    @rule(name=name_of)
+    def cut_daemon(self, name: str) -> None:
+        self.network.cuts[:] = [lambda a, b: name in (a.name, b.name) and a.name > b.name]
+
+    @rule()
+    def cut_data_centres(self) -> None:
+        self.network.cuts[:] = [lambda a, b: a.data_centre != b.data_centre]
+
+    @rule()
+    def heal_cuts(self) -> None:
+        self.network.cuts.clear()
+
+    @rule(down=st.booleans())
+    def set_platform(self, down: bool) -> None:
+        self.network.store.faults.outage = down
+
+    @rule(answers=st.integers(1, 4))
+    def lose_answers(self, answers: int) -> None:
+        self.network.store.faults.lose_answers = answers
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.3]), delay_s=st.sampled_from([0.01, 0.3]))
+    def disturb(self, loss: float, delay_s: float) -> None:
+        self.network.loss = loss
+        self.network.delay_s = delay_s
+
+    @invariant()
+    def holds(self) -> None:
+        """Nothing is in force in part, older than before, or other than accepted."""
+        network = self.network
+        assert network.breaches == [], network.breaches
+        wrong = check_versions(network.observations)
+        wrong += check_accepted(network.observations, network.acceptances)
+        assert wrong == [], wrong
+
+    def teardown(self) -> None:
+        """Heal everything: the last version is in force everywhere."""
+        network = self.network
+        self.resume()
+        network.cuts.clear()
+        network.loss, network.delay_s = 0.0, 0.01
+        network.store.faults = network.store.faults.__class__()
+        network.run(HEAL_S)
+        self.holds()
+        assert network.versions() == {self.version}, (network.versions(), self.version)
+
+
+OrdersTest = OrdersMachine.TestCase
+OrdersTest.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=25,
+    stateful_step_count=20,
+    suppress_health_check=list(HealthCheck),
+)
+
+OWN = MemberRecord("a-1", "a", "10.0.0.1:7000", 5)
+HEAD, BLOBS = build_head(3, [build_service("certs")])
+counters = st.integers(-(2**63), 2**64 - 1) | st.integers(0, 9)
+texts = st.sampled_from(["a-1", "a-2", "a", "b", ""]) | st.text(max_size=8)
+records = st.builds(
+    MemberRecord,
+    texts,
+    texts,
+    st.sampled_from(["10.0.0.1:7000", "10.0.0.2:7000", "x"]),
+    counters,
+    st.sampled_from(["alive", "suspect", "failed", "left", "gone"]),
+    serving=st.booleans(),
+    started_at=st.floats(),
+)
+digests = st.builds(
+    Digest,
+    records,
+    counters,
+    st.lists(records, max_size=3),
+    counters,
+    st.booleans(),
+    st.integers(0, 2**64 - 1),
+    st.dictionaries(texts, counters, max_size=3),
+    st.booleans(),
+)
+hashes = st.dictionaries(texts, texts, max_size=3)
+heads = st.builds(Head, counters, texts, st.floats(), hashes) | st.just(HEAD)
+deltas = st.builds(
+    HeadDelta, counters, texts, counters, texts, st.floats(), hashes, st.lists(texts), texts
+)
+blobs = st.dictionaries(texts, st.binary(max_size=9), max_size=3) | st.just(BLOBS)
+messages = st.one_of(
+    digests,
+    st.builds(Probe, digests, counters),
+    st.builds(ProbeAck, digests, counters),
+    st.builds(ProbeRequest, records, counters, texts),
+    st.builds(MemberNews, records, st.lists(records, max_size=4)),
+    st.builds(MemberSummary, records, st.lists(st.integers(0, 2**64 - 1), max_size=65)),
+    st.builds(MemberPage, records, st.lists(records, max_size=4), st.booleans(), st.booleans()),
+    st.builds(ConfigurationRequest, records, counters, texts, counters, st.lists(texts)),
+    st.builds(ConfigurationReply, records, st.none() | heads, blobs, st.none() | deltas),
+)
+
+
+class FuzzedMessageTest(testtools.TestCase):
+    """Well-formed messages with any contents."""
+
+    @settings(derandomize=True, max_examples=300, deadline=None)
+    @given(st.lists(messages, min_size=1, max_size=6))
+    def test_nothing_lost(self, received: list[Any]) -> None:
+        node = Node(OWN, Random(1))
+        node.join.done = True
+        first, blobs = build_head(2, [build_service("certs")])
+        reply = ConfigurationReply(MemberRecord("a-2", "a", "10.0.0.2:7000", 1), first, blobs)
+        step(node, 1.0, MessageReceived(reply))
+        step(node, 3.0, Tick())
+        self.assertEqual(2, node.configuration.version)
+        for number, message in enumerate(received):
+            data = encode_message(message)
+            now = 4.0 + number
+            actions = step(node, now, MessageReceived(decode_message(data)))
+            actions += step(node, now + 0.5, Tick())
+            for action in actions:
+                if isinstance(action, SendMessage):
+                    self.assertLess(len(encode_message(action.message)), MAX_MESSAGE_BYTES)
+        self.assertGreaterEqual(node.configuration.version, 2)
+        self.assertEqual([], check_table(node.configuration))
+        self.assertEqual("alive", node.own.status)
