--- a/src/magnoliasill/engine.py
+++ b/src/magnoliasill/engine.py
@@ -5,12 +5,26 @@
 from typing import TYPE_CHECKING
 
 from .actions import Log
+from .claim_holder import PURPOSE as CLAIMS
+from .claim_ranges import (
+    receive_claim_answer,
+    receive_claim_failure,
+    receive_claim_query,
+    receive_claim_reply,
+    receive_claim_report,
+    receive_claim_request,
+    tick_claims,
+)
 from .codes import LogEvent
 from .distribution import receive_digest, receive_reply, receive_request, tick_distribution
 from .events import Event, MessageReceived, ServerAnnounced, StoreAnswered, StoreFailed, Tick
 from .joining import tick_joining
 from .membership import announce_server, merge_records, watch_server
 from .messages import (
+    ClaimQuery,
+    ClaimReply,
+    ClaimReport,
+    ClaimRequest,
     ConfigurationReply,
     ConfigurationRequest,
     Digest,
@@ -52,6 +66,10 @@
             if problem:
                 return [Log(LogEvent.MESSAGE_REFUSED, {"reason": problem})]
             return _receive(node, now, message)
+        case StoreAnswered(purpose=purpose) if purpose.startswith(CLAIMS):
+            return receive_claim_answer(node, now, event)
+        case StoreFailed(purpose=purpose) if purpose.startswith(CLAIMS):
+            return receive_claim_failure(node, now, event)
         case StoreAnswered():
             return receive_store_answer(node, now, event)
         case StoreFailed():
@@ -68,6 +86,7 @@
     actions += tick_probes(node, now)
     actions += tick_distribution(node, now)
     actions += watch_server(node, now)
+    actions += tick_claims(node, now)
     return actions + send_news(node, now)
 
 
@@ -92,4 +111,12 @@
             return receive_request(node, now, message)
         case ConfigurationReply():
             return receive_reply(node, now, message)
+        case ClaimRequest():
+            return receive_claim_request(node, now, message)
+        case ClaimReply():
+            return receive_claim_reply(node, now, message)
+        case ClaimQuery():
+            return receive_claim_query(node, now, message)
+        case ClaimReport():
+            return receive_claim_report(node, now, message)
     raise TypeError(f"no system for {type(message).__name__}")
--- a/src/magnoliasill/validation.py
+++ b/src/magnoliasill/validation.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 from .messages import (
+    ClaimQuery,
+    ClaimRequest,
     ConfigurationReply,
     ConfigurationRequest,
     Digest,
@@ -63,6 +65,8 @@
         case ConfigurationReply(head=head, delta=delta):
             versions = [part.version for part in (head, delta) if part is not None]
             return _find_counter_problem(*versions)
+        case ClaimRequest(asker=asker) | ClaimQuery(asker=asker):
+            return "" if is_address(asker) else "invalid asker"
     return ""
 
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -11,8 +11,13 @@
 from magnoliasill.manifest import build_delta
 from magnoliasill.messages import (
     MAX_MESSAGE_BYTES,
+    ClaimQuery,
+    ClaimReply,
+    ClaimReport,
+    ClaimRequest,
     ConfigurationReply,
     ConfigurationRequest,
+    CrashNotice,
     Digest,
     MemberNews,
     MemberPage,
@@ -41,6 +46,11 @@
     MemberPage(SENDER, [SENDER], False, True),
     ConfigurationRequest(SENDER, 1, "x", 2, ["y"]),
     ConfigurationReply(SENDER, HEAD, BLOBS),
+    ClaimRequest("127.0.0.1:1", 3, b"k" * 12, b"body", b"c" * 8, b"d" * 8, True),
+    ClaimReply(b"c" * 8, "used", "127.0.0.1:1", b"d" * 8, b"addr"),
+    ClaimQuery("127.0.0.1:1", b"t" * 8, b"c" * 8),
+    ClaimReport(b"t" * 8, "finished", 200, "OK", [("A", "b")], b"{}"),
+    CrashNotice(b"f" * 12, [b"addr"]),
     ConfigurationReply(SENDER, None, {}, build_delta(HEAD, NEXT)),
 ]
 
