Keep the messaging library's threads off green locks

Its log held 'greenlet.error: Cannot switch to a different thread': pynng reports connections from threads of its own and takes a lock there, which monkey patching had made a lock of green threads; a contended one left the main thread waiting for ever. Ruled out: the core (its table of faults passes), the store client (its requests went on).

--- a/src/magnoliasill/peers.py
+++ b/src/magnoliasill/peers.py
@@ -7,7 +7,9 @@
 
 import attrs
 import eventlet.hubs
+import eventlet.patcher
 import pynng
+import pynng.nng
 
 from .codes import ErrorCode
 from .errors import SettingsError
@@ -16,6 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# The library calls back from threads of its own, which a lock of green threads must not meet.
+pynng.nng.threading = eventlet.patcher.original("threading")
+
 MAX_DIALED = 64
 SEND_BUFFER_MESSAGES = 8
 RECEIVE_BUFFER_MESSAGES = 128
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -119,3 +119,34 @@
     def count_views(self) -> int:
         nodes = self.network.nodes.values()
         return sum(bool(list_servers(node)) for node in nodes)
+
+
+class LargeNetworkTest(testtools.TestCase):
+    """Ninety daemons in three data centres."""
+
+    def test_draining_server(self) -> None:
+        network = build_network(3, 30, 1)
+        network.run(STEADY_S)
+        life = network.lives["d0-2"]
+        for _ in range(6):
+            network.deliver("d0-2", life, ServerAnnounced("lessons", "r0", SERVER))
+            network.run(0.5)
+        nodes = network.nodes.values()
+        self.assertTrue(all(list_servers(node) for node in nodes))
+        network.deliver("d0-2", life, ServerAnnounced("lessons", "r0", SERVER, False))
+        network.run(LEAVING_LIMIT_S)
+        self.assertEqual(0, sum(bool(list_servers(node)) for node in nodes))
+
+
+class SplitTest(testtools.TestCase):
+    """One data centre alone, cut in two for long."""
+
+    def test_halves_find_together(self) -> None:
+        network = build_network(1, 4, 1)
+        network.run(STEADY_S)
+        half = {"d0-1", "d0-2"}
+        network.cuts.append(lambda a, b: (a.name in half) != (b.name in half))
+        network.run(30.0)
+        self.assertFalse(members_agree(network))
+        network.cuts.clear()
+        self.assertLess(network.run_until(lambda: members_agree(network), 60.0), 60.0)
--- /dev/null
+++ b/tests/test_processes_spread.py
@@ -0,0 +1,145 @@
+"""Tests with real daemons: a paused relay, a killed daemon, a platform that is down."""
+
+from __future__ import annotations
+
+import os
+import signal
+import tempfile
+import time
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import testtools
+import urllib3
+
+from fakes.processes import (
+    DaemonProcess,
+    post_json,
+    read_json,
+    read_version,
+    restart_daemon,
+    start_backend,
+    start_daemon,
+    start_fleet,
+    stop_fleet,
+    wait_until,
+)
+from magnoliasill.publisher import Publish, publish, read_head
+from magnoliasill.store import connect_store
+
+from .builders import build_service
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliasill.manifest import Head
+
+WAIT_S = 40.0
+SERVICE = "lessons"
+
+
+class SpreadTest(testtools.TestCase):
+    """Two data centres of three daemons."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.fleet = start_fleet(Path(folder.name))
+        self.addCleanup(stop_fleet, self.fleet)
+        self.store = connect_store(self.fleet.store_url, 5.0)
+        seeds = ""
+        for place in ("a", "b"):
+            for number in (1, 2, 3):
+                daemon = start_daemon(self.fleet, f"{place}-{number}", place, seeds)
+                seeds = seeds or f"127.0.0.1:{daemon.peer_port}"
+        self.daemons = list(self.fleet.daemons.values())
+        self.publish(1)
+        self.wait_for_version(1, self.daemons)
+        self.wait(lambda: all(self.count_alive(d) == 5 for d in self.daemons), "membership")
+
+    def test_paused_relay(self) -> None:
+        """A relay whose lease lapsed while it was stopped comes back and harms nothing."""
+        relays = [d for d in self.daemons if self.read(d)["relay_slot"] is not None]
+        victim = relays[0]
+        others = [daemon for daemon in self.daemons if daemon is not victim]
+        os.kill(victim.process.pid, signal.SIGSTOP)
+        self.publish(2)
+        self.wait_for_version(2, others)
+        name = victim.name
+        self.wait(lambda: all(self.find_status(d, name) == "failed" for d in others), "failure")
+        self.publish(3)
+        self.wait_for_version(3, others)
+        os.kill(victim.process.pid, signal.SIGCONT)
+        self.wait_for_version(3, [victim])
+        self.wait(lambda: all(self.find_status(d, name) == "alive" for d in others), "return")
+
+    def test_restart_without_platform(self) -> None:
+        """A daemon that comes back while the platform is down serves what its peers hold."""
+        self.publish(2)
+        self.wait_for_version(2, self.daemons)
+        self.set_outage(True)
+        victim = self.daemons[1]
+        victim.process.kill()
+        victim.process.wait()
+        restart_daemon(victim)
+        seen: list[int] = []
+
+        def is_back() -> bool:
+            seen.append(read_version(victim))
+            return seen[-1] == 2
+
+        self.wait(is_back, "return")
+        self.assertEqual({0, 2}, {0, *seen})
+
+    def test_dead_backend_server(self) -> None:
+        """A backend server that died is no longer advertised."""
+        daemon = self.daemons[0]
+        start_backend(self.fleet, daemon, SERVICE, "r0")
+        self.wait(lambda: all(self.count_serving(d) == 1 for d in self.daemons), "server")
+        daemon.backend.kill()
+        daemon.backend.wait()
+        self.wait(lambda: all(self.count_serving(d) == 0 for d in self.daemons), "silence")
+
+    def test_claim_answer_lost(self) -> None:
+        """All daemons restart while answers to writes get lost."""
+        post_json(f"127.0.0.1:{self.fleet.store_port}", "/control/faults", {"lose_answers": 4})
+        for daemon in self.daemons:
+            daemon.process.kill()
+            daemon.process.wait()
+            restart_daemon(daemon)
+        self.wait_for_version(1, self.daemons)
+
+    def publish(self, version: int) -> Head:
+        base, _ = read_head(self.store)
+        services = {SERVICE: build_service(SERVICE, note=f"r{version}")}
+        moment = datetime.now(UTC)
+        request = Publish(f"test-{version}", services, base)
+        return publish(self.store, request, moment, lambda attempt: time.sleep(0.1))
+
+    def set_outage(self, outage: bool) -> None:
+        post_json(f"127.0.0.1:{self.fleet.store_port}", "/control/faults", {"outage": outage})
+
+    def wait(self, condition: Callable[[], bool], what: str) -> None:
+        wait_until(condition, WAIT_S, what)
+
+    def wait_for_version(self, version: int, daemons: list[DaemonProcess]) -> None:
+        self.wait(lambda: all(read_version(d) == version for d in daemons), f"version {version}")
+
+    def read(self, daemon: DaemonProcess) -> Any:
+        try:
+            return read_json(daemon.admin, "/v1/state")
+        except urllib3.exceptions.HTTPError:
+            return {"own": {"serving": False}, "members": [], "relay_slot": None}
+
+    def count_alive(self, daemon: DaemonProcess) -> int:
+        return sum(member["status"] == "alive" for member in self.read(daemon)["members"])
+
+    def count_serving(self, daemon: DaemonProcess) -> int:
+        state = self.read(daemon)
+        return sum(record["serving"] for record in [state["own"], *state["members"]])
+
+    def find_status(self, daemon: DaemonProcess, name: str) -> str:
+        members = self.read(daemon)["members"]
+        return next((member["status"] for member in members if member["name"] == name), "")
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -105,3 +105,15 @@
         # the watches and reads of blobs of the relays come on top
         allowed = MAX_READS_PER_SECOND * self.count + 10 * RELAYS_PER_DATA_CENTRE
         self.assertLessEqual(network.store.peak["reads"], allowed)
+
+    def test_herd_without_relays(self) -> None:
+        """All restart together, and the daemons that held the slots don't come back."""
+        network = build_network(1, self.count, 1)
+        publish_version(network, 1)
+        network.run(20.0)
+        lost = {name for name, node in network.nodes.items() if node.relay.slot is not None}
+        for name in sorted(network.nodes):
+            kill_node(network, name)
+        for name in sorted(network.lives.keys() - lost):
+            start_node(network, name)
+        self.assertLess(network.run_until(lambda: network.versions() == {1}, LIMIT_S), LIMIT_S)
