Give publishes their base as the services of a head

The base of a publish became the services by name while the spread tests were written; the tests and the convergence bench pass it so. Shown red before: AttributeError in test_paused_relay and test_restart_without_platform.

--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -222,7 +222,8 @@
 def _publish(run: Run, names: set[str]) -> tuple[float, Head]:
     run.changes += 1
     store = connect_store(run.fleet.store_url, 5.0)
-    base, _ = read_head(store)
+    head, _ = read_head(store)
+    base = head.services if head is not None else {}
     services = {name: build_service(name, f"r{run.changes}") for name in names}
     request = Publish(f"bench-{run.changes}", services, base)
     head = publish(store, request, datetime.now(UTC), lambda attempt: time.sleep(0.1))
--- a/tests/test_processes_spread.py
+++ b/tests/test_processes_spread.py
@@ -112,7 +112,8 @@
         self.wait_for_version(1, self.daemons)
 
     def publish(self, version: int) -> Head:
-        base, _ = read_head(self.store)
+        head, _ = read_head(self.store)
+        base = head.services if head is not None else {}
         services = {SERVICE: build_service(SERVICE, note=f"r{version}")}
         moment = datetime.now(UTC)
         request = Publish(f"test-{version}", services, base)
