--- a/src/magnoliasill/engine.py
+++ b/src/magnoliasill/engine.py
@@ -18,6 +18,7 @@
 from .codes import LogEvent
 from .collecting import receive_evidence, receive_report
 from .controller import receive_control_answer, receive_control_failure, tick_takeovers
+from .crashes import receive_crash_notice
 from .distribution import receive_digest, receive_reply, receive_request, tick_distribution
 from .events import Event, MessageReceived, ServerAnnounced, StoreAnswered, StoreFailed, Tick
 from .joining import tick_joining
@@ -29,6 +30,7 @@
     ClaimRequest,
     ConfigurationReply,
     ConfigurationRequest,
+    CrashNotice,
     Digest,
     EvidenceReport,
     EvidenceSummary,
@@ -134,4 +136,6 @@
             return receive_claim_query(node, now, message)
         case ClaimReport():
             return receive_claim_report(node, now, message)
+        case CrashNotice():
+            return receive_crash_notice(node, now, message)
     raise TypeError(f"no system for {type(message).__name__}")
--- a/src/magnoliasill/records.py
+++ b/src/magnoliasill/records.py
@@ -7,10 +7,11 @@
 import attrs
 import msgspec
 
-from .rollout import STAGES, Phase, Progress, is_lowered, list_untested_routes
+from .rollout import LOWERED_SHARE, STAGES, Phase, Progress, is_lowered, list_untested_routes
 
 if TYPE_CHECKING:
     from .evidence import RouteEvidence
+    from .node import Node
     from .takeovers import Takeover
 
 RECORD_PREFIX = "rollout/"
@@ -64,6 +65,35 @@
     untested: list[str] = attrs.field(factory=list)
 
 
+@attrs.frozen
+class LocalReport:
+    """A takeover as one daemon knows it.
+
+    Attributes:
+        service: The service.
+        from_release: The release that served before.
+        to_release: The release that is to serve.
+        start_at: Seconds since the epoch.
+        finish_by: Seconds since the epoch.
+        progress: How far it has come.
+        shares: The share of the new release by route, for calls through this daemon.
+        controller: The controller's name, as heard last.
+        controls: Whether this daemon is the controller.
+        evidence: What this daemon knows as the controller, or of its data centre as a collector.
+    """
+
+    service: str
+    from_release: str
+    to_release: str
+    start_at: float
+    finish_by: float
+    progress: Progress
+    shares: dict[str, float]
+    controller: str
+    controls: bool
+    evidence: dict[str, RouteReport]
+
+
 def name_record_key(service: str) -> str:
     """Return the key of a service's record."""
     return RECORD_PREFIX + service
@@ -109,6 +139,28 @@
     )
 
 
+def list_rollouts(node: Node) -> list[LocalReport]:
+    """Return the takeovers of the configuration in force as one daemon knows them."""
+    reports = []
+    for takeover in node.takeovers.active.values():
+        plan, control = takeover.plan, takeover.control
+        collection = control.collection if control.holding else takeover.collected
+        report = LocalReport(
+            plan.service,
+            plan.from_release,
+            plan.to_release,
+            plan.start_at,
+            plan.finish_by,
+            takeover.progress,
+            dict(takeover.shares),
+            takeover.controller,
+            control.holding,
+            {name: build_report(evidence) for name, evidence in collection.tester.routes.items()},
+        )
+        reports.append(report)
+    return reports
+
+
 def build_report(evidence: RouteEvidence) -> RouteReport:
     """Return the evidence on one route for operators."""
     finding = evidence.finding
@@ -132,5 +184,5 @@
         return 0.0, 0.0
     trial, others = STAGES[progress.stage]
     if is_lowered(progress):
-        return min(trial, 0.1), min(others, 0.1)
+        return min(trial, LOWERED_SHARE), min(others, LOWERED_SHARE)
     return trial, others
--- a/src/magnoliasill/relays.py
+++ b/src/magnoliasill/relays.py
@@ -22,7 +22,7 @@
 from .distribution import offer_configuration, put_in_force
 from .errors import ConfigurationError
 from .joining import note_platform_read
-from .manifest import BLOB_PREFIX, HEAD_KEY, decode_head
+from .manifest import BLOB_PREFIX, HEAD_KEY, decode_head, strip_head
 from .node import list_alive
 from .probing import probe_address
 
@@ -255,7 +255,7 @@
     if unchanged:
         return []
     try:
-        head = attrs.evolve(decode_head(entry.value), recent_publishes=[])
+        head = strip_head(decode_head(entry.value))
     except ConfigurationError as error:
         fields = {"version": 0, "code": error.code.value, "reason": error.message}
         return [Log(LogEvent.CONFIGURATION_REFUSED, fields)]
