Bound idle connections, cancel calls of departed callers

Connections: with 170 daemons in a data centre and one idle connection each, an upstream that accepts 100 is over its limit. Now a window of the daemons, by the order of their names, keeps one for 5 s and the others for 0.2 s; a fleet that is small enough shares what is left after slots and reserve. test_idle_bounds sums the bounds over 170 daemons, 1 to 170 servers, 100 and 130 connections, also with views that miss up to 3 members.

--- a/src/magnoliasill/balancer.py
+++ b/src/magnoliasill/balancer.py
@@ -19,6 +19,7 @@
 
 REMOTE_SHARE = 0.5
 REPORT_HALF_LIFE_S = 0.5
+NEW_CONNECTION_LOAD = 0.5
 REPORT_MAX_AGE_S = 3.0
 
 
@@ -127,7 +128,7 @@
 
     Own requests in flight count whole; what the latest answer reported of others' requests
     fades with its age. A server in its cold start is compared as usual in a growing share of
-    the choices and loses the rest.
+    the choices and loses the rest. A server to which no connection is kept loses a tie.
 
     Args:
         entry: The backend server.
@@ -137,7 +138,8 @@
     weight = weigh_slow_start(entry, question.cold_start_s, question.now)
     if weight < 1.0 and random.random() >= weight:
         return inf
+    own = entry.in_flight + (0.0 if entry.keeps_connection else NEW_CONNECTION_LOAD)
     age_s = question.now - entry.reported_at
     if not entry.reported_others or age_s > REPORT_MAX_AGE_S:
-        return float(entry.in_flight)
-    return entry.in_flight + entry.reported_others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
+        return own
+    return own + entry.reported_others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -12,12 +12,13 @@
 import eventlet.hubs
 from urllib3.connection import HTTPConnection
 
+from .idle_bounds import KEPT_S, IdleBound
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from http.client import HTTPResponse
 
-IDLE_LIMIT_S = 5.0
-MAX_IDLE = 16
+UNBOUNDED = IdleBound(16, KEPT_S)  # until the forwarder has set a bound
 KEEPALIVE_S = 1  # before the first probe of an idle connection, and between probes
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 2_000
@@ -48,9 +49,15 @@
 
 @attrs.define
 class ConnectionTable:
-    """Idle connections by the backend server's address, the one used last at the end."""
+    """Idle connections.
+
+    Attributes:
+        idle: By the backend server's address, the one used last at the end.
+        bounds: How many are kept and how long, by address.
+    """
 
     idle: dict[str, deque[Link]] = attrs.field(factory=dict)
+    bounds: dict[str, IdleBound] = attrs.field(factory=dict)
 
 
 def take_connection(
@@ -65,9 +72,10 @@
         fresh: Whether only a new connection will do.
     """
     idle = table.idle.get(address)
+    limit_s = table.bounds.get(address, UNBOUNDED).seconds
     while idle and not fresh:
         link = idle.pop()
-        if monotonic() - link.idle_at < IDLE_LIMIT_S and _is_open(link.http):
+        if monotonic() - link.idle_at < limit_s and _is_open(link.http):
             link.http.timeout = timeout_s
             link.http.sock.settimeout(timeout_s)
             return link
@@ -85,13 +93,28 @@
 def give_back(table: ConnectionTable, address: str, link: Link) -> None:
     """Keep a connection whose answer was read whole, or close it when enough are idle."""
     idle = table.idle.setdefault(address, deque())
-    if len(idle) >= MAX_IDLE or link.http.sock is None:
+    if len(idle) >= table.bounds.get(address, UNBOUNDED).connections or link.http.sock is None:
         link.http.close()
         return
     link.idle_at = monotonic()
     idle.append(link)
 
 
+def close_expired(table: ConnectionTable, now: float) -> None:
+    """Close the connections that have been idle for longer than their bound.
+
+    Args:
+        table: The idle connections.
+        now: Seconds on the monotonic clock.
+    """
+    for address, idle in list(table.idle.items()):
+        limit_s = table.bounds.get(address, UNBOUNDED).seconds
+        while idle and now - idle[0].idle_at >= limit_s:
+            idle.popleft().http.close()
+        if not idle:
+            del table.idle[address]
+
+
 def take_kin(table: ConnectionTable, address: str, before: float) -> Link | None:
     """Return the idle connection opened last before a time, or None."""
     idle = table.idle.get(address, ())
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -21,6 +21,8 @@
 from .callers import CallerProtocol
 from .claim_ranges import release_ranges
 from .codes import ErrorCode, LogEvent
+from .connections import close_expired
+from .departures import cancel_departed
 from .engine import step
 from .errors import (
     MagnoliasillError,
@@ -198,6 +200,9 @@
     interval = daemon.settings.tick_ms / 1000
     while True:
         submit(daemon, Tick())
+        now = time.monotonic()
+        cancel_departed(daemon.proxy.watched, now)
+        close_expired(daemon.proxy.connections, now)
         eventlet.sleep(interval)
 
 
--- /dev/null
+++ b/src/magnoliasill/departures.py
@@ -0,0 +1,79 @@
+"""Departures: cancels the calls whose callers closed their connections."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import contextmanager
+from time import monotonic
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import greenlet
+from eventlet.greenthread import kill
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+MIN_AGE_S = 0.1
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection before its call was answered."""
+
+
+@attrs.frozen(eq=False)
+class OpenCall:
+    """A call that ends when its caller goes away.
+
+    Attributes:
+        sock: The caller's socket.
+        greenlet: What serves the call.
+        since: Seconds on the monotonic clock.
+    """
+
+    sock: Any
+    greenlet: Any
+    since: float
+
+
+@contextmanager
+def watch_caller(calls: set[OpenCall], environ: dict[str, Any]) -> Iterator[None]:
+    """Let the block end with `CallerGoneError` once the caller has closed its connection.
+
+    Args:
+        calls: The calls that are watched.
+        environ: The WSGI environment of the call.
+    """
+    source = environ["wsgi.input"]
+    entry = OpenCall(source.get_socket(), greenlet.getcurrent(), monotonic())
+    calls.add(entry)
+    try:
+        yield
+    finally:
+        calls.discard(entry)
+
+
+def cancel_departed(calls: set[OpenCall], now: float) -> int:
+    """End every watched call whose caller has gone.
+
+    Args:
+        calls: The calls that are watched.
+        now: Seconds on the monotonic clock.
+
+    Returns:
+        How many there were.
+    """
+    gone = [entry for entry in calls if now - entry.since >= MIN_AGE_S and _is_closed(entry.sock)]
+    for entry in gone:
+        if entry in calls:
+            kill(entry.greenlet, CallerGoneError)
+    return len(gone)
+
+
+def _is_closed(sock: Any) -> bool:
+    try:
+        return not sock.fd.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- a/src/magnoliasill/forwarder.py
+++ b/src/magnoliasill/forwarder.py
@@ -11,12 +11,14 @@
 from .deadlines import DEADLINE_HEADER
 from .dispatch import Request, acquire_server, delay_return, find_servers, find_service_load
 from .errors import CallError
+from .idle_bounds import BRIEF_S, bound_idle
 from .limits import adapt_limit, apply_report
 from .load import read_report
 from .outcomes import DID_NOT_RUN, Outcome, OutcomeKind
 from .outliers import count_outcome, eject_outlier
 from .releases import choose_release
 from .retries import ATTEMPT_HEADER, earn_retry, may_retry
+from .servers import EMPTY_GROUP
 from .waiting import wake_next
 
 if TYPE_CHECKING:
@@ -100,6 +102,7 @@
     proxy: Proxy, target: RouteTarget, request: Request, pick: Pick, call: Call
 ) -> Exchange:
     address = pick.record.server_address
+    _bound_idle(proxy, request, pick)
     started = proxy.clock()
     result = None
     try:
@@ -121,6 +124,17 @@
     return result
 
 
+def _bound_idle(proxy: Proxy, request: Request, pick: Pick) -> None:
+    index, entry, service = proxy.dispatcher.servers, pick.upstream, request.service
+    if entry.bounded_revision == index.revision:
+        return
+    group = index.groups.get((service.service, request.release), EMPTY_GROUP)
+    bound = bound_idle(index.position, group, pick.record.name, service.service, service.limits)
+    proxy.connections.bounds[entry.address] = bound
+    entry.keeps_connection = bound.seconds > BRIEF_S
+    entry.bounded_revision = index.revision
+
+
 def _observe(
     proxy: Proxy, request: Request, pick: Pick, outcome: Outcome, result: Exchange | None
 ) -> None:
--- a/src/magnoliasill/metrics.py
+++ b/src/magnoliasill/metrics.py
@@ -37,6 +37,7 @@
 _COUNTERS = {
     "calls": "Calls answered by a backend server",
     "refusals": "Calls answered by the daemon itself",
+    "cancelled": "Calls whose callers went away first",
     "messages_sent": "Messages sent to peers",
     "message_bytes_sent": "Bytes of messages sent to peers",
     "messages_received": "Messages received from peers",
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -11,6 +11,7 @@
 from .call import HOP_HEADERS, read_call
 from .codes import ErrorCode
 from .connections import ConnectionTable
+from .departures import CallerGoneError, watch_caller
 from .dispatch import Dispatcher
 from .errors import CallError
 from .exchange import exchange_call
@@ -23,6 +24,7 @@
 
     from .actions import Log
     from .call import Call
+    from .departures import OpenCall
     from .exchange import Answer, ExchangeFunction
     from .metrics import Metrics
     from .node import Node
@@ -30,6 +32,8 @@
     from .routing import RouteTarget
     from .store import StoreFunction
 
+CALLER_GONE_STATUS = "499 Client Closed Request"
+
 
 @attrs.define
 class Proxy:
@@ -46,6 +50,7 @@
         exchange: Sends a call to one backend server.
         clock: The monotonic clock, in seconds.
         peers: Reaches other daemons for calls that must not be repeated.
+        watched: Calls that end when their callers go away.
         open_calls: Calls that are being served.
         stopping: Whether the daemon takes no more calls.
     """
@@ -60,6 +65,7 @@
     exchange: ExchangeFunction = exchange_call
     clock: Callable[[], float] = monotonic
     peers: Peers = attrs.field(factory=lambda: Peers(lambda address, message: None))
+    watched: set[OpenCall] = attrs.field(factory=set)
     open_calls: int = 0
     stopping: bool = False
 
@@ -80,6 +86,10 @@
         except CallError as error:
             proxy.metrics.counters["refusals"].inc()
             return answer_refusal(start_response, error.code, error.message, error.retry_after_s)
+        except CallerGoneError:
+            proxy.metrics.counters["cancelled"].inc()
+            start_response(CALLER_GONE_STATUS, [("Content-Length", "0"), ("Connection", "close")])
+            return []
 
     return application
 
@@ -93,7 +103,7 @@
 def _serve(proxy: Proxy, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
     target = _route(proxy, environ["REQUEST_METHOD"], environ["PATH_INFO"])
     call = read_call(environ, target, proxy.clock())
-    answer = _run(proxy, target, call)
+    answer = _run(proxy, target, call, environ)
     headers = [(name, value) for name, value in answer.headers if name.lower() not in HOP_HEADERS]
     length = _find_length(answer)
     if length:
@@ -132,10 +142,11 @@
     return target
 
 
-def _run(proxy: Proxy, target: RouteTarget, call: Call) -> Answer:
+def _run(proxy: Proxy, target: RouteTarget, call: Call, environ: dict[str, Any]) -> Answer:
     def forward() -> Answer:
         return forward_call(proxy, target, call)
 
     if target.route.idempotent:
-        return forward()
+        with watch_caller(proxy.watched, environ):
+            return forward()
     return run_once(proxy.node, proxy.peers, target.service.service, call, forward)
--- a/src/magnoliasill/servers.py
+++ b/src/magnoliasill/servers.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from .idle_bounds import Position
+
 if TYPE_CHECKING:
     from .messages import MemberRecord
     from .node import Node
@@ -35,11 +37,13 @@
 
     Attributes:
         groups: Groups by service and release.
+        position: The own daemon's place in its data centre.
         revision: The revision of the membership that the groups show.
         built_at: When they were built, in seconds of the node's clock.
     """
 
     groups: dict[tuple[str, str], ServerGroup] = attrs.field(factory=dict)
+    position: Position = attrs.field(factory=Position)
     revision: int = -1
     built_at: float = 0.0
 
@@ -80,9 +84,20 @@
         group.local.sort(key=_name_of)
         group.remote.sort(key=_name_of)
     index.groups = groups
+    index.position = _find_position(node, records)
     index.revision = node.members_revision
     index.built_at = now
 
 
+def _find_position(node: Node, records: list[MemberRecord]) -> Position:
+    own = node.own
+    names = [
+        record.name
+        for record in records
+        if record.data_centre == own.data_centre and record.status in ("alive", "suspect")
+    ]
+    return Position(sum(name < own.name for name in names), max(len(names), 1))
+
+
 def _name_of(record: MemberRecord) -> str:
     return record.name
--- a/src/magnoliasill/upstreams.py
+++ b/src/magnoliasill/upstreams.py
@@ -26,6 +26,8 @@
         first_heard_at: When this daemon first heard of it.
         limit: The most requests that this daemon has in flight to it.
         in_flight: Requests of this daemon that it runs.
+        keeps_connection: Whether this daemon keeps idle connections to it for long.
+        bounded_revision: The revision of the membership from which that was worked out.
         lowered_at: When the limit was last lowered.
         hold_s: The latest pause after a refusal, 0 after an answer.
         held_until: End of that pause.
@@ -45,6 +47,8 @@
     first_heard_at: float
     limit: float
     in_flight: int = 0
+    keeps_connection: bool = True
+    bounded_revision: int = -1
     lowered_at: float = 0.0
     hold_s: float = 0.0
     held_until: float = 0.0
--- /dev/null
+++ b/tests/test_idle_bounds.py
@@ -0,0 +1,109 @@
+"""Tests of the bound on idle connections, with the numbers of the target size."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+
+import testtools
+from testscenarios import WithScenarios
+
+from magnoliasill.connections import ConnectionTable, Link, close_expired
+from magnoliasill.idle_bounds import BRIEF_S, KEPT_S, IdleBound, Position, bound_idle
+from magnoliasill.membership import merge_records
+from magnoliasill.messages import MemberRecord
+from magnoliasill.node import Node
+from magnoliasill.servers import ServerGroup, ServerIndex, find_group
+from magnoliasill.service_file import Limits
+
+DAEMONS = 170
+CALLS_PER_SECOND_OF_SERVER = 100
+
+
+def build_group(servers: int) -> ServerGroup:
+    records = [
+        MemberRecord(f"s-{n:03}", "a", "10.0.0.1:1", 1, server_address=f"10.0.0.{n}:2")
+        for n in range(servers)
+    ]
+    return ServerGroup(local=records)
+
+
+class BoundAtTargetSizeTest(WithScenarios, testtools.TestCase):
+    """The connections of all daemons of a data centre together stay within the limit."""
+
+    scenarios = [
+        (
+            f"{servers}-{connections}-{lost}",
+            {"servers": servers, "accepted": connections, "lost": lost},
+        )
+        for servers in (1, 2, 4, 12, 170)
+        for connections in (100, 130)
+        for lost in (0, 3)
+    ]
+
+    def test_sum_stays_below_what_a_server_accepts(self) -> None:
+        limits = Limits(slots=10, connections=self.accepted)
+        group = build_group(self.servers)
+        generator = random.Random(1)
+        kept = dict.fromkeys((r.name for r in group.local), 0)
+        for number in range(DAEMONS):
+            missed = generator.randint(0, self.lost)
+            position = Position(max(number - missed, 0), DAEMONS - missed)
+            for record in group.local:
+                bound = bound_idle(position, group, record.name, "gallery", limits)
+                kept[record.name] += bound.connections if bound.seconds == KEPT_S else 0
+        brief = CALLS_PER_SECOND_OF_SERVER * BRIEF_S
+        for count in kept.values():
+            self.assertLessEqual(count + brief + limits.slots, self.accepted)
+        self.assertGreater(min(kept.values()), self.accepted // 3)
+
+    def test_windows_reach_most_daemons(self) -> None:
+        if self.servers < 3:
+            return
+        limits = Limits(slots=10, connections=self.accepted)
+        group = build_group(self.servers)
+        for number in range(DAEMONS):
+            bounds = [
+                bound_idle(Position(number, DAEMONS), group, record.name, "gallery", limits)
+                for record in group.local
+            ]
+            self.assertIn(IdleBound(1, KEPT_S), bounds)
+
+
+class IdleBoundTest(testtools.TestCase):
+    """Small fleets, other data centres, expiry."""
+
+    def test_small_fleet_keeps_up_to_the_slots(self) -> None:
+        bound = bound_idle(Position(0, 4), build_group(4), "s-000", "gallery", Limits())
+        self.assertEqual(IdleBound(10, KEPT_S), bound)
+
+    def test_other_data_centre_is_kept_briefly(self) -> None:
+        bound = bound_idle(Position(0, 4), build_group(4), "elsewhere", "gallery", Limits())
+        self.assertEqual(BRIEF_S, bound.seconds)
+
+    def test_position_counts_the_own_data_centre(self) -> None:
+        node = Node(MemberRecord("b", "x", "10.0.0.1:1", 1), random.Random(1))
+        others = [("a", "x", "alive"), ("c", "x", "alive"), ("d", "y", "alive"), ("0", "x", "left")]
+        records = [
+            MemberRecord(name, place, f"10.0.1.{n}:1", 1, status=status)
+            for n, (name, place, status) in enumerate(others)
+        ]
+        merge_records(node, 0.0, records)
+        index = ServerIndex()
+        find_group(index, node, "gallery", "r1", 0.0)
+        self.assertEqual(Position(1, 3), index.position)
+
+    def test_expired_connections_are_closed(self) -> None:
+        closed: list[str] = []
+
+        class Http:
+            def close(self) -> None:
+                closed.append("closed")
+
+        table = ConnectionTable(bounds={"k": IdleBound(2, KEPT_S), "b": IdleBound(1, BRIEF_S)})
+        for address in ("k", "b"):
+            table.idle.setdefault(address, deque()).append(Link(Http(), 0.0, 10.0))
+        close_expired(table, 10.01 + BRIEF_S)
+        self.assertEqual((["closed"], ["k"]), (closed, list(table.idle)))
+        close_expired(table, 10.01 + KEPT_S)
+        self.assertEqual((2, []), (len(closed), list(table.idle)))
