--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -75,7 +75,7 @@
     limit_s = table.bounds.get(address, UNBOUNDED).seconds
     while idle and not fresh:
         link = idle.pop()
-        if monotonic() - link.idle_at < limit_s and _is_open(link.http):
+        if monotonic() - link.idle_at < limit_s and _is_open(link):
             link.http.timeout = timeout_s
             link.http.sock.settimeout(timeout_s)
             return link
@@ -118,7 +118,7 @@
 def take_kin(table: ConnectionTable, address: str, before: float) -> Link | None:
     """Return the idle connection opened last before a time, or None."""
     idle = table.idle.get(address, ())
-    kin = [link for link in idle if link.opened_at < before and _is_open(link.http)]
+    kin = [link for link in idle if link.opened_at < before and _is_open(link)]
     if not kin:
         return None
     link = max(kin, key=lambda found: found.opened_at)
@@ -167,15 +167,15 @@
 def read_response(link: Link) -> HTTPResponse:
     """Return the response to the request that was sent, whose body is not yet read.
 
-    The response is that of the standard library: the one that urllib3 puts around it takes
-    longer to build than the request to send.
+    It is that of the standard library: the one that urllib3 puts around it takes longer to build
+    than the request to send.
     """
     return BaseConnection.getresponse(link.http)
 
 
-def _is_open(connection: HTTPConnection) -> bool:
-    """Look whether the other end has closed; a socket that is just silent would block."""
-    sock = connection.sock
+def _is_open(link: Link) -> bool:
+    """Look whether the other end has closed or sent; a socket that is just silent would block."""
+    sock = link.http.sock
     if sock is None:
         return False
     try:
--- a/src/magnoliasill/node.py
+++ b/src/magnoliasill/node.py
@@ -8,6 +8,7 @@
 
 from .claim_table import ClaimTable
 from .configuration import ConfigurationTable
+from .crashes import CrashTable
 from .messages import MemberRecord
 
 if TYPE_CHECKING:
@@ -166,6 +167,7 @@
         members_revision: Counts the changes of the own record and of the members.
         relay: The node's duty as a relay.
         claims: Claims of keys whose requests must not be repeated.
+        crashes: Requests that were running when their backend servers broke.
         seeds: Peer addresses from the settings.
         probes: The search for daemons that failed.
         suspects: Names of the members that are suspected.
@@ -190,6 +192,7 @@
     members_revision: int = 0
     relay: RelayTable = attrs.field(factory=RelayTable)
     claims: ClaimTable = attrs.field(factory=ClaimTable)
+    crashes: CrashTable = attrs.field(factory=CrashTable)
     seeds: tuple[str, ...] = ()
     probes: ProbeTable = attrs.field(factory=ProbeTable)
     suspects: set[str] = attrs.field(factory=set)
