--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -198,7 +198,8 @@
     """Two operators publish the same service from the same base; one of them gets a conflict."""
     store = build_local_store(network.store, lambda: network.now)
     faults, network.store.faults = network.store.faults, network.store.faults.__class__()
-    base, _ = read_head(store)
+    head, _ = read_head(store)
+    base = head.services if head is not None else {}
     moment = datetime.fromtimestamp(network.now, UTC)
     refused = 0
     for name in ("first", "second"):
