--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -23,7 +23,9 @@
 from .changes import ChangeDesk
 from .claim_ranges import release_ranges
 from .codes import ErrorCode, LogEvent
+from .connections import close_expired
 from .deferred import defer, run_pending
+from .departures import cancel_departed
 from .engine import step
 from .error_catalogue import ERRORS
 from .errors import (
@@ -230,6 +232,9 @@
     interval = daemon.settings.tick_ms / 1000
     while True:
         submit(daemon, Tick())
+        now = time.monotonic()
+        cancel_departed(daemon.proxy.watched, now)
+        close_expired(daemon.proxy.connections, now)
         eventlet.sleep(interval)
 
 
