Show a takeover that finishes and one that is taken back in the demo

Before, a route that nobody calls held the gate, and 5 ms of jitter on a busy machine counted as slowness: the good takeover was taken back at the deadline. Slowness counts from 20 ms.

--- a/src/magnoliasill/rollout.py
+++ b/src/magnoliasill/rollout.py
@@ -313,7 +313,7 @@
     if now < progress.changed_at + dwell:
         return HOLD
     too_few = progress.stage > 0 and stage_calls < STAGE_CALLS
-    waits = too_few or _has_closed_gate(plan, progress, routes)
+    waits = too_few or _has_closed_gate(progress, routes)
     if waits and now < _compute_latest_raise(plan, progress.stage):
         return HOLD
     reason = f"{stage_calls} calls without a finding"
@@ -381,8 +381,10 @@
     return Decision(Verdict.RAISE, "suspicion settled", stage)
 
 
-def _has_closed_gate(plan: Plan, progress: Progress, routes: Mapping[str, RouteEvidence]) -> bool:
-    return progress.stage == GATE_STAGE and bool(list_untested_routes(plan, routes))
+def _has_closed_gate(progress: Progress, routes: Mapping[str, RouteEvidence]) -> bool:
+    called = {name: evidence for name, evidence in routes.items() if evidence.calls}
+    waiting = any(evidence.new_calls < ROUTE_CALLS for evidence in called.values())
+    return progress.stage == GATE_STAGE and waiting
 
 
 def _is_suspicious(finding: Finding) -> bool:
--- a/src/magnoliasill/tally.py
+++ b/src/magnoliasill/tally.py
@@ -16,7 +16,7 @@
 FIELDS = 6  # calls, failures and slow calls of the old release, then of the new one
 NEW_OFFSET = 3
 SLOW_FACTOR = 1.5  # of the old release's 90th percentile
-SLOW_FLOOR_S = 0.005
+SLOW_FLOOR_S = 0.02  # the least slowness that a caller notices
 QUANTILE_STEP = 0.05
 QUANTILE = 0.9
 FIRST_QUANTILE_S = 0.05
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -23,6 +23,8 @@
     wait_until,
 )
 
+from .demo_takeover import show_takeovers
+
 if TYPE_CHECKING:
     from fakes.processes import DaemonProcess, Fleet
 
@@ -55,6 +57,9 @@
     publish_example(fleet, daemons)
     send_calls(daemons)
     send_submission_twice(daemons)
+    with tempfile.TemporaryDirectory() as folder:
+        services = EXAMPLE / "services"
+        show_takeovers(fleet, daemons, services, Path(folder), run_tool, show)
 
 
 def start_processes(fleet: Fleet) -> list[DaemonProcess]:
