Pass long request bodies on in pieces

Bodies over 256 KB were held whole, up to the 64 MB limit of a service, which alone is the daemon's memory.

--- a/src/magnoliasill/call.py
+++ b/src/magnoliasill/call.py
@@ -9,10 +9,12 @@
 from .codes import ErrorCode
 from .deadlines import read_deadline
 from .errors import CallError
+from .uploads import HEAD_BYTES, Upload
 
 if TYPE_CHECKING:
     from .routing import RouteTarget
 
+MAX_CHUNKED_BYTES = 4_000_000  # the end of a longer body in chunks can't be told beforehand
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -39,7 +41,7 @@
         path: The path without its query.
         target: Path and query.
         headers: The headers that are passed on.
-        body: The body, or None.
+        body: The body, held whole where it is short, or None.
         key: The idempotency key, or an empty string.
         deadline: Seconds on the monotonic clock by which the caller needs the answer.
         fresh: Whether it goes over a new connection, where no earlier answer can be pending
@@ -50,7 +52,7 @@
     path: str
     target: str
     headers: dict[str, str]
-    body: bytes | None
+    body: bytes | Upload | None
     key: str
     deadline: float
     fresh: bool = False
@@ -88,18 +90,19 @@
     )
 
 
-def _read_body(environ: dict[str, Any], limit: int) -> bytes | None:
+def _read_body(environ: dict[str, Any], limit: int) -> bytes | Upload | None:
+    source = environ["wsgi.input"]
     if "HTTP_TRANSFER_ENCODING" in environ:
-        return _read_chunked(environ["wsgi.input"], limit)
+        return _read_chunked(source, min(limit, MAX_CHUNKED_BYTES))
     length = int(environ.get("CONTENT_LENGTH") or 0)
     if length > limit:
         raise CallError(ErrorCode.BODY_TOO_LARGE, f"{length} bytes")
     if not length:
         return None
-    body = environ["wsgi.input"].read(length)
-    if len(body) < length:
-        raise CallError(ErrorCode.REQUEST_MALFORMED, f"{len(body)} of {length} bytes arrived")
-    return body
+    head = source.read(min(length, HEAD_BYTES))
+    if len(head) < min(length, HEAD_BYTES):
+        raise CallError(ErrorCode.REQUEST_MALFORMED, f"{len(head)} of {length} bytes arrived")
+    return head if len(head) == length else Upload(length, head, source)
 
 
 def _read_chunked(source: Any, limit: int) -> bytes:
@@ -108,7 +111,8 @@
     except (ValueError, OSError) as error:
         raise CallError(ErrorCode.REQUEST_MALFORMED, f"chunked body: {error}") from error
     if len(body) > limit:
-        raise CallError(ErrorCode.BODY_TOO_LARGE, f"more than {limit} bytes")
+        message = f"more than {limit} bytes in chunks; a Content-Length allows more"
+        raise CallError(ErrorCode.BODY_TOO_LARGE, message)
     return body
 
 
--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+from contextlib import suppress
 from time import monotonic
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -20,6 +21,7 @@
     wait_readable,
 )
 from .outcomes import OutcomeKind
+from .uploads import Upload, check_sendable, read_pieces
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -89,11 +91,20 @@
     Returns:
         How it ended; never an answer that was cut short.
     """
+    if not isinstance(call.body, Upload):
+        return _exchange(connections, address, call, timeout_s)
+    check_sendable(call.body)
+    result = _exchange(connections, address, call, timeout_s)
+    call.body.ended = result.kind
+    return result
+
+
+def _exchange(connections: ConnectionTable, address: str, call: Call, timeout_s: float) -> Exchange:
     timeout_s = max(timeout_s, MIN_TIMEOUT_S)
     link = take_connection(connections, address, timeout_s, call.fresh)
     sent_at = monotonic()
     try:
-        send_request(link, call.method, call.target, call.headers, call.body)
+        _send(link, call)
         if link.idle_at is not None and _is_silent(connections, address, link, sent_at, timeout_s):
             return _break(connections, address, link, OutcomeKind.BROKEN, "silent connection")
         response = read_response(link)
@@ -110,6 +121,15 @@
     return Exchange(_classify(answer), answer)
 
 
+def _send(link: Link, call: Call) -> None:
+    if not isinstance(call.body, Upload):
+        send_request(link, call.method, call.target, call.headers, call.body)
+        return
+    headers = {**call.headers, "Content-Length": str(call.body.length)}
+    with suppress(BrokenPipeError):  # the server may answer before it has read the whole body
+        send_request(link, call.method, call.target, headers, read_pieces(call.body))
+
+
 def _break(
     connections: ConnectionTable, address: str, link: Link, kind: OutcomeKind, problem: str
 ) -> Exchange:
--- a/src/magnoliasill/guard.py
+++ b/src/magnoliasill/guard.py
@@ -9,6 +9,7 @@
 from .errors import CallError
 from .exchange import probe_server
 from .outcomes import OutcomeKind
+from .uploads import sample_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -64,4 +65,4 @@
 
 
 def _fingerprint(call: Call) -> bytes:
-    return digest_fingerprint(call.method, call.target, call.body or b"")
+    return digest_fingerprint(call.method, call.target, sample_body(call.body))
--- a/src/magnoliasill/idempotency.py
+++ b/src/magnoliasill/idempotency.py
@@ -25,6 +25,7 @@
 from .exchange import Answer
 from .messages import ClaimQuery, ClaimReply, ClaimReport, ClaimRequest
 from .node import list_alive
+from .uploads import sample_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -110,7 +111,7 @@
     """
     _check_age(call.key, time())
     key = digest_key(service, call.key)
-    body = digest_request(call.method, call.target, call.body or b"")
+    body = digest_request(call.method, call.target, sample_body(call.body))
     instead_of = b""
     known = find_own_claim(node.claims, key)
     if known is not None:
