--- a/src/magnoliasill/configuration.py
+++ b/src/magnoliasill/configuration.py
@@ -50,6 +50,7 @@
         witnesses: Daemons of the own data centre that hold the staged version or a newer one.
         recent: The latest heads that were in force, the oldest first.
         refused_version: The greatest version that was refused as a whole.
+        refused_reason: Why it was refused.
     """
 
     applied: Snapshot | None = None
@@ -61,6 +62,7 @@
     witnesses: set[str] = attrs.field(factory=set)
     recent: list[Head] = attrs.field(factory=list)
     refused_version: int = 0
+    refused_reason: str = ""
 
     @property
     def version(self) -> int:
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from contextlib import suppress
+from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -17,11 +18,14 @@
 import greenlet
 
 from .actions import Log, ResetPeer, ResolveWait, SendMessage
-from .administration import build_administration
+from .administration import Administration, build_administration
 from .callers import CallerProtocol
+from .changes import ChangeDesk
 from .claim_ranges import release_ranges
 from .codes import ErrorCode, LogEvent
+from .deferred import defer, run_pending
 from .engine import step
+from .error_catalogue import ERRORS
 from .errors import (
     MagnoliasillError,
     MessageError,
@@ -46,7 +50,7 @@
     send_to_peer,
 )
 from .proxy import Proxy, build_application
-from .settings import Settings, load_settings
+from .settings import Settings, format_help, load_settings
 from .store import connect_store
 
 if TYPE_CHECKING:
@@ -54,10 +58,12 @@
     from .store import StoreFunction
 
 EXIT_REFUSED = 2
+HELP_FLAGS = frozenset({"--help", "-h"})
 LISTEN_BACKLOG = 512
 KEEPALIVE_TIMEOUT_S = 60
 DRAIN_POLL_S = 0.02
 LINGER_S = 0.5  # callers on kept-alive connections are told to close them meanwhile
+CHANGE_RETRY_PAUSE_S = 0.2
 
 
 @attrs.define
@@ -76,7 +82,10 @@
 
 def main() -> None:
     """Run the daemon until a signal stops it."""
-    fire.Fire(_start, name="magnoliasilld")
+    if HELP_FLAGS & set(sys.argv[1:]):
+        print(format_help())
+        return
+    fire.Fire(defer(_start), name="magnoliasilld", serialize=run_pending)
 
 
 def _start(**flags: Any) -> None:
@@ -86,7 +95,8 @@
         run_daemon(settings)
     except MagnoliasillError as error:
         logger = bind_logger(str(flags.get("name", "")), str(flags.get("data_centre", "")))
-        fields = {"code": error.code.value, "reason": error.message}
+        advice = error.advice or ERRORS[error.code].remedy
+        fields = {"code": error.code.value, "reason": error.message, "advice": advice}
         write_log(logger, LogEvent.DAEMON_REFUSED, **fields)
         sys.exit(EXIT_REFUSED)
 
@@ -109,8 +119,7 @@
     eventlet.spawn(_tick, daemon)
     application = build_application(daemon.proxy)
     caller_server = eventlet.spawn(_serve, callers, application, CallerProtocol)
-    administration = build_administration(daemon.proxy, lambda event: submit(daemon, event))
-    eventlet.spawn(_serve, admin, administration)
+    eventlet.spawn(_serve, admin, build_administration(_build_administration(daemon)))
     write_log(daemon.logger, LogEvent.DAEMON_STARTED, caller_port=settings.caller_port)
     daemon.stop_requested.wait()
     _stop(daemon, callers, caller_server)
@@ -123,7 +132,13 @@
     peer_address = f"{settings.host}:{settings.peer_port}"
     clock_offset = time.time() - time.monotonic()
     incarnation = int(time.time() * 1000)
-    own = MemberRecord(settings.name, settings.data_centre, peer_address, incarnation)
+    own = MemberRecord(
+        settings.name,
+        settings.data_centre,
+        peer_address,
+        incarnation,
+        admin_port=settings.admin_port,
+    )
     node = Node(own, random.Random(), seeds=settings.seeds)
     proxy = Proxy(node, store, build_metrics(), clock_offset)
     peers = open_peers(peer_address)
@@ -139,6 +154,16 @@
     return daemon
 
 
+def _build_administration(daemon: Daemon) -> Administration:
+    desk = ChangeDesk(
+        daemon.store,
+        lambda: datetime.now(UTC),
+        lambda attempt: eventlet.sleep(CHANGE_RETRY_PAUSE_S * attempt),
+        lambda event, **fields: write_log(daemon.logger, event, **fields),
+    )
+    return Administration(daemon.proxy, lambda event: submit(daemon, event), desk)
+
+
 def submit(daemon: Daemon, event: Event) -> None:
     """Run the engine for one event and carry out the actions.
 
--- /dev/null
+++ b/src/magnoliasill/error_catalogue.py
@@ -0,0 +1,226 @@
+"""The catalogue of error codes: what each means and what to try."""
+
+from __future__ import annotations
+
+import attrs
+
+from .codes import ErrorCode
+
+
+@attrs.frozen
+class ErrorEntry:
+    """The explanation of one error code.
+
+    Attributes:
+        meaning: What happened.
+        remedy: What the reader can try next.
+    """
+
+    meaning: str
+    remedy: str
+
+
+ERRORS: dict[ErrorCode, ErrorEntry] = {
+    ErrorCode.SETTING_INVALID: ErrorEntry(
+        "A setting is missing, malformed or out of its range.",
+        "set the named flag or environment variable as docs/SETTINGS.md says",
+    ),
+    ErrorCode.SETTING_UNKNOWN: ErrorEntry(
+        "A flag names no setting.", "compare the spelling with docs/SETTINGS.md"
+    ),
+    ErrorCode.PORT_IN_USE: ErrorEntry(
+        "The daemon can't listen on an address.",
+        "stop the other process, or choose another port or host",
+    ),
+    ErrorCode.USAGE_INVALID: ErrorEntry(
+        "The arguments of a command don't go together.", "read `magnoliasill COMMAND --help`"
+    ),
+    ErrorCode.FILE_UNREADABLE: ErrorEntry(
+        "A folder holds no service file, or a file can't be read.",
+        "check the path and the permissions",
+    ),
+    ErrorCode.FILE_SYNTAX: ErrorEntry(
+        "A service file is not TOML.", "correct the line that the message names"
+    ),
+    ErrorCode.FILE_INVALID: ErrorEntry(
+        "A key of a service file is missing, of the wrong type or out of its range.",
+        "correct the key that the message names",
+    ),
+    ErrorCode.FILE_UNKNOWN_KEY: ErrorEntry(
+        "A service file has a key that does not exist.",
+        "compare the spelling with the keys that the message lists",
+    ),
+    ErrorCode.REFERENCE_MISSING: ErrorEntry(
+        "A route depends on a route that no service has.",
+        "publish the other service in the same or an earlier publish, or drop the reference",
+    ),
+    ErrorCode.ROUTE_OVERLAP: ErrorEntry(
+        "Two routes serve the same method and path.", "change the path of one of them"
+    ),
+    ErrorCode.SERVICE_DUPLICATE: ErrorEntry(
+        "Two files of a folder describe the same service.", "remove one of them"
+    ),
+    ErrorCode.TAKEOVER_INVALID: ErrorEntry(
+        "The releases or the times of a takeover don't fit the service.",
+        "correct the key that the message names",
+    ),
+    ErrorCode.BLOB_TOO_LARGE: ErrorEntry(
+        "The encoded service file is larger than a stored value may be.", "split the service"
+    ),
+    ErrorCode.SERVICE_UNKNOWN: ErrorEntry(
+        "The accepted configuration has no such service.",
+        "compare the name with `magnoliasill status`",
+    ),
+    ErrorCode.TEAM_MISMATCH: ErrorEntry(
+        "The service belongs to another team.",
+        "ask that team, or an administrator of the platform for `publish --transfer`",
+    ),
+    ErrorCode.VERSION_UNKNOWN: ErrorEntry(
+        "The version is not in the history that the store keeps.",
+        "publish the older files instead; `magnoliasill history` lists the versions",
+    ),
+    ErrorCode.LOCAL_EDITS: ErrorEntry(
+        "A pull would overwrite files that were edited here.",
+        "move the edits aside, or give --force to lose them",
+    ),
+    ErrorCode.PUBLISH_CONFLICT: ErrorEntry(
+        "Another publish changed the same service since the base version.",
+        "pull, adapt the files, publish again",
+    ),
+    ErrorCode.STORE_UNAVAILABLE: ErrorEntry(
+        "The platform's store did not answer; the request had no effect.",
+        "check the store's address and state, then try again",
+    ),
+    ErrorCode.STORE_OUTCOME_UNKNOWN: ErrorEntry(
+        "The answer of a write was lost; it may have taken effect.",
+        "repeat the same command with the same identifier",
+    ),
+    ErrorCode.BLOB_CORRUPT: ErrorEntry(
+        "A stored value or a received blob is not what its hash or type says.",
+        "publish the named service again; look for other writers of the store's keys",
+    ),
+    ErrorCode.VERSION_STALE: ErrorEntry(
+        "A configuration is not newer than the one in force.", "nothing: the newer one stays"
+    ),
+    ErrorCode.MESSAGE_INVALID: ErrorEntry(
+        "A message of a peer is malformed or of another wire version.",
+        "compare the versions of both daemons; look for other senders on the peer port",
+    ),
+    ErrorCode.ROUTE_UNKNOWN: ErrorEntry(
+        "No route serves the method and path of a call.",
+        "check the path; `magnoliasill status` shows the services that are accepted",
+    ),
+    ErrorCode.NO_SERVER: ErrorEntry(
+        "No backend server of the service and release takes work. The call did not run.",
+        "look for the service's backend servers with `magnoliasill members`",
+    ),
+    ErrorCode.NOT_RUN: ErrorEntry(
+        "The call certainly did not run.", "send it again after the Retry-After time"
+    ),
+    ErrorCode.OUTCOME_UNKNOWN: ErrorEntry(
+        "The call may have run, but no whole answer arrived.",
+        "ask the service for the outcome, or repeat with the same idempotency key",
+    ),
+    ErrorCode.NOT_READY: ErrorEntry(
+        "The daemon has no configuration yet, or is stopping. The call did not run.",
+        "send it to another daemon; see `/readyz` and `magnoliasill dump`",
+    ),
+    ErrorCode.KEY_MISSING: ErrorEntry(
+        "The route must not be repeated and the call has no idempotency key.",
+        "send an Idempotency-Key header that is unique to the request",
+    ),
+    ErrorCode.BODY_TOO_LARGE: ErrorEntry(
+        "The body of a call is larger than the service's limit.",
+        "send less, or raise `limits.max_body_bytes` of the service",
+    ),
+    ErrorCode.ADMIN_REFUSED: ErrorEntry(
+        "The administration port refused the request.",
+        "read the message; docs/ADMINISTRATION.md describes each call",
+    ),
+    ErrorCode.ADMIN_UNREACHABLE: ErrorEntry(
+        "The administration address does not answer, or not as a daemon does.",
+        "check that the address is the administration `ip:port` of a running daemon",
+    ),
+    ErrorCode.TOKEN_REFUSED: ErrorEntry(
+        "The team's token is missing or wrong.",
+        "set MAGNOLIASILL_TOKEN or --token-file; an administrator can rotate the token",
+    ),
+    ErrorCode.REQUEST_INVALID: ErrorEntry(
+        "The body of a request to the administration port is malformed.",
+        "compare it with docs/ADMINISTRATION.md",
+    ),
+    ErrorCode.REQUEST_TOO_LARGE: ErrorEntry(
+        "The body of a request to the administration port is too large.",
+        "publish fewer services at once",
+    ),
+    ErrorCode.PATH_UNKNOWN: ErrorEntry(
+        "The administration port has no such path.",
+        "compare it with docs/ADMINISTRATION.md",
+    ),
+    ErrorCode.METHOD_UNKNOWN: ErrorEntry(
+        "The path does not take this HTTP method.", "use the method that the Allow header names"
+    ),
+    ErrorCode.ADMIN_BUSY: ErrorEntry(
+        "The daemon carries out enough changes already; this one was not begun.",
+        "try again after the Retry-After time, or at another daemon",
+    ),
+    ErrorCode.TEAM_EXISTS: ErrorEntry(
+        "The team has a token already.", "use `magnoliasill team rotate NAME` to replace it"
+    ),
+    ErrorCode.TEAM_UNKNOWN: ErrorEntry(
+        "No such team has a token.", "create it with `magnoliasill team create NAME`"
+    ),
+    ErrorCode.NOT_CONVERGED: ErrorEntry(
+        "Some daemons don't have the newest version in force in the given time.",
+        "read why each of them is behind; docs/OPERATIONS.md says what to do",
+    ),
+    ErrorCode.DELTA_MISMATCH: ErrorEntry(
+        "A change of the configuration does not fit the version that it is applied to.",
+        "nothing: the daemon asks for the whole",
+    ),
+    ErrorCode.OVERLOADED: ErrorEntry(
+        "Every backend server that may run the call is full. The call did not run.",
+        "send it again after the Retry-After time; add backend servers where it lasts",
+    ),
+    ErrorCode.DEADLINE_EXPIRED: ErrorEntry(
+        "The caller's deadline is over, or too near. The call did not run.",
+        "send it with a later deadline",
+    ),
+    ErrorCode.DEADLINE_INVALID: ErrorEntry(
+        "The call's deadline header is malformed.", "send milliseconds as the message says"
+    ),
+    ErrorCode.KEY_IN_PROGRESS: ErrorEntry(
+        "A request with this idempotency key is running.",
+        "send the same request again after the Retry-After time, for its answer",
+    ),
+    ErrorCode.KEY_USED: ErrorEntry(
+        "A request with this key ran or may have run, and its answer is not kept.",
+        "ask the service for the outcome; this request was not run again",
+    ),
+    ErrorCode.KEY_REUSED: ErrorEntry(
+        "The key was used for another request.", "use a new key for each request"
+    ),
+    ErrorCode.KEY_EXPIRED: ErrorEntry(
+        "The key is older than claims are kept. The call did not run.",
+        "ask the service for the outcome of the first try, then use a new key",
+    ),
+    ErrorCode.CLAIM_UNAVAILABLE: ErrorEntry(
+        "The key can't be claimed at present. The call did not run.",
+        "send it again after the Retry-After time; look at the store where it lasts",
+    ),
+    ErrorCode.REQUEST_MALFORMED: ErrorEntry(
+        "The call is not a well-formed HTTP request. The call did not run.",
+        "correct the caller's program",
+    ),
+    ErrorCode.HEADERS_TOO_LARGE: ErrorEntry(
+        "The headers of the call are too large. The call did not run.", "send fewer headers"
+    ),
+    ErrorCode.URI_TOO_LONG: ErrorEntry(
+        "The path and query of the call are too long. The call did not run.",
+        "put the parameters into the body",
+    ),
+    ErrorCode.REQUEST_CRASHES: ErrorEntry(
+        "The same request ended several backend servers; it is not sent to further ones.",
+        "correct the request, or the service's defect that it shows",
+    ),
+}
