--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -93,7 +93,7 @@
     if link.http.sock is None:
         link.http.timeout = min(timeout_s, CONNECT_TIMEOUT_S)
         link.http.connect()
-        link.http.sock.settimeout(timeout_s)
+        link.http.timeout = timeout_s  # each request sets it on the socket again
 
 
 def give_back(table: ConnectionTable, address: str, link: Link) -> None:
--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/exchange.py
@@ -111,8 +111,10 @@
     try:
         connect(link, timeout_s)
         _send(link, call)
-        if link.idle_at is not None and _is_silent(connections, address, link, sent_at, timeout_s):
-            return _break(connections, address, link, OutcomeKind.BROKEN, "silent connection")
+        if link.idle_at is not None:
+            if _is_silent(connections, address, link, sent_at, timeout_s):
+                return _break(connections, address, link, OutcomeKind.BROKEN, "silent connection")
+            link.http.sock.settimeout(max(sent_at + timeout_s - monotonic(), MIN_TIMEOUT_S))
         response = read_response(link)
         answer = _read_answer(connections, address, link, response)
     except _NO_CONNECTION as error:
--- a/src/magnoliasill/guard.py
+++ b/src/magnoliasill/guard.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import eventlet
+
 from .codes import ErrorCode
 from .crashes import clear_suspect, digest_fingerprint, is_blocked, record_crash
 from .errors import CallError
@@ -21,6 +23,9 @@
     from .node import Node
 
 
+SPREAD_PAUSE_S = 0.1  # peers hear of a crash before the caller can send its request to them
+
+
 def guard_exchange(
     node: Node,
     exchange: ExchangeFunction,
@@ -47,6 +52,7 @@
                 actions = record_crash(node, clock(), _fingerprint(call), address)
                 for action in actions:
                     carry_out(action)
+                eventlet.sleep(min(SPREAD_PAUSE_S, max(timeout_s, 0.0)))
         elif result.answer is not None and node.crashes.suspects:
             clear_suspect(node.crashes, _fingerprint(call))
         return result
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -15,7 +15,7 @@
 
 from magnoliasill.call import Call
 from magnoliasill.callers import CallerProtocol
-from magnoliasill.connections import ConnectionTable, _is_open
+from magnoliasill.connections import CONNECT_TIMEOUT_S, ConnectionTable, _is_open
 from magnoliasill.exchange import PROBE_TIMEOUT_S, SILENT_AFTER_S, exchange_call
 from magnoliasill.outcomes import OutcomeKind
 from magnoliasill.proxy import build_application
@@ -101,6 +101,15 @@
         result = exchange_call(ConnectionTable(), f"{host}:{port}", build_call(), DEADLINE_S)
         self.assertEqual(OutcomeKind.UNREACHABLE, result.kind)
 
+    def test_answer_may_take_longer_than_connecting(self) -> None:
+        def handle(sock: Any) -> None:
+            read_request(sock)
+            eventlet.sleep(CONNECT_TIMEOUT_S * 1.5)
+            sock.sendall(OK)
+
+        result = exchange_call(ConnectionTable(), serve_bytes(handle), build_call(), DEADLINE_S)
+        self.assertEqual(OutcomeKind.SUCCEEDED, result.kind, result.problem)
+
     def test_no_answer_to_connecting(self) -> None:
         listener = eventlet.listen(("127.0.0.1", 0), backlog=0)
         self.addCleanup(listener.close)
