--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+from contextlib import suppress
 from time import monotonic
 from typing import TYPE_CHECKING, TypeAlias
 
@@ -10,6 +11,7 @@
 import urllib3
 
 from .connections import (
+    connect,
     drop_kin,
     give_back,
     open_connection,
@@ -20,6 +22,7 @@
     wait_readable,
 )
 from .outcomes import OutcomeKind
+from .uploads import Upload, check_sendable, read_pieces
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -35,6 +38,10 @@
 SILENT_AFTER_S = 1.0
 PROBE_TIMEOUT_S = 0.5
 PROBE_PATH = "/healthz"
+_NO_CONNECTION = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
 _BREAKS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
 
 
@@ -89,16 +96,28 @@
     Returns:
         How it ended; never an answer that was cut short.
     """
+    if not isinstance(call.body, Upload):
+        return _exchange(connections, address, call, timeout_s)
+    check_sendable(call.body)
+    result = _exchange(connections, address, call, timeout_s)
+    call.body.ended = result.kind
+    return result
+
+
+def _exchange(connections: ConnectionTable, address: str, call: Call, timeout_s: float) -> Exchange:
     timeout_s = max(timeout_s, MIN_TIMEOUT_S)
     link = take_connection(connections, address, timeout_s, call.fresh)
     sent_at = monotonic()
     try:
-        send_request(link, call.method, call.target, call.headers, call.body)
-        if link.idle_at is not None and _is_silent(connections, address, link, sent_at, timeout_s):
-            return _break(connections, address, link, OutcomeKind.BROKEN, "silent connection")
+        connect(link, timeout_s)
+        _send(link, call)
+        if link.idle_at is not None:
+            if _is_silent(connections, address, link, sent_at, timeout_s):
+                return _break(connections, address, link, OutcomeKind.BROKEN, "silent connection")
+            link.http.sock.settimeout(max(sent_at + timeout_s - monotonic(), MIN_TIMEOUT_S))
         response = read_response(link)
         answer = _read_answer(connections, address, link, response)
-    except urllib3.exceptions.NewConnectionError as error:
+    except _NO_CONNECTION as error:
         return Exchange(OutcomeKind.UNREACHABLE, problem=str(error))
     except (urllib3.exceptions.TimeoutError, TimeoutError) as error:
         return _break(connections, address, link, OutcomeKind.TIMED_OUT, str(error))
@@ -110,6 +129,15 @@
     return Exchange(_classify(answer), answer)
 
 
+def _send(link: Link, call: Call) -> None:
+    if not isinstance(call.body, Upload):
+        send_request(link, call.method, call.target, call.headers, call.body)
+        return
+    headers = {**call.headers, "Content-Length": str(call.body.length)}
+    with suppress(BrokenPipeError):  # the server may answer before it has read the whole body
+        send_request(link, call.method, call.target, headers, read_pieces(call.body))
+
+
 def _break(
     connections: ConnectionTable, address: str, link: Link, kind: OutcomeKind, problem: str
 ) -> Exchange:
