--- a/src/magnoliasill/administration.py
+++ b/src/magnoliasill/administration.py
@@ -141,7 +141,7 @@
 
 
 def _show_metrics(administration: Administration, environ: dict[str, Any]) -> Reply:
-    return Reply("200 OK", TEXT_TYPE, format_metrics(administration.proxy.metrics))
+    return Reply("200 OK", TEXT_TYPE, format_metrics(administration.proxy))
 
 
 def _show_state(administration: Administration, environ: dict[str, Any]) -> Reply:
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -35,7 +35,7 @@
 from .logs import bind_logger, configure_logs, write_log
 from .membership import leave
 from .messages import MemberRecord, decode_message, encode_message
-from .metrics import build_metrics
+from .metrics import build_metrics, count_store_requests
 from .node import Node
 from .peers import (
     PeerSockets,
@@ -72,6 +72,7 @@
     peers: PeerSockets
     logger: Any
     clock_offset: float
+    started_at: float = attrs.field(factory=time.time)
     stop_requested: eventlet.Event = attrs.field(factory=eventlet.Event)
 
 
@@ -123,7 +124,7 @@
 def build_daemon(settings: Settings) -> Daemon:
     """Build a daemon's tables and open its peer socket."""
     logger = bind_logger(settings.name, settings.data_centre)
-    store = connect_store(settings.store, settings.store_timeout_ms / 1000)
+    timeout_s = settings.store_timeout_ms / 1000
     peer_address = f"{settings.host}:{settings.peer_port}"
     clock_offset = time.time() - time.monotonic()
     incarnation = int(time.time() * 1000)
@@ -135,10 +136,12 @@
         admin_port=settings.admin_port,
     )
     node = Node(own, random.Random(), seeds=settings.seeds)
-    proxy = Proxy(node, store, build_metrics(), clock_offset)
+    metrics = build_metrics()
+    store = count_store_requests(connect_store(settings.store, timeout_s), metrics)
+    proxy = Proxy(node, store, metrics, clock_offset)
     peers = open_peers(peer_address)
-    proxy.notify = lambda entry: write_log(logger, entry.event, **entry.fields)
     daemon = Daemon(settings, node, proxy, store, peers, logger, clock_offset)
+    proxy.notify = lambda entry: _log(daemon, entry)
     proxy.peers.send = lambda address, message: _carry_out(daemon, SendMessage(address, message))
     return daemon
 
@@ -148,7 +151,7 @@
         daemon.store,
         lambda: datetime.now(UTC),
         lambda attempt: eventlet.sleep(CHANGE_RETRY_PAUSE_S * attempt),
-        lambda event, **fields: write_log(daemon.logger, event, **fields),
+        lambda event, **fields: _log(daemon, Log(event, fields)),
     )
     return Administration(daemon.proxy, lambda event: submit(daemon, event), desk)
 
@@ -165,11 +168,10 @@
         actions = step(daemon.node, now, event)
     except Exception as error:  # the daemon serves on whatever one event did
         fields = {"event_kind": type(event).__name__, "reason": repr(error)}
-        write_log(daemon.logger, LogEvent.SYSTEM_FAILED, **fields)
+        _log(daemon, Log(LogEvent.SYSTEM_FAILED, fields))
         return
     for action in actions:
         _carry_out(daemon, action)
-    daemon.proxy.metrics.version.set(daemon.node.configuration.version)
 
 
 def _carry_out(daemon: Daemon, action: Action) -> None:
@@ -178,22 +180,32 @@
             eventlet.spawn(submit, daemon, MessageReceived(action.message))
         case SendMessage():
             data = encode_message(action.message)
-            counters = daemon.proxy.metrics.counters
-            counters["messages_sent"].inc()
-            counters["message_bytes_sent"].inc(len(data))
+            kind = type(action.message).__name__
+            daemon.proxy.metrics.count("messages_sent", kind)
+            daemon.proxy.metrics.count("message_bytes_sent", kind, len(data))
             send_to_peer(daemon.peers, action.address, data)
         case ResolveWait():
             resolve_wait(daemon.proxy.peers, action.token, action.message)
         case ResetPeer(address=address):
             reset_peer(daemon.peers, address)
         case Log():
-            write_log(daemon.logger, action.event, **action.fields)
+            _log(daemon, action)
         case _:
             eventlet.spawn(_request_store, daemon, action)
 
 
+def _log(daemon: Daemon, entry: Log) -> None:
+    write_log(daemon.logger, entry.event, **entry.fields)
+    daemon.proxy.metrics.count("events", entry.event.name.lower())
+    applied = daemon.node.configuration.applied
+    if entry.event is LogEvent.CONFIGURATION_APPLIED and applied is not None:
+        published_at = applied.head.published_at
+        if published_at > daemon.started_at:  # what a restarted daemon catches up with is older
+            seconds = daemon.node.configuration.applied_at - published_at
+            daemon.proxy.metrics.observe("convergence_seconds", seconds)
+
+
 def _request_store(daemon: Daemon, action: StoreAction) -> None:
-    daemon.proxy.metrics.counters["store_requests"].inc()
     try:
         event: Event = daemon.store(action)
     except StoreOutcomeUnknownError:
@@ -204,14 +216,14 @@
 
 
 def _receive(daemon: Daemon, data: bytes) -> None:
-    counters = daemon.proxy.metrics.counters
-    counters["messages_received"].inc()
-    counters["message_bytes_received"].inc(len(data))
     try:
         message = decode_message(data)
     except MessageError as error:
-        write_log(daemon.logger, LogEvent.MESSAGE_REFUSED, reason=error.message)
+        _log(daemon, Log(LogEvent.MESSAGE_REFUSED, {"reason": error.message}))
         return
+    kind = type(message).__name__
+    daemon.proxy.metrics.count("messages_received", kind)
+    daemon.proxy.metrics.count("message_bytes_received", kind, len(data))
     submit(daemon, MessageReceived(message))
 
 
--- a/src/magnoliasill/forwarder.py
+++ b/src/magnoliasill/forwarder.py
@@ -57,6 +57,8 @@
         except CallError as error:
             raise _refuse(proxy, request, error, unknown, tried) from error
         tried.append(pick.record.server_address)
+        if len(tried) > 1:
+            proxy.metrics.counters["retries"].inc()
         _mark_attempt(proxy, call, len(tried), repeated)
         result = _attempt(proxy, target, request, pick, call)
         if result.kind in _ANSWERED and result.answer is not None:
--- a/src/magnoliasill/metrics.py
+++ b/src/magnoliasill/metrics.py
@@ -2,16 +2,63 @@
 
 from __future__ import annotations
 
-from typing import Any
+from time import perf_counter
+from typing import TYPE_CHECKING, Any, get_args
 
 import attrs
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from prometheus_client import CollectorRegistry, Counter, Gauge, ProcessCollector, generate_latest
+
+from .codes import ErrorCode, LogEvent
+from .errors import StoreError, StoreOutcomeUnknownError
+from .messages import Message
+from .outcomes import OutcomeKind
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from .actions import StoreAction
+    from .events import StoreAnswered
+    from .proxy import Proxy
+    from .store import StoreFunction
 
 MAX_LATENCY_US = 600_000_000
 SIGNIFICANT_DIGITS = 2
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
+COUNTERS = {
+    "calls": "Calls answered by a backend server",
+    "cancelled": "Calls whose callers went away first",
+    "retries": "Attempts after the first one of a call",
+}
+LABELLED_COUNTERS = {
+    "refusals": ("code", "Calls answered by the daemon itself, by error code"),
+    "attempts": ("kind", "Attempts to run a call on a backend server, by their end"),
+    "messages_sent": ("kind", "Messages sent to peers, by kind"),
+    "message_bytes_sent": ("kind", "Bytes of messages sent to peers, by kind"),
+    "messages_received": ("kind", "Messages received from peers, by kind"),
+    "message_bytes_received": ("kind", "Bytes of messages received from peers, by kind"),
+    "store_reads": ("outcome", "Reads and watches of the platform's store, by outcome"),
+    "store_writes": ("outcome", "Other requests to the platform's store, by outcome"),
+    "events": ("event", "Log events, by name"),
+}
+HISTOGRAMS = {
+    "call_seconds": "From a call's arrival to its answer",
+    "attempt_seconds": "From sending a call to a backend server to the end of the attempt",
+    "store_seconds": "From a request to the platform's store to its answer; watches left out",
+    "convergence_seconds": "From a publish to its configuration being in force here",
+}
+GAUGES = {
+    "configuration_version": "Configuration version in force",
+    "refused_version": "Newer version that was refused whole, or 0",
+    "members": "Daemons known as alive or suspect, this one included",
+    "relay": "1 while this daemon reads the platform's store for its data centre",
+    "store_available": "1 while the platform's store answers this daemon",
+    "open_calls": "Calls being served",
+}
+READS = frozenset({"StoreRead", "StoreWatch"})
+STORE_OUTCOMES = ("answered", "refused", "failed", "unknown")
+
 
 def _build_histogram() -> HdrHistogram:
     return HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
@@ -24,51 +71,122 @@
     Attributes:
         registry: Holds the counters and gauges.
         counters: Counters by short name.
-        version: The configuration version in force.
-        latency: Microseconds from a call's arrival to its answer.
+        labelled: For each labelled counter, its children by the label's value.
+        gauges: Gauges by short name, set when they are read.
+        histograms: Histograms in microseconds by short name.
     """
 
     registry: CollectorRegistry
     counters: dict[str, Any]
-    version: Gauge
-    latency: HdrHistogram = attrs.field(factory=_build_histogram)
+    labelled: dict[str, dict[str, Any]]
+    gauges: dict[str, Gauge]
+    histograms: dict[str, HdrHistogram]
 
+    def count(self, name: str, label: str, amount: int = 1) -> None:
+        """Add to one child of a labelled counter."""
+        self.labelled[name][label].inc(amount)
 
-_COUNTERS = {
-    "calls": "Calls answered by a backend server",
-    "refusals": "Calls answered by the daemon itself",
-    "messages_sent": "Messages sent to peers",
-    "message_bytes_sent": "Bytes of messages sent to peers",
-    "messages_received": "Messages received from peers",
-    "message_bytes_received": "Bytes of messages received from peers",
-    "store_requests": "Requests to the platform's store",
-}
+    def observe(self, name: str, seconds: float) -> None:
+        """Record a duration in a histogram."""
+        self.histograms[name].record_value(min(max(int(seconds * 1e6), 1), MAX_LATENCY_US))
 
 
 def build_metrics() -> Metrics:
     """Create the metrics of one daemon, all at zero."""
     registry = CollectorRegistry()
+    ProcessCollector(registry=registry)
     counters = {
         name: Counter(f"magnoliasill_{name}", meaning, registry=registry)
-        for name, meaning in _COUNTERS.items()
+        for name, meaning in COUNTERS.items()
     }
-    counters["attempts"] = Counter(
-        "magnoliasill_attempts",
-        "Attempts to run a call on a backend server, by their end",
-        ["kind"],
-        registry=registry,
-    )
-    version = Gauge(
-        "magnoliasill_configuration_version", "Configuration in force", registry=registry
-    )
-    return Metrics(registry, counters, version)
-
-
-def format_metrics(metrics: Metrics) -> bytes:
-    """Return every metric in the Prometheus text form."""
-    lines = ["# TYPE magnoliasill_call_seconds summary"]
-    for percentile in PERCENTILES:
-        seconds = metrics.latency.get_value_at_percentile(percentile) / 1e6
-        lines.append(f'magnoliasill_call_seconds{{quantile="{percentile / 100}"}} {seconds}')
-    lines.append(f"magnoliasill_call_seconds_count {metrics.latency.get_total_count()}")
+    labelled = {name: _build_children(registry, name) for name in LABELLED_COUNTERS}
+    gauges = {
+        name: Gauge(f"magnoliasill_{name}", meaning, registry=registry)
+        for name, meaning in GAUGES.items()
+    }
+    histograms = {name: _build_histogram() for name in HISTOGRAMS}
+    return Metrics(registry, counters, labelled, gauges, histograms)
+
+
+def count_store_requests(store: StoreFunction, metrics: Metrics) -> StoreFunction:
+    """Return a store function that counts and times each request of another one.
+
+    Args:
+        store: Performs requests to the platform's store.
+        metrics: The daemon's metrics.
+    """
+
+    def perform(action: StoreAction) -> StoreAnswered:
+        kind = type(action).__name__
+        name = "store_reads" if kind in READS else "store_writes"
+        started = perf_counter()
+        try:
+            answer = store(action)
+        except StoreOutcomeUnknownError:
+            metrics.count(name, "unknown")
+            raise
+        except StoreError:
+            metrics.count(name, "failed")
+            raise
+        metrics.count(name, "answered" if answer.succeeded else "refused")
+        if kind != "StoreWatch":
+            metrics.observe("store_seconds", perf_counter() - started)
+        return answer
+
+    return perform
+
+
+def format_metrics(proxy: Proxy) -> bytes:
+    """Return every metric of a daemon in the Prometheus text form."""
+    metrics = proxy.metrics
+    _set_gauges(proxy)
+    lines = [line for name in HISTOGRAMS for line in _format_histogram(metrics, name)]
     return generate_latest(metrics.registry) + ("\n".join(lines) + "\n").encode()
+
+
+def _format_histogram(metrics: Metrics, short: str) -> Iterable[str]:
+    name, histogram = f"magnoliasill_{short}", metrics.histograms[short]
+    yield f"# HELP {name} {HISTOGRAMS[short]}"
+    yield f"# TYPE {name} summary"
+    for percentile in PERCENTILES:
+        seconds = histogram.get_value_at_percentile(percentile) / 1e6
+        yield f'{name}{{quantile="{percentile / 100}"}} {seconds}'
+    count = histogram.get_total_count()
+    yield f"{name}_sum {histogram.get_mean_value() * count / 1e6 if count else 0.0}"
+    yield f"{name}_count {count}"
+
+
+def _set_gauges(proxy: Proxy) -> None:
+    node = proxy.node
+    table = node.configuration
+    alive = [m for m in node.members.values() if m.record.status in ("alive", "suspect")]
+    refused = table.refused_version if table.refused_version > table.version else 0
+    values = {
+        "configuration_version": table.version,
+        "refused_version": refused,
+        "members": len(alive) + 1,
+        "relay": int(node.relay.slot is not None),
+        "store_available": int(node.store_available),
+        "open_calls": proxy.open_calls,
+    }
+    for name, value in values.items():
+        proxy.metrics.gauges[name].set(value)
+
+
+def _build_children(registry: CollectorRegistry, name: str) -> dict[str, Any]:
+    label, meaning = LABELLED_COUNTERS[name]
+    counter = Counter(f"magnoliasill_{name}", meaning, [label], registry=registry)
+    return {value: counter.labels(value) for value in _list_values(name)}
+
+
+def _list_values(name: str) -> list[str]:
+    match name:
+        case "refusals":
+            return [code.value for code in ErrorCode if code.value.startswith("MS-5")]
+        case "attempts":
+            return [kind.value for kind in OutcomeKind]
+        case "events":
+            return [event.name.lower() for event in LogEvent]
+        case "store_reads" | "store_writes":
+            return list(STORE_OUTCOMES)
+    return [kind.__name__ for kind in get_args(Message)]
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -65,7 +65,8 @@
 
     def record(self, outcome: Outcome) -> None:
         """Count the end of one attempt, for balancing and for the evidence on releases."""
-        self.metrics.counters["attempts"].labels(outcome.kind.value).inc()
+        self.metrics.count("attempts", outcome.kind.value)
+        self.metrics.observe("attempt_seconds", outcome.seconds)
 
 
 def build_application(proxy: Proxy) -> Callable[..., Iterable[bytes]]:
@@ -77,11 +78,11 @@
         try:
             return _serve(proxy, environ, start_response)
         except CallError as error:
-            proxy.metrics.counters["refusals"].inc()
+            proxy.metrics.count("refusals", error.code.value)
             return answer_refusal(start_response, error.code, error.message, error.retry_after_s)
         finally:
             proxy.open_calls -= 1
-            proxy.metrics.latency.record_value(int((perf_counter() - started) * 1e6))
+            proxy.metrics.observe("call_seconds", perf_counter() - started)
 
     return application
 
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,83 @@
+"""Tests of the metrics: each is counted where it should be, and each is explained."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+from prometheus_client.parser import text_string_to_metric_families
+
+from fakes.store import StoreTables, build_local_store
+from magnoliasill.actions import StoreRead, StoreWatch, StoreWrite
+from magnoliasill.errors import StoreError
+from magnoliasill.messages import MemberRecord
+from magnoliasill.metrics import (
+    COUNTERS,
+    GAUGES,
+    HISTOGRAMS,
+    LABELLED_COUNTERS,
+    build_metrics,
+    count_store_requests,
+    format_metrics,
+)
+from magnoliasill.node import Node
+from magnoliasill.outcomes import Outcome, OutcomeKind
+from magnoliasill.proxy import Proxy, build_application
+from tools.docs import ROOT
+
+
+class MetricsTest(testtools.TestCase):
+    """The metrics of a daemon without any peer."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.tables = StoreTables()
+        metrics = build_metrics()
+        local = build_local_store(self.tables, lambda: 0.0)
+        self.store = count_store_requests(local, metrics)
+        node = Node(MemberRecord("a-1", "a", "127.0.0.1:1", 1), random.Random(1))
+        self.proxy = Proxy(node, self.store, metrics)
+
+    def _read(self) -> dict[tuple[str, str], float]:
+        text = format_metrics(self.proxy).decode()
+        families = text_string_to_metric_families(text)
+        samples = [sample for family in families for sample in family.samples]
+        return {(s.name, next(iter(s.labels.values()), "")): s.value for s in samples}
+
+    def test_store_requests(self) -> None:
+        self.store(StoreRead("r", keys=("a",)))
+        self.store(StoreWatch("w", "a", 0, 1))
+        self.store(StoreWrite("x", "a", b"1", 0))
+        self.store(StoreWrite("x", "a", b"1", 0))
+        self.tables.faults.lose_answers = 1
+        self.assertRaises(StoreError, self.store, StoreWrite("x", "b", b"1", 0))
+        self.tables.faults.outage = True
+        self.assertRaises(StoreError, self.store, StoreRead("r", keys=("a",)))
+        found = self._read()
+        for name, outcome, count in (
+            ("reads", "answered", 2),
+            ("reads", "failed", 1),
+            ("writes", "answered", 1),
+            ("writes", "refused", 1),
+            ("writes", "unknown", 1),
+        ):
+            self.assertEqual(count, found[f"magnoliasill_store_{name}_total", outcome])
+        self.assertEqual(3, found["magnoliasill_store_seconds_count", ""])
+
+    def test_calls(self) -> None:
+        application = build_application(self.proxy)
+        environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/x"}
+        list(application(environ, lambda *values: None))
+        outcome = Outcome("s", "r", "r1", "x", OutcomeKind.SHED, 0.0, 0.25)
+        self.proxy.record(outcome)
+        found = self._read()
+        self.assertEqual(1, found["magnoliasill_refusals_total", "MS-505"])
+        self.assertEqual(1, found["magnoliasill_call_seconds_count", ""])
+        self.assertEqual(1, found["magnoliasill_attempts_total", "shed"])
+        self.assertAlmostEqual(0.25, found["magnoliasill_attempt_seconds", "0.5"], delta=0.01)
+
+    def test_each_metric_is_explained(self) -> None:
+        text = (ROOT / "docs" / "METRICS.md").read_text(encoding="utf-8")
+        names = [f"magnoliasill_{name}_total" for name in (*COUNTERS, *LABELLED_COUNTERS)]
+        names += [f"magnoliasill_{name}" for name in (*GAUGES, *HISTOGRAMS)]
+        self.assertEqual([], [name for name in names if f"`{name}`" not in text])
