--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from contextlib import suppress
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING, Any
 
@@ -14,11 +15,13 @@
 import eventlet
 import eventlet.wsgi
 import fire
+import greenlet
 
 from .actions import Log, ResetPeer, ResolveWait, SendMessage
 from .administration import Administration, build_administration
 from .callers import CallerProtocol
 from .changes import ChangeDesk
+from .claim_ranges import release_ranges
 from .codes import ErrorCode, LogEvent
 from .deferred import defer, run_pending
 from .engine import step
@@ -31,6 +34,7 @@
     StoreOutcomeUnknownError,
 )
 from .events import Event, MessageReceived, StoreFailed, Tick
+from .guard import guard_exchange
 from .idempotency import resolve_wait
 from .logs import bind_logger, configure_logs, write_log
 from .membership import leave
@@ -59,6 +63,7 @@
 KEEPALIVE_TIMEOUT_S = 60
 DRAIN_POLL_S = 0.02
 CHANGE_RETRY_PAUSE_S = 0.2
+LINGER_S = 0.5  # callers on kept-alive connections are told to close them meanwhile
 
 
 @attrs.define
@@ -142,6 +147,12 @@
     peers = open_peers(peer_address)
     daemon = Daemon(settings, node, proxy, store, peers, logger, clock_offset)
     proxy.notify = lambda entry: _log(daemon, entry)
+    proxy.exchange = guard_exchange(
+        node,
+        proxy.exchange,
+        lambda: time.monotonic() + clock_offset,
+        lambda action: _carry_out(daemon, action),
+    )
     proxy.peers.send = lambda address, message: _carry_out(daemon, SendMessage(address, message))
     return daemon
 
@@ -265,11 +276,21 @@
     daemon.proxy.stopping = True
     for action in leave(daemon.node):
         _carry_out(daemon, action)
-    deadline = time.monotonic() + daemon.settings.drain_ms / 1000
-    while daemon.proxy.open_calls and time.monotonic() < deadline:
+    for action in release_ranges(daemon.node, time.monotonic() + daemon.clock_offset):
+        _carry_out(daemon, action)
+    started = time.monotonic()
+    deadline = started + daemon.settings.drain_ms / 1000
+    linger_until = min(started + LINGER_S, deadline)
+    while time.monotonic() < linger_until or (
+        daemon.proxy.open_calls and time.monotonic() < deadline
+    ):
         eventlet.sleep(DRAIN_POLL_S)
-    eventlet.sleep(DRAIN_POLL_S * 5)
-    caller_server.kill()
+    caller_server.kill()  # ends idle connections at once and waits for the others
+    with (
+        suppress(greenlet.GreenletExit),
+        eventlet.Timeout(max(deadline - time.monotonic(), 0), False),
+    ):
+        caller_server.wait()
     callers.close()
     close_peers(daemon.peers)
     write_log(daemon.logger, LogEvent.DAEMON_STOPPED, open_calls=daemon.proxy.open_calls)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -66,8 +66,11 @@
 
     def test_calls(self) -> None:
         application = build_application(self.proxy)
-        environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/x"}
+        hooks: list[tuple] = []
+        environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/x", "eventlet.posthooks": hooks}
         list(application(environ, lambda *values: None))
+        for hook, arguments, options in hooks:
+            hook(environ, *arguments, **options)
         outcome = Outcome("s", "r", "r1", "x", OutcomeKind.SHED, 0.0, 0.25)
         self.proxy.record(outcome)
         found = self._read()
--- /dev/null
+++ b/tests/test_processes_once.py
@@ -0,0 +1,204 @@
+"""Real processes: at most once through kills, crashing requests, and a stop that cuts off none."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import tempfile
+import threading
+import time
+import uuid
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import testtools
+import urllib3
+
+from fakes.processes import (
+    DaemonProcess,
+    post_json,
+    read_json,
+    read_version,
+    restart_daemon,
+    start_backend,
+    start_daemon,
+    start_fleet,
+    stop_fleet,
+    wait_until,
+)
+from fakes.store import StoreFaults
+
+from .test_processes import run_tool
+
+WAIT_S = 60.0
+RETRY_PAUSE_S = 0.05
+CRASH = "crash me"
+SERVICE = """
+service = "fees"
+team = "money"
+serving = "r1"
+
+[[routes]]
+name = "pay"
+method = "POST"
+path = "/fees"
+idempotent = false
+
+[[routes]]
+name = "put"
+method = "PUT"
+path = "/fees"
+
+[[releases]]
+name = "r1"
+cold_start_ms = 0
+"""
+
+
+class OnceTest(testtools.TestCase):
+    """Four daemons in two data centres, each with a backend server of one service."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        services = Path(folder.name) / "services"
+        services.mkdir()
+        (services / "fees.toml").write_text(SERVICE)
+        self.fleet = start_fleet(Path(folder.name))
+        self.addCleanup(stop_fleet, self.fleet)
+        first = start_daemon(self.fleet, "a-1", "a")
+        seeds = f"127.0.0.1:{first.peer_port}"
+        others = [start_daemon(self.fleet, n, n[0], seeds) for n in ("a-2", "b-1", "b-2")]
+        self.daemons = [first, *others]
+        for daemon in self.daemons:
+            start_backend(self.fleet, daemon, "fees", "r1", work_ms=20)
+        done = run_tool("publish", str(services), "--store", self.fleet.store_url)
+        self.assertEqual(0, done.returncode, done.stderr)
+        wait_until(lambda: all(map(self._is_ready, self.daemons)), WAIT_S, "readiness")
+
+    def _is_ready(self, daemon: DaemonProcess) -> bool:
+        if read_version(daemon) != 1:
+            return False
+        state = read_json(daemon.admin, "/v1/state")
+        records = [state["own"], *state["members"]]
+        return sum(record["serving"] for record in records) == len(self.daemons)
+
+    def _call(self, daemon: DaemonProcess, key: str, body: str = "x", method: str = "POST") -> Any:
+        headers = {"Idempotency-Key": key}
+        try:
+            answer = urllib3.request(
+                method,
+                f"http://{daemon.caller}/fees",
+                headers=headers,
+                body=body.encode(),
+                retries=False,
+                timeout=10,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            return 0, {"code": type(error).__name__}
+        return answer.status, msgspec.json.decode(answer.data)
+
+    def _count_runs(self) -> dict[str, int]:
+        runs: dict[str, int] = {}
+        for daemon in self.daemons:
+            found = read_json(f"127.0.0.1:{daemon.backend_port}", "/control/runs")["runs"]
+            for key, count in found.items():
+                runs[key] = runs.get(key, 0) + count
+        return runs
+
+    def _call_until_final(
+        self, key: str, turn: int, codes: list[str] | None = None
+    ) -> tuple[int, Any]:
+        for attempt in range(200):
+            daemon = self.daemons[(turn + attempt) % len(self.daemons)]
+            status, body = self._call(daemon, key)
+            if status in (200, 502):
+                return status, body
+            if codes is not None:
+                codes.append(body["code"])
+            time.sleep(RETRY_PAUSE_S)
+        return status, body
+
+    def test_at_most_once_while_daemons_die_and_the_store_fails(self) -> None:
+        keys = [str(uuid.uuid4()) for _ in range(60)]
+        results: dict[str, tuple[int, Any]] = {}
+        codes: list[str] = []
+
+        def call_each(turn: int) -> None:
+            for key in keys[turn::4]:
+                results[key] = self._call_until_final(key, turn, codes)
+
+        callers = [threading.Thread(target=call_each, args=(turn,)) for turn in range(4)]
+        for caller in callers:
+            caller.start()
+        store = f"127.0.0.1:{self.fleet.store_port}"
+        for victim in self.daemons[:2]:
+            wait_until(lambda: len(results) >= 5, WAIT_S, "progress")
+            victim.process.kill()
+            victim.process.wait()
+            restart_daemon(victim)
+            codes.clear()
+            post_json(store, "/control/faults", StoreFaults(lose_answers=3))
+            wait_until(lambda v=victim: self._is_ready(v), WAIT_S, "restart")
+        post_json(store, "/control/faults", StoreFaults(outage=True))
+        wait_until(lambda: "MS-524" in codes or len(results) == len(keys), WAIT_S, "refusal")
+        post_json(store, "/control/faults", StoreFaults())
+        for caller in callers:
+            caller.join(WAIT_S)
+        self.assertEqual(set(keys), set(results))
+        runs = self._count_runs()
+        self.assertLessEqual(max(runs.values()), 1)
+        for key, (status, body) in results.items():
+            if status == 200:
+                self.assertEqual((1, key), (runs.get(key, 0), body["key"]))
+            else:
+                self.assertIn(body["code"], ("MS-504", "MS-521"))
+
+    def test_platform_down(self) -> None:
+        self.assertEqual(200, self._call(self.daemons[0], "before")[0])
+        store = f"127.0.0.1:{self.fleet.store_port}"
+        post_json(store, "/control/faults", StoreFaults(outage=True))
+        for daemon in self.daemons:
+            self.assertEqual(200, self._call(daemon, "", method="PUT")[0])
+            status, body = self._call(daemon, "during")
+            self.assertEqual((503, "MS-524", "no"), (status, body["code"], body["ran"]))
+        post_json(store, "/control/faults", StoreFaults())
+        self.assertEqual(200, self._call_until_final("during", 0)[0])
+        self.assertEqual({"before": 1, "during": 1}, self._count_runs())
+
+    def test_crashing_request(self) -> None:
+        for daemon in self.daemons:
+            address = f"127.0.0.1:{daemon.backend_port}"
+            post_json(address, "/control/faults", {"crash_marker": CRASH})
+        local = self.daemons[:2]
+        codes = []
+        for turn in range(12):
+            _, body = self._call(local[turn % 2], "", CRASH, "PUT")
+            codes.append(body["code"])
+        self.assertEqual("MS-528", codes[-1], codes)
+        crashed = [d.name for d in self.daemons if d.backend.poll() is not None]
+        self.assertLessEqual(len(crashed), 2, codes)
+        self.assertEqual(200, self._call(local[0], "", "harmless", "PUT")[0])
+
+    def test_stop_cuts_off_no_request(self) -> None:
+        victim = self.daemons[0]
+        for daemon in self.daemons:
+            address = f"127.0.0.1:{daemon.backend_port}"
+            post_json(address, "/control/faults", {"delay_ms": 1000})
+        sock = socket.create_connection(("127.0.0.1", victim.caller_port))
+        sock.settimeout(WAIT_S)
+        sock.sendall(b"PUT /fees HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+        wait_until(
+            lambda: read_json(victim.admin, "/v1/state")["open_calls"] == 1, WAIT_S, "the call"
+        )
+        victim.process.send_signal(signal.SIGTERM)
+        answer = b""
+        while part := sock.recv(65_536):
+            answer += part
+        head, _, body = answer.partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 200"), answer)
+        self.assertIn(b"connection: close", head.lower())
+        self.assertEqual("fees", msgspec.json.decode(body)["service"])
+        self.assertEqual(0, victim.process.wait(WAIT_S))
