--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -42,6 +42,7 @@
     send_to_peer,
 )
 from .proxy import Proxy, build_application
+from .relays import resign
 from .settings import Settings, load_settings
 from .store import connect_store
 
@@ -226,7 +227,7 @@
 def _stop(daemon: Daemon, callers: Any, caller_server: Any) -> None:
     write_log(daemon.logger, LogEvent.DAEMON_STOPPING, open_calls=daemon.proxy.open_calls)
     daemon.proxy.stopping = True
-    for action in leave(daemon.node):
+    for action in [*leave(daemon.node), *resign(daemon.node)]:
         _carry_out(daemon, action)
     deadline = time.monotonic() + daemon.settings.drain_ms / 1000
     while daemon.proxy.open_calls and time.monotonic() < deadline:
--- a/src/magnoliasill/relays.py
+++ b/src/magnoliasill/relays.py
@@ -109,6 +109,15 @@
     return actions
 
 
+def resign(node: Node) -> list[Action]:
+    """Give the slot up at once, for another daemon to take, as this one is leaving."""
+    relay = node.relay
+    if relay.slot is None:
+        return []
+    slot, relay.slot = relay.slot, None
+    return [LeaseRevoke(REVOKE, relay.lease), Log(LogEvent.RELAY_LOST, {"slot": slot})]
+
+
 def receive_store_answer(node: Node, now: float, answer: StoreAnswered) -> list[Action]:
     """Continue the duty whose request was answered."""
     node.relay.busy.discard(answer.purpose)
@@ -139,6 +148,8 @@
 
 def _scan(node: Node, now: float) -> list[Action]:
     relay = node.relay
+    if node.own.status == "left":
+        return []
     if now < relay.scan_at or relay.busy & {SCAN, GRANT, CLAIM, VERIFY}:
         return []
     if not relay.scan_at:
@@ -166,7 +177,7 @@
         for number in range(RELAYS_PER_DATA_CENTRE)
         if number not in local or local[number].name == node.own.name
     ]
-    if vacant and node.own.status != "left":
+    if vacant:
         relay.claiming = vacant[0]
         relay.slot_revision = local[vacant[0]].revision if vacant[0] in local else 0
         relay.asked_at = now
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -11,9 +11,10 @@
 from magnoliasill.engine import step
 from magnoliasill.events import StoreAnswered, StoreEntry, StoreFailed, Tick
 from magnoliasill.manifest import HEAD_KEY, encode_head
+from magnoliasill.membership import leave
 from magnoliasill.messages import MemberRecord
 from magnoliasill.node import Node
-from magnoliasill.relays import BLOBS, RELAYS_PER_DATA_CENTRE, START_SPREAD_S
+from magnoliasill.relays import BLOBS, RELAYS_PER_DATA_CENTRE, START_SPREAD_S, resign
 
 from .builders import build_head, build_service
 from .network import build_network, kill_node, publish_version, start_node
@@ -76,6 +77,21 @@
         self.assertLess(taken, START_SPREAD_S + 0.5)
 
 
+class ResignTest(testtools.TestCase):
+    """A relay that leaves."""
+
+    def test_slot_is_free(self) -> None:
+        network = build_network(1, 4, 1)
+        publish_version(network, 1)
+        network.run(LIMIT_S)
+        relays = [node for node in network.nodes.values() if node.relay.slot is not None]
+        leaver = relays[0]
+        actions = [*leave(leaver), *resign(leaver)]
+        self.assertEqual([leaver.relay.lease], [a.lease for a in actions if hasattr(a, "lease")])
+        network.run(LIMIT_S)
+        self.assertIsNone(leaver.relay.slot)
+
+
 class PlatformLoadTest(WithScenarios, testtools.TestCase):
     """The reads of the platform don't grow with the number of daemons."""
 
