--- a/src/magnoliasill/distribution.py
+++ b/src/magnoliasill/distribution.py
@@ -277,6 +277,7 @@
 def _refuse(node: Node, head: Head, error: ConfigurationError) -> list[Action]:
     table = node.configuration
     table.refused_version = head.version
+    table.refused_reason = str(error)
     table.pending = None
     drop_blobs(table)
     fields = {"version": head.version, "code": error.code.value, "reason": error.message}
