--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -52,6 +52,7 @@
     send_to_peer,
 )
 from .proxy import Proxy, build_application
+from .relays import resign
 from .settings import Settings, format_help, load_settings
 from .store import connect_store
 
@@ -279,7 +280,7 @@
 def _stop(daemon: Daemon, callers: Any, caller_server: Any) -> None:
     write_log(daemon.logger, LogEvent.DAEMON_STOPPING, open_calls=daemon.proxy.open_calls)
     daemon.proxy.stopping = True
-    for action in leave(daemon.node):
+    for action in [*leave(daemon.node), *resign(daemon.node)]:
         _carry_out(daemon, action)
     for action in release_ranges(daemon.node, time.monotonic() + daemon.clock_offset):
         _carry_out(daemon, action)
