--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -73,7 +73,8 @@
 
     def record(self, outcome: Outcome) -> None:
         """Count the end of one attempt, for balancing and for the evidence on releases."""
-        self.metrics.counters["attempts"].labels(outcome.kind.value).inc()
+        self.metrics.count("attempts", outcome.kind.value)
+        self.metrics.observe("attempt_seconds", outcome.seconds)
         takeover = self.node.takeovers.active.get(outcome.service)
         if takeover is not None:
             count_attempt(takeover.tally, outcome)
@@ -89,7 +90,7 @@
         try:
             return _serve(proxy, environ, start_response)
         except CallError as error:
-            proxy.metrics.counters["refusals"].inc()
+            proxy.metrics.count("refusals", error.code.value)
             return answer_refusal(start_response, error.code, error.message, error.retry_after_s)
         except CallerGoneError:
             proxy.metrics.counters["cancelled"].inc()
@@ -102,7 +103,7 @@
 def _finish(environ: dict[str, Any], proxy: Proxy, started: float) -> None:
     """Count a call as ended, once its answer was written or its caller is gone."""
     proxy.open_calls -= 1
-    proxy.metrics.latency.record_value(int((perf_counter() - started) * 1e6))
+    proxy.metrics.observe("call_seconds", perf_counter() - started)
 
 
 def _serve(proxy: Proxy, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
