--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -22,6 +22,8 @@
     reaction: str = "nothing"
 
 
+TAKEOVER_FIELDS = ("service", "takeover", "stage", "reason")
+
 EVENTS: dict[LogEvent, EventEntry] = {
     LogEvent.DAEMON_STARTED: EventEntry(
         "The daemon listens on its ports.", fields=("caller_port",)
@@ -133,6 +135,31 @@
         fields=("team", "code", "reason"),
         reaction="nothing, unless MS-603 repeats: then look for who tries tokens",
     ),
+    LogEvent.SHARE_RAISED: EventEntry(
+        "This daemon follows a raise of a takeover's share.", fields=TAKEOVER_FIELDS
+    ),
+    LogEvent.SHARE_LOWERED: EventEntry(
+        "A takeover's share was lowered, since the new release did worse than before.",
+        fields=TAKEOVER_FIELDS,
+        reaction="nothing at once: it is raised again, or the release is taken back",
+    ),
+    LogEvent.TAKEOVER_COMPLETED: EventEntry(
+        "A takeover is complete: every call goes to the new release.",
+        fields=TAKEOVER_FIELDS,
+        reaction="publish the new release as `serving`, without the takeover",
+    ),
+    LogEvent.TAKEOVER_REVERSED: EventEntry(
+        "A takeover was taken back: every call goes to the old release.",
+        fields=TAKEOVER_FIELDS,
+        reaction="read `magnoliasill rollouts SERVICE`, and repair the release",
+    ),
+    LogEvent.CONTROL_ACQUIRED: EventEntry(
+        "This daemon controls the takeover of a service.", fields=("service", "generation")
+    ),
+    LogEvent.CONTROL_LOST: EventEntry(
+        "This daemon no longer controls the takeover of a service; another one will.",
+        fields=("service",),
+    ),
     LogEvent.SYSTEM_FAILED: EventEntry(
         "The daemon failed to handle one event and serves on.",
         fields=("event_kind", "reason"),
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -19,6 +19,7 @@
 from .guard import refuse_crashing
 from .idempotency import Peers, run_once
 from .routing import find_route
+from .tally import count_attempt
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -74,6 +75,9 @@
         """Count the end of one attempt, for balancing and for the evidence on releases."""
         self.metrics.count("attempts", outcome.kind.value)
         self.metrics.observe("attempt_seconds", outcome.seconds)
+        takeover = self.node.takeovers.active.get(outcome.service)
+        if takeover is not None:
+            count_attempt(takeover.tally, outcome)
 
 
 def build_application(proxy: Proxy) -> Callable[..., Iterable[bytes]]:
--- /dev/null
+++ b/src/magnoliasill/rollout_commands.py
@@ -0,0 +1,80 @@
+"""The command that shows takeovers: how far they have come, and why they ended."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+import attrs
+import msgspec
+
+from .actions import StoreRead
+from .codes import ErrorCode
+from .errors import AdministrationError
+from .publishing_commands import format_output
+from .records import RECORD_PREFIX, Record, decode_record, name_record_key
+from .rollout import Phase
+from .targets import connect_platform
+
+if TYPE_CHECKING:
+    from .records import RouteReport
+    from .store import StoreFunction
+
+
+def rollouts(service: str = "", store: str = "", json: bool = False) -> str:
+    """Show the takeovers that the platform's store holds, or one with its evidence.
+
+    Args:
+        service: The service's name, or empty for all.
+        store: Address of the platform's store.
+        json: Print JSON.
+    """
+    found = read_records(connect_platform(store), str(service))
+    if service and not found:
+        raise AdministrationError(ErrorCode.TAKEOVER_UNKNOWN, f"no takeover of {service}")
+    now = time.time()
+    lines = [line for record in found for line in describe_record(record, now, bool(service))]
+    data = msgspec.to_builtins([attrs.asdict(record) for record in found])
+    return format_output(data, "\n".join(lines) or "no takeover is recorded", json)
+
+
+def read_records(store: StoreFunction, service: str = "") -> list[Record]:
+    """Read one takeover's record, or all of them."""
+    if service:
+        answer = store(StoreRead("rollouts", keys=(name_record_key(service),)))
+    else:
+        answer = store(StoreRead("rollouts", prefix=RECORD_PREFIX))
+    decoded = [decode_record(entry.value) for entry in answer.entries if entry.revision]
+    return [record for record in decoded if record is not None]
+
+
+def describe_record(record: Record, now: float, detailed: bool) -> list[str]:
+    """Return the lines that tell a person about a takeover.
+
+    Args:
+        record: The record.
+        now: Seconds since the epoch.
+        detailed: Whether to list the evidence.
+    """
+    progress = record.progress
+    trial, others = record.share
+    line = f"{record.service}  {record.from_release} -> {record.to_release}  {progress.phase.value}"
+    if progress.phase is Phase.RUNNING:
+        left = max(0.0, record.finish_by - now)
+        line += f"  share {trial:.1%} in {progress.trial or '-'}, {others:.1%} elsewhere"
+        line += f"  {left:.0f} s left"
+    lines = [f"{line}  ({progress.reason or 'not started'})"]
+    if detailed:
+        lines += [_describe_route(name, route) for name, route in sorted(record.evidence.items())]
+        lines += [f"  too few calls to judge: {text}" for text in record.untested]
+        lines.append(f"  controller {record.holder}, generation {record.generation}")
+    return lines
+
+
+def _describe_route(name: str, route: RouteReport) -> str:
+    old_calls = route.calls - route.new_calls
+    return (
+        f"  {name}: new {route.new_calls} calls, {route.new_failures} failed, "
+        f"{route.new_slow} slow; old {old_calls} calls, {route.old_failures} failed, "
+        f"{route.old_slow} slow; evidence against it {route.score:g}"
+    )
