Drop what is known of backend servers that are gone

forget_upstreams existed but nothing called it, so entries of replaced servers stayed. test_replaced_servers_are_forgotten covers it through find_servers.

--- a/src/magnoliasill/dispatch.py
+++ b/src/magnoliasill/dispatch.py
@@ -10,7 +10,8 @@
 from .balancer import LoadTable, Pick, Question, list_upstreams, pick_server
 from .codes import ErrorCode
 from .errors import CallError
-from .servers import ServerIndex, find_group
+from .servers import ServerIndex, find_group, list_addresses
+from .upstreams import forget_upstreams
 from .waiting import WaitingTable, wait_for_room, wake_next
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
     from .upstreams import Upstream
 
 WAIT_STEP_S = 0.05
+FORGET_INTERVAL_S = 60.0
 
 
 @attrs.define
@@ -33,12 +35,14 @@
         load: What is known of the backend servers.
         services: The load of each service.
         waiting: Calls that wait for room.
+        forgot_at: When unused entries were last dropped, in seconds of the node's clock.
     """
 
     servers: ServerIndex = attrs.field(factory=ServerIndex)
     load: LoadTable = attrs.field(factory=LoadTable)
     services: dict[str, ServiceLoad] = attrs.field(factory=dict)
     waiting: WaitingTable = attrs.field(factory=WaitingTable)
+    forgot_at: float = 0.0
 
 
 @attrs.frozen
@@ -77,7 +81,12 @@
 
 def find_servers(dispatcher: Dispatcher, node: Node, request: Request, now: float) -> ServerGroup:
     """Return the backend servers that a request may go to."""
-    return find_group(dispatcher.servers, node, request.service.service, request.release, now)
+    index = dispatcher.servers
+    group = find_group(index, node, request.service.service, request.release, now)
+    if now - dispatcher.forgot_at >= FORGET_INTERVAL_S:
+        dispatcher.forgot_at = now
+        forget_upstreams(dispatcher.load.upstreams, list_addresses(index), now)
+    return group
 
 
 def acquire_server(dispatcher: Dispatcher, node: Node, request: Request, tried: list[str]) -> Pick:
--- a/src/magnoliasill/servers.py
+++ b/src/magnoliasill/servers.py
@@ -89,6 +89,15 @@
     index.built_at = now
 
 
+def list_addresses(index: ServerIndex) -> set[str]:
+    """Return the addresses of all backend servers that take new work."""
+    return {
+        record.server_address
+        for group in index.groups.values()
+        for record in (*group.local, *group.remote)
+    }
+
+
 def _find_position(node: Node, records: list[MemberRecord]) -> Position:
     own = node.own
     names = [
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -12,12 +12,15 @@
 
 from magnoliasill.admission import MAX_SPREAD_S, ServiceLoad, choose_retry_after, count_admitted
 from magnoliasill.balancer import LoadTable, Question, pick_server
+from magnoliasill.dispatch import FORGET_INTERVAL_S, Dispatcher, Request, find_servers
 from magnoliasill.limits import MAX_HOLD_S, adapt_limit, apply_report
 from magnoliasill.load import LoadReport, read_report
 from magnoliasill.messages import MemberRecord
+from magnoliasill.node import Node
 from magnoliasill.outcomes import OutcomeKind
 from magnoliasill.servers import ServerGroup
-from magnoliasill.upstreams import find_upstream
+from magnoliasill.service_file import Release, Route, ServiceFile
+from magnoliasill.upstreams import FORGET_AFTER_S, find_upstream
 
 SLOTS = 10
 WORK_S = 0.1
@@ -165,6 +168,18 @@
         question = Question(0.0, SLOTS)
         self.assertIsNone(pick_server(self.group, self.load, question, self.random).record)
 
+    def test_replaced_servers_are_forgotten(self) -> None:
+        dispatcher = Dispatcher(load=self.load)
+        self.entry(self.group.local[0])
+        self.entry(self.group.local[1]).in_flight = 1
+        node = Node(MemberRecord("own", "a", "10.9.0.1:1", 1), self.random)
+        file = ServiceFile("s", "t", [Route("v", "GET", "/v")], [Release("r1")], "r1")
+        request = Request(file, "r1", 0.0, 0.0, lambda: 0.0, 0.0)
+        find_servers(dispatcher, node, request, FORGET_AFTER_S - 1)
+        self.assertEqual({"a:0", "a:1"}, set(self.load.upstreams.entries))
+        find_servers(dispatcher, node, request, FORGET_AFTER_S + FORGET_INTERVAL_S)
+        self.assertEqual({"a:1"}, set(self.load.upstreams.entries))
+
     def test_malformed_reports_count_as_none(self) -> None:
         for text in ("", "x/10", "-1/10", "3", "3/", "9" * 400 + "/x", "1/2/3"):
             self.assertIsNone(read_report([("X-Load", text)]).running, text)
