Let a leaving daemon take no key range, and refuse where nobody can hold one

A daemon that stops was asked again by peers that remembered it and took the range over anew; a daemon that knew nobody alive failed with an IndexError. test_leaving_node_takes_no_range and test_nobody_to_ask failed before.

--- a/src/magnoliasill/claim_ranges.py
+++ b/src/magnoliasill/claim_ranges.py
@@ -80,6 +80,8 @@
         return judge_request(node, now, held, request)
     if request.release:
         return []
+    if node.own.status != "alive":
+        return _move(request, "")
     if held is None:
         held = node.claims.ranges[request.number] = HeldRange(request.number)
     if held.phase is RangePhase.VACANT and now < held.retry_at:
--- a/src/magnoliasill/idempotency.py
+++ b/src/magnoliasill/idempotency.py
@@ -157,7 +157,7 @@
 
 def _ask(node: Node, peers: Peers, own: OwnClaim, instead_of: bytes, until: float) -> ClaimReply:
     number = find_range(own.key)
-    address = node.claims.holders.get(number) or list_candidates(node, number)[0]
+    address = node.claims.holders.get(number) or _choose_candidate(node, number, 0)
     request = ClaimRequest(node.own.peer_address, number, own.key, own.body, own.claim, instead_of)
     turn = 0
     while monotonic() < until:
@@ -180,6 +180,8 @@
 
 def _choose_candidate(node: Node, number: int, turn: int) -> str:
     candidates = list_candidates(node, number)
+    if not candidates:
+        raise CallError(ErrorCode.CLAIM_UNAVAILABLE, "no daemon is there to claim the key")
     return candidates[turn % len(candidates)]
 
 
--- a/tests/test_claim_ranges.py
+++ b/tests/test_claim_ranges.py
@@ -35,6 +35,7 @@
     find_in_run,
     find_range,
 )
+from magnoliasill.membership import leave
 from magnoliasill.messages import ClaimReply, ClaimRequest, MemberRecord
 from magnoliasill.node import Member, Node
 
@@ -198,6 +199,17 @@
             self.assertEqual([], actions)
         self.assertEqual({}, holders.nodes[0].claims.ranges)
 
+    def test_leaving_node_takes_no_range(self) -> None:
+        holders = build_holders(1)
+        first, second = holders.nodes
+        request = build_requests(1, 6)[0]
+        holders.ask(first, request)
+        holders.carry_out(first, release_ranges(first, holders.now))
+        leave(first)
+        self.assertEqual("moved", holders.ask(first, request))
+        self.assertNotIn(first.own.peer_address, list_candidates(first, NUMBER))
+        self.assertEqual("granted", holders.ask(second, request))
+
     def test_same_candidates_everywhere(self) -> None:
         first, second = build_holders(1).nodes
         for number in range(5):
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -9,9 +9,11 @@
 from testscenarios import WithScenarios
 
 from fakes.store import StoreFaults
+from magnoliasill import idempotency
 from magnoliasill.claim_ranges import list_candidates
 from magnoliasill.claim_records import digest_key, find_range
 from magnoliasill.codes import ErrorCode
+from magnoliasill.membership import leave
 
 from . import serving
 from .claim_cluster import (
@@ -28,6 +30,7 @@
 ANSWER = b"ran k-1"
 FIRST = name_address("a-1")
 TRIES = 40
+SHORT_WAIT_S = 0.45  # keeps the table quick; the order of the waits is as in service
 PAUSE_S = 0.1
 FINAL = {ErrorCode.KEY_USED, ErrorCode.KEY_REUSED, ErrorCode.OUTCOME_UNKNOWN}
 STEPS = ("ask", "record", "recorded", "grant", "run", "answer")
@@ -121,6 +124,8 @@
 
     def setUp(self) -> None:
         super().setUp()
+        self.patch(idempotency, "CLAIM_WAIT_S", SHORT_WAIT_S)
+        self.patch(idempotency, "REPLY_WAIT_S", SHORT_WAIT_S / 3)
         self.cluster = build_cluster()
         self.addCleanup(self.cluster.ticker.kill)
         self.holder = find_holder(self.cluster)
@@ -242,6 +247,13 @@
         self.assertEqual({KEY: 1}, self.cluster.runs)
         self.assertEqual(set(), results - {ANSWER, ErrorCode.KEY_IN_PROGRESS})
 
+    def test_nobody_to_ask(self) -> None:
+        alone = build_cluster(("a-1",))
+        self.addCleanup(alone.ticker.kill)
+        leave(alone.nodes[FIRST])
+        code = call_once(alone, FIRST, KEY)
+        self.assertEqual((ErrorCode.CLAIM_UNAVAILABLE, {}), (code, alone.runs))
+
     def test_expired_key(self) -> None:
         old = "01890a5d-ac96-774b-bcce-b302099a8057"
         code = call_once(self.cluster, FIRST, old)
