--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -10,7 +10,8 @@
 import eventlet
 
 from fakes.store import StoreTables, apply_request
-from magnoliasill.actions import Log, ResolveWait, SendMessage, StoreWrite
+from magnoliasill.actions import Log, ResetPeer, ResolveWait, SendMessage, StoreWrite
+from magnoliasill.answers import is_not_run
 from magnoliasill.call import Call
 from magnoliasill.engine import step
 from magnoliasill.errors import CallError, StoreError, StoreOutcomeUnknownError
@@ -43,6 +44,7 @@
         faults: What to do once, before a step of the given name.
         runs: How often each key was run.
         steps: The steps seen.
+        false_not_run: Keys whose request ran although its caller was told that it did not.
     """
 
     nodes: dict[str, Node] = attrs.field(factory=dict)
@@ -55,6 +57,7 @@
     faults: dict[str, Callable[[str], None]] = attrs.field(factory=dict)
     runs: dict[str, int] = attrs.field(factory=dict)
     steps: list[str] = attrs.field(factory=list)
+    false_not_run: list[str] = attrs.field(factory=list)
     ticker: Any = None
 
     def now(self) -> float:
@@ -106,7 +109,7 @@
 def carry_out(cluster: Cluster, address: str, action: Any) -> None:
     """Do what a node asks for."""
     match action:
-        case Log():
+        case Log() | ResetPeer():
             return
         case ResolveWait():
             resolve_wait(cluster.peers[address], action.token, action.message)
@@ -124,8 +127,12 @@
     """
     call = Call("POST", "/fees", "/fees", {}, body, key, time.monotonic() + 5.0)
 
+    ran = False
+
     def run() -> Answer:
+        nonlocal ran
         reach(cluster, "run", address)
+        ran = True
         cluster.runs[key] = cluster.runs.get(key, 0) + 1
         answer = Answer(200, "OK", [], f"ran {key}".encode())
         reach(cluster, "answer", address)
@@ -135,6 +142,8 @@
         node, peers = cluster.nodes[address], cluster.peers[address]
         return run_once(node, peers, "fees", call, run).body
     except CallError as error:
+        if ran and is_not_run(error.code):
+            cluster.false_not_run.append(key)
         return error.code
 
 
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 
 import eventlet
 import testtools
@@ -102,11 +103,11 @@
         thaw(cluster, address)
 
 
-def call_until_final(cluster: Cluster, address: str) -> object:
+def call_until_final(cluster: Cluster, address: str, key: str = KEY) -> object:
     """Call as a program does: again and again, until an answer or a final refusal."""
     result: object = None
     for _ in range(TRIES):
-        result = call_once(cluster, address, KEY)
+        result = call_once(cluster, address, key)
         if isinstance(result, bytes) or result in FINAL:
             return result
         eventlet.sleep(PAUSE_S)
@@ -151,6 +152,41 @@
         self.assertEqual((ANSWER, ANSWER), (second, third))
 
 
+class TwoFaultsTest(WithScenarios, testtools.TestCase):
+    """Faults of two random kinds at random steps and nodes, with two callers for each key."""
+
+    scenarios = [(f"seed {seed}", {"seed": seed}) for seed in range(1, 7)]
+
+    def test_at_most_once(self) -> None:
+        self.patch(idempotency, "CLAIM_WAIT_S", SHORT_WAIT_S)
+        self.patch(idempotency, "REPLY_WAIT_S", SHORT_WAIT_S / 3)
+        cluster = build_cluster(seed=self.seed)
+        self.addCleanup(cluster.ticker.kill)
+        generator = random.Random(self.seed)
+        addresses = list(cluster.nodes)
+        keys = [f"{self.seed} {number}" for number in range(4)]
+        for key in keys:
+            for step in generator.sample(STEPS, 2):
+                fault, victim = generator.choice(FAULTS), generator.choice(addresses)
+                cluster.faults[step] = lambda _, f=fault, v=victim: f(cluster, v, v)
+            with eventlet.Timeout(serving.TIMEOUT_S):
+                askers = generator.sample(addresses, 2)
+                calls = [eventlet.spawn(call_once, cluster, asker, key) for asker in askers]
+                results = {call.wait() for call in calls}
+                cluster.faults.clear()
+                heal(cluster)
+                for victim in cluster.dead.copy():
+                    start_node(cluster, cluster.nodes[victim].own.name, seed=self.seed + 100)
+                last = call_until_final(cluster, generator.choice(addresses), key)
+            answers = {result for result in results if isinstance(result, bytes)}
+            self.assertLessEqual(answers, {f"ran {key}".encode()})
+            self.assertIn(last, (f"ran {key}".encode(), ErrorCode.KEY_USED))
+            self.assertLessEqual(cluster.runs.get(key, 0), 1)
+            if isinstance(last, bytes):
+                self.assertEqual(1, cluster.runs[key])
+        self.assertEqual([], cluster.false_not_run)
+
+
 class AskerFaultTest(WithScenarios, testtools.TestCase):
     """The daemon that runs the request dies at each step."""
 
