--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -62,8 +62,8 @@
 LISTEN_BACKLOG = 512
 KEEPALIVE_TIMEOUT_S = 60
 DRAIN_POLL_S = 0.02
-CHANGE_RETRY_PAUSE_S = 0.2
 LINGER_S = 0.5  # callers on kept-alive connections are told to close them meanwhile
+CHANGE_RETRY_PAUSE_S = 0.2
 
 
 @attrs.define
