--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import testtools
 from testscenarios import WithScenarios
 
@@ -34,3 +36,18 @@
         path = ROOT / self.name
         text = path.read_text(encoding="utf-8") if path.exists() else ""
         self.assertEqual(PAGES[self.name](), text, f"{self.name} is stale: run `make docs`")
+
+
+class NamedTestsTest(testtools.TestCase):
+    """Each test that a page names exists."""
+
+    def test_promises_and_faults(self) -> None:
+        pages = [ROOT / "docs" / name for name in ("PROMISES.md", "FAULTS.md")]
+        text = "\n".join(page.read_text(encoding="utf-8") for page in pages)
+        named = set(re.findall(r"\b(test_[a-z_]+)(?:\.([A-Z]\w+))?", text))
+        self.assertGreater(len(named), 20)
+        for module, case in sorted(named):
+            path = ROOT / "tests" / f"{module}.py"
+            self.assertTrue(path.exists(), module)
+            if case:
+                self.assertIn(f"class {case}(", path.read_text(encoding="utf-8"))
--- a/tools/docs.py
+++ b/tools/docs.py
@@ -12,6 +12,8 @@
 from magnoliasill.event_catalogue import EVENTS
 from magnoliasill.settings import Settings, format_flag, format_variable
 
+from .faults import build_faults_page
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
 
@@ -66,6 +68,7 @@
     "docs/SETTINGS.md": build_settings_page,
     "docs/ERRORS.md": build_errors_page,
     "docs/EVENTS.md": build_events_page,
+    "docs/FAULTS.md": build_faults_page,
 }
 
 
