--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -12,12 +12,14 @@
 import eventlet.hubs
 from urllib3.connection import HTTPConnection
 
+from .idle_bounds import KEPT_S, IdleBound
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from http.client import HTTPResponse
 
-IDLE_LIMIT_S = 5.0
-MAX_IDLE = 16
+CONNECT_TIMEOUT_S = 1.0
+UNBOUNDED = IdleBound(16, KEPT_S)  # until the forwarder has set a bound
 KEEPALIVE_S = 1  # before the first probe of an idle connection, and between probes
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 2_000
@@ -48,26 +50,33 @@
 
 @attrs.define
 class ConnectionTable:
-    """Idle connections by the backend server's address, the one used last at the end."""
+    """Idle connections.
+
+    Attributes:
+        idle: By the backend server's address, the one used last at the end.
+        bounds: How many are kept and how long, by address.
+    """
 
     idle: dict[str, deque[Link]] = attrs.field(factory=dict)
+    bounds: dict[str, IdleBound] = attrs.field(factory=dict)
 
 
 def take_connection(
     table: ConnectionTable, address: str, timeout_s: float, fresh: bool = False
 ) -> Link:
-    """Return an idle connection, or a new one that connects on first use.
+    """Return an idle connection, or a new one that `connect` connects.
 
     Args:
         table: The idle connections.
         address: The backend server's `ip:port`.
-        timeout_s: Seconds that connecting, and each read, may take.
+        timeout_s: Seconds that each read may take.
         fresh: Whether only a new connection will do.
     """
     idle = table.idle.get(address)
+    limit_s = table.bounds.get(address, UNBOUNDED).seconds
     while idle and not fresh:
         link = idle.pop()
-        if monotonic() - link.idle_at < IDLE_LIMIT_S and _is_open(link):
+        if monotonic() - link.idle_at < limit_s and _is_open(link):
             link.http.timeout = timeout_s
             link.http.sock.settimeout(timeout_s)
             return link
@@ -82,16 +91,44 @@
     return Link(http, monotonic())
 
 
+def connect(link: Link, timeout_s: float) -> None:
+    """Connect a new connection, so that a failure certainly comes before any request.
+
+    Args:
+        link: From `take_connection`.
+        timeout_s: Seconds that each later read and write may take.
+    """
+    if link.http.sock is None:
+        link.http.timeout = min(timeout_s, CONNECT_TIMEOUT_S)
+        link.http.connect()
+        link.http.timeout = timeout_s  # each request sets it on the socket again
+
+
 def give_back(table: ConnectionTable, address: str, link: Link) -> None:
     """Keep a connection whose answer was read whole, or close it when enough are idle."""
     idle = table.idle.setdefault(address, deque())
-    if len(idle) >= MAX_IDLE or link.http.sock is None:
+    if len(idle) >= table.bounds.get(address, UNBOUNDED).connections or link.http.sock is None:
         link.http.close()
         return
     link.idle_at = monotonic()
     idle.append(link)
 
 
+def close_expired(table: ConnectionTable, now: float) -> None:
+    """Close the connections that have been idle for longer than their bound.
+
+    Args:
+        table: The idle connections.
+        now: Seconds on the monotonic clock.
+    """
+    for address, idle in list(table.idle.items()):
+        limit_s = table.bounds.get(address, UNBOUNDED).seconds
+        while idle and now - idle[0].idle_at >= limit_s:
+            idle.popleft().http.close()
+        if not idle:
+            del table.idle[address]
+
+
 def take_kin(table: ConnectionTable, address: str, before: float) -> Link | None:
     """Return the idle connection opened last before a time, or None."""
     idle = table.idle.get(address, ())
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -11,6 +11,7 @@
 from .call import HOP_HEADERS, read_call
 from .codes import ErrorCode
 from .connections import ConnectionTable
+from .departures import CallerGoneError, watch_caller
 from .dispatch import Dispatcher
 from .errors import CallError
 from .exchange import exchange_call
@@ -24,6 +25,7 @@
 
     from .actions import Log
     from .call import Call
+    from .departures import OpenCall
     from .exchange import Answer, ExchangeFunction
     from .metrics import Metrics
     from .node import Node
@@ -31,6 +33,8 @@
     from .routing import RouteTarget
     from .store import StoreFunction
 
+CALLER_GONE_STATUS = "499 Client Closed Request"
+
 
 @attrs.define
 class Proxy:
@@ -47,6 +51,7 @@
         exchange: Sends a call to one backend server.
         clock: The monotonic clock, in seconds.
         peers: Reaches other daemons for calls that must not be repeated.
+        watched: Calls that end when their callers go away.
         open_calls: Calls that are being served.
         stopping: Whether the daemon takes no more calls.
     """
@@ -61,12 +66,14 @@
     exchange: ExchangeFunction = exchange_call
     clock: Callable[[], float] = monotonic
     peers: Peers = attrs.field(factory=lambda: Peers(lambda address, message: None))
+    watched: set[OpenCall] = attrs.field(factory=set)
     open_calls: int = 0
     stopping: bool = False
 
     def record(self, outcome: Outcome) -> None:
         """Count the end of one attempt, for balancing and for the evidence on releases."""
-        self.metrics.counters["attempts"].labels(outcome.kind.value).inc()
+        self.metrics.count("attempts", outcome.kind.value)
+        self.metrics.observe("attempt_seconds", outcome.seconds)
 
 
 def build_application(proxy: Proxy) -> Callable[..., Iterable[bytes]]:
@@ -79,8 +86,12 @@
         try:
             return _serve(proxy, environ, start_response)
         except CallError as error:
-            proxy.metrics.counters["refusals"].inc()
+            proxy.metrics.count("refusals", error.code.value)
             return answer_refusal(start_response, error.code, error.message, error.retry_after_s)
+        except CallerGoneError:
+            proxy.metrics.counters["cancelled"].inc()
+            start_response(CALLER_GONE_STATUS, [("Content-Length", "0"), ("Connection", "close")])
+            return []
 
     return application
 
@@ -88,13 +99,13 @@
 def _finish(environ: dict[str, Any], proxy: Proxy, started: float) -> None:
     """Count a call as ended, once its answer was written or its caller is gone."""
     proxy.open_calls -= 1
-    proxy.metrics.latency.record_value(int((perf_counter() - started) * 1e6))
+    proxy.metrics.observe("call_seconds", perf_counter() - started)
 
 
 def _serve(proxy: Proxy, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
     target = _route(proxy, environ["REQUEST_METHOD"], environ["PATH_INFO"])
     call = read_call(environ, target, proxy.clock())
-    answer = _run(proxy, target, call)
+    answer = _run(proxy, target, call, environ)
     headers = [(name, value) for name, value in answer.headers if name.lower() not in HOP_HEADERS]
     length = _find_length(answer)
     if length:
@@ -133,12 +144,13 @@
     return target
 
 
-def _run(proxy: Proxy, target: RouteTarget, call: Call) -> Answer:
+def _run(proxy: Proxy, target: RouteTarget, call: Call, environ: dict[str, Any]) -> Answer:
     def forward() -> Answer:
         return forward_call(proxy, target, call)
 
     if proxy.node.crashes.suspects:
         refuse_crashing(proxy.node, call, proxy.clock() + proxy.clock_offset)
     if target.route.idempotent:
-        return forward()
+        with watch_caller(proxy.watched, environ):
+            return forward()
     return run_once(proxy.node, proxy.peers, target.service.service, call, forward)
