Keep the floor of a restarted daemon past the limit, and refuse versions one by one

Cause: when the joining limit passed, the floor was set to 0, so that a daemon which had heard of version 5 put version 3 in force; and a refused version hid every older one, so that a new daemon whose relay read refuses 5 never served 3. Ruled out: waiting without a limit, which a data centre without neighbours can't end. Before: both scenarios of KnownVersionTest fail (3 for 0, 0 for 3). The floor stays unless this daemon refused that very version; up to 16 refused versions are remembered.

--- a/src/magnoliasill/configuration.py
+++ b/src/magnoliasill/configuration.py
@@ -19,6 +19,7 @@
 
 
 RECENT_HEADS = 16
+MAX_REFUSED = 16
 
 
 @attrs.frozen
@@ -49,8 +50,8 @@
         staged_at: When it became whole.
         witnesses: Daemons of the own data centre that hold the staged version or a newer one.
         recent: The latest heads that were in force, the oldest first.
-        refused_version: The greatest version that was refused as a whole.
-        refused_reason: Why it was refused.
+        refused: The latest versions that were refused as a whole.
+        refused_reason: Why the last of them was refused.
     """
 
     applied: Snapshot | None = None
@@ -61,7 +62,7 @@
     staged_at: float = 0.0
     witnesses: set[str] = attrs.field(factory=set)
     recent: list[Head] = attrs.field(factory=list)
-    refused_version: int = 0
+    refused: set[int] = attrs.field(factory=set)
     refused_reason: str = ""
 
     @property
@@ -79,6 +80,24 @@
         """The version of `held`, 0 if there is none."""
         return self.held.head.version if self.held is not None else 0
 
+    @property
+    def refused_version(self) -> int:
+        """The greatest version that was refused as a whole, 0 if there is none."""
+        return max(self.refused, default=0)
+
+
+def is_wanted(table: ConfigurationTable, version: int) -> bool:
+    """Return whether a version is newer than what is held, and was not refused."""
+    return version > table.held_version and version not in table.refused
+
+
+def note_refused(table: ConfigurationTable, version: int, reason: str) -> None:
+    """Remember that a version was refused, so that it is not fetched again."""
+    table.refused.add(version)
+    table.refused_reason = reason
+    if len(table.refused) > MAX_REFUSED:
+        table.refused.remove(min(table.refused))
+
 
 def list_missing_blobs(table: ConfigurationTable, head: Head) -> list[str]:
     """Return the hashes of a head's blobs that the node lacks, sorted."""
--- a/src/magnoliasill/distribution.py
+++ b/src/magnoliasill/distribution.py
@@ -12,7 +12,14 @@
 
 from .actions import Action, Log, SendMessage
 from .codes import ErrorCode, LogEvent
-from .configuration import apply_staged, drop_blobs, list_missing_blobs, stage_head
+from .configuration import (
+    apply_staged,
+    drop_blobs,
+    is_wanted,
+    list_missing_blobs,
+    note_refused,
+    stage_head,
+)
 from .errors import ConfigurationError
 from .joining import list_due_questions, may_apply, note_answer
 from .manifest import apply_delta, build_delta, hash_blob, hash_manifest
@@ -81,7 +88,7 @@
     actions += compare_fingerprint(node, now, digest)
     held = max(digest.version, digest.held)
     table = node.configuration
-    if held > max(table.held_version, table.refused_version):
+    if is_wanted(table, held):
         _note_source(node, sender.peer_address, held)
         actions += request_configuration(node, now, sender.peer_address)
     waits = digest.joining or held < table.held_version or digest.version < held
@@ -193,7 +200,7 @@
         Log events, and messages to a bounded number of peers.
     """
     table = node.configuration
-    if head.version <= max(table.held_version, table.refused_version):
+    if not is_wanted(table, head.version):
         return []
     if table.pending is not None and head.version < table.pending.version:
         return []
@@ -276,8 +283,7 @@
 
 def _refuse(node: Node, head: Head, error: ConfigurationError) -> list[Action]:
     table = node.configuration
-    table.refused_version = head.version
-    table.refused_reason = str(error)
+    note_refused(table, head.version, str(error))
     table.pending = None
     drop_blobs(table)
     fields = {"version": head.version, "code": error.code.value, "reason": error.message}
@@ -291,11 +297,10 @@
 
 def _drop_sources(node: Node) -> None:
     table = node.configuration
-    known = max(table.held_version, table.refused_version)
     node.sources = {
         address: source
         for address, source in node.sources.items()
-        if source.held > known and source.tries < SOURCE_TRIES
+        if is_wanted(table, source.held) and source.tries < SOURCE_TRIES
     }
     pending = table.pending
     newest = max((source.held for source in node.sources.values()), default=0)
--- a/src/magnoliasill/joining.py
+++ b/src/magnoliasill/joining.py
@@ -23,8 +23,12 @@
 
 
 def may_apply(node: Node, version: int) -> bool:
-    """Return whether a version may be put in force as far as joining is concerned."""
-    return node.join.done and version >= node.join.floor
+    """Return whether a version may be put in force as far as joining is concerned.
+
+    A version that peers hold and this node refuses is no bound: it is never in force here.
+    """
+    join = node.join
+    return join.done and (version >= join.floor or join.floor in node.configuration.refused)
 
 
 def note_answer(node: Node, digest: Digest) -> None:
@@ -75,7 +79,6 @@
     if join.done:
         return []
     if now >= join.started_at + JOIN_LIMIT_S:
-        join.floor = 0
         return _finish(node, "limit")
     names = {record.name for record in list_alive(node, node.own.data_centre)}
     if join.synced and names and names <= join.answered:
--- a/src/magnoliasill/relays.py
+++ b/src/magnoliasill/relays.py
@@ -303,7 +303,7 @@
     if head.version <= table.held_version:
         relay.reading = None
         return [*note_platform_read(node, head.version), *put_in_force(node, now)]
-    if head.version <= table.refused_version or table.pending != head:
+    if head.version in table.refused or table.pending != head:
         relay.reading = None
         return []
     missing = list_missing_blobs(table, head)[:BLOBS_AT_ONCE]
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -5,16 +5,23 @@
 from random import Random
 from typing import Any
 
+import attrs
 import testtools
 from testscenarios import WithScenarios
 
 from magnoliasill.codes import LogEvent
 from magnoliasill.distribution import REPLY_BYTES, offer_configuration, receive_request
 from magnoliasill.engine import step
-from magnoliasill.events import MessageReceived
+from magnoliasill.events import MessageReceived, Tick
 from magnoliasill.invariants import check_convergence, check_versions
 from magnoliasill.manifest import HeadDelta
-from magnoliasill.messages import ConfigurationReply, ConfigurationRequest, Digest, MemberRecord
+from magnoliasill.messages import (
+    ConfigurationReply,
+    ConfigurationRequest,
+    Digest,
+    MemberNews,
+    MemberRecord,
+)
 from magnoliasill.node import Node
 from magnoliasill.service_file import Release, Route, ServiceFile
 
@@ -23,6 +30,7 @@
 
 LIMIT_S = 6.0
 PEER = MemberRecord("a-2", "a", "10.0.0.2:7000", 1)
+OTHER = MemberRecord("a-3", "a", "10.0.0.3:7000", 1)
 MANY_SERVICES = 96
 
 
@@ -97,6 +105,33 @@
         self.assertEqual({2}, network.versions())
 
 
+class KnownVersionTest(WithScenarios, testtools.TestCase):
+    """A daemon that came back and heard of a version that it can't get, past the limit."""
+
+    scenarios = [
+        ("unreachable", {"refused": 0, "in_force": 0}),
+        ("refused_here", {"refused": 5, "in_force": 3}),
+    ]
+
+    def test_older_version_stays_out_of_force(self) -> None:
+        """The holder of version 5 is gone; version 3 comes from the other peer."""
+        node = Node(MemberRecord("a-1", "a", "10.0.0.1:7000", 1), Random(1))
+        step(node, 0.0, Tick())
+        step(node, 0.1, MessageReceived(Digest(PEER, 5, held=5)))
+        gone = attrs.evolve(PEER, status="failed")
+        step(node, 0.2, MessageReceived(MemberNews(OTHER, [gone])))
+        node.configuration.refused.add(self.refused)
+        head, blobs = build_head(3, [build_service("certs")])
+        for name in ("a-3", "a-4"):
+            peer = attrs.evolve(OTHER, name=name, peer_address=f"10.0.0.{name[-1]}:7000")
+            step(node, 0.3, MessageReceived(Digest(peer, 3, held=3)))
+            step(node, 0.4, MessageReceived(ConfigurationReply(peer, head, blobs)))
+        for tenths in range(5, 200):
+            step(node, tenths / 10, Tick())
+        self.assertTrue(node.join.done)
+        self.assertEqual(self.in_force, node.configuration.version)
+
+
 class LossTest(WithScenarios, testtools.TestCase):
     """Lost messages are made up for."""
 
