--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -122,6 +122,7 @@
     ),
     LogEvent.REQUEST_BLOCKED: EventEntry(
         "A request that ended several backend servers is refused from now on.",
+        fields=("fingerprint", "servers", "seconds"),
         reaction="look at the service's backend servers and at the request",
     ),
     LogEvent.CHANGE_ACCEPTED: EventEntry(
--- a/src/magnoliasill/reports.py
+++ b/src/magnoliasill/reports.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING, Any
 
 import attrs
 
+from .claim_holder import count_records
 from .dispatch import list_entries
 from .service_file import encode_service_file
 
@@ -74,9 +76,17 @@
         "store_available": node.store_available,
         "open_calls": proxy.open_calls,
         "upstreams": [attrs.asdict(entry) for entry in list_entries(proxy.dispatcher)],
+        "claims": _count_claims(node),
+        "suspect_requests": len(node.crashes.suspects),
     }
 
 
+def _count_claims(node: Node) -> dict[str, Any]:
+    ranges = {str(held.number): held.phase.value for held in node.claims.ranges.values()}
+    own = Counter(claim.status.value for claim in node.claims.own.values())
+    return {"ranges": ranges, "records": count_records(node), "own": own}
+
+
 def list_members(node: Node) -> list[dict[str, Any]]:
     """Return the records of all members, the daemon itself first."""
     records = [node.own]
--- a/tests/test_processes_once.py
+++ b/tests/test_processes_once.py
@@ -196,6 +196,9 @@
         self._set_outage(False)
         self.assertEqual(200, self._call_until_final("during", 0)[0])
         self.assertEqual({"before": 1, "during": 1}, self._count_runs())
+        states = [read_json(daemon.admin, "/v1/state")["claims"] for daemon in self.daemons]
+        self.assertEqual(2, sum(state["own"].get("finished", 0) for state in states))
+        self.assertLessEqual(1, sum(state["records"] for state in states))
 
     def test_crashing_request(self) -> None:
         for daemon in self.daemons:
