--- a/src/magnoliasill/node.py
+++ b/src/magnoliasill/node.py
@@ -10,6 +10,7 @@
 from .configuration import ConfigurationTable
 from .crashes import CrashTable
 from .messages import MemberRecord
+from .takeovers import TakeoverTable
 
 if TYPE_CHECKING:
     from random import Random
@@ -183,6 +184,7 @@
         requested_at: When the last configuration request was sent.
         told_at: When peers were last told of the staged configuration.
         store_available: Whether the last request to the store was answered.
+        takeovers: The takeovers that the node takes part in.
     """
 
     own: MemberRecord
@@ -208,6 +210,7 @@
     requested_at: float = 0.0
     told_at: float = 0.0
     store_available: bool = True
+    takeovers: TakeoverTable = attrs.field(factory=TakeoverTable)
 
 
 def list_alive(node: Node, data_centre: str | None = None) -> list[MemberRecord]:
