Keep a place at a backend server until an answer in pieces is read

The place was given up at the first pieces, so long downloads did not count against the limit: the new test failed first (0 in flight in place of 1).

--- a/src/magnoliasill/forwarder.py
+++ b/src/magnoliasill/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from weakref import finalize
 
 from .actions import Log
 from .admission import observe_seconds
@@ -148,13 +149,21 @@
     adapt_limit(entry, kind, request.service.limits.slots, now, node.random)
     if result is not None and result.answer is not None:
         apply_report(entry, read_report(result.answer.headers), now)
-    entry.in_flight -= 1
+    if result is not None and result.answer is not None and result.answer.rest is not None:
+        finalize(result.answer.rest, _release, proxy, entry, outcome.service).atexit = False
+    else:
+        _release(proxy, entry, outcome.service)
     if outcome.kind in _ANSWERED:
         load = find_service_load(dispatcher, outcome.service)
         observe_seconds(load, outcome.seconds)
     if count_outcome(entry, kind, now):
         _judge(proxy, request, entry, now)
-    wake_next(dispatcher.waiting, outcome.service)
+
+
+def _release(proxy: Proxy, entry: Upstream, service: str) -> None:
+    """Give up a place at a backend server: after the answer, or once its pieces are dropped."""
+    entry.in_flight -= 1
+    wake_next(proxy.dispatcher.waiting, service)
 
 
 def _judge(proxy: Proxy, request: Request, entry: Upstream, now: float) -> None:
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -25,7 +25,7 @@
 from magnoliasill.service_file import Limits, Release, Route, ServiceFile
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Sequence
+    from collections.abc import Callable, Iterator, Sequence
 
 RUNNING = frozenset({"ok", "failed", "broken", "timed out", "cut short"})
 KINDS = {
@@ -83,6 +83,12 @@
         return None
 
 
+def iter_pieces(count: int) -> Iterator[bytes]:
+    """Yield pieces of an answer."""
+    for _ in range(count):
+        yield b"x"
+
+
 def build_bench(
     behaviour: Callable[[str, int], str],
     places: Sequence[str] = ("a", "a", "a", "a"),
@@ -228,6 +234,22 @@
         bench = build_bench(lambda *_: "ok", [])
         self.assertIs(ErrorCode.NO_SERVER, bench.refusal().code)
 
+    def test_answer_in_pieces_keeps_its_slot_until_it_is_read_or_dropped(self) -> None:
+        bench = build_bench(lambda *_: "ok", ["a"])
+        entries = bench.proxy.dispatcher.load.upstreams.entries
+        whole = bench.proxy.exchange
+        for read in (True, False):
+            rest = iter_pieces(3)
+            answer = Answer(200, "", [], b"x", rest)
+            bench.proxy.exchange = lambda *a, answer=answer: attrs.evolve(whole(*a), answer=answer)
+            answer = bench.call()
+            self.assertEqual([1], [entry.in_flight for entry in entries.values()])
+            if read:
+                self.assertEqual(3, len(list(answer.rest)))
+            bench.proxy.exchange = whole
+            del answer, rest
+            self.assertEqual([0], [entry.in_flight for entry in entries.values()])
+
     def test_frozen_server_is_left_after_few_timeouts(self) -> None:
         bench = build_bench(lambda address, _: "timed out" if address == "a:0" else "ok")
         for _ in range(300):
