--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -18,8 +18,8 @@
     from collections.abc import Mapping
     from http.client import HTTPResponse
 
-UNBOUNDED = IdleBound(16, KEPT_S)  # until the forwarder has set a bound
 CONNECT_TIMEOUT_S = 1.0
+UNBOUNDED = IdleBound(16, KEPT_S)  # until the forwarder has set a bound
 KEEPALIVE_S = 1  # before the first probe of an idle connection, and between probes
 KEEPALIVE_PROBES = 2
 UNACKNOWLEDGED_MS = 2_000
