--- a/src/magnoliasill/administration.py
+++ b/src/magnoliasill/administration.py
@@ -13,6 +13,7 @@
 from .errors import AdministrationError, MagnoliasillError
 from .events import ServerAnnounced
 from .metrics import format_metrics
+from .records import list_rollouts
 from .reports import dump_state, list_members, list_services, report_version
 
 if TYPE_CHECKING:
@@ -160,6 +161,10 @@
     return _encode(list_services(administration.proxy.node))
 
 
+def _show_rollouts(administration: Administration, environ: dict[str, Any]) -> Reply:
+    return _encode(list_rollouts(administration.proxy.node))
+
+
 def _announce(administration: Administration, environ: dict[str, Any]) -> Reply:
     body = _read_body(environ, MAX_BODY_BYTES)
     try:
@@ -185,6 +190,7 @@
     "/v1/members": {"GET": _show_members},
     "/v1/version": {"GET": _show_version},
     "/v1/services": {"GET": _show_services},
+    "/v1/rollouts": {"GET": _show_rollouts},
     "/v1/server": {"POST": _announce},
     "/v1/publish": {"POST": _change},
     "/v1/remove": {"POST": _change},
--- a/src/magnoliasill/cli.py
+++ b/src/magnoliasill/cli.py
@@ -12,6 +12,7 @@
 from .errors import MagnoliasillError
 from .observing_commands import convergence, dump, members
 from .publishing_commands import check, history, publish_folder, pull, remove, show, status, undo
+from .rollout_commands import rollouts
 from .team_commands import TEAM_COMMANDS
 
 EXIT_FAILED = 1
@@ -28,6 +29,7 @@
     "dump": dump,
     "members": members,
     "convergence": convergence,
+    "rollouts": rollouts,
     "team": TEAM_COMMANDS,
 }
 
--- a/src/magnoliasill/dispatch.py
+++ b/src/magnoliasill/dispatch.py
@@ -11,6 +11,7 @@
 from .codes import ErrorCode
 from .errors import CallError
 from .servers import ServerIndex, find_group, list_addresses
+from .shares import focus_servers
 from .upstreams import forget_upstreams
 from .waiting import WaitingTable, wait_for_room, wake_next
 
@@ -81,12 +82,12 @@
 
 def find_servers(dispatcher: Dispatcher, node: Node, request: Request, now: float) -> ServerGroup:
     """Return the backend servers that a request may go to."""
-    index = dispatcher.servers
-    group = find_group(index, node, request.service.service, request.release, now)
+    index, name = dispatcher.servers, request.service.service
+    group = find_group(index, node, name, request.release, now)
     if now - dispatcher.forgot_at >= FORGET_INTERVAL_S:
         dispatcher.forgot_at = now
         forget_upstreams(dispatcher.load.upstreams, list_addresses(index), now)
-    return group
+    return focus_servers(node, name, request.release, group)
 
 
 def acquire_server(dispatcher: Dispatcher, node: Node, request: Request, tried: list[str]) -> Pick:
--- a/src/magnoliasill/error_catalogue.py
+++ b/src/magnoliasill/error_catalogue.py
@@ -208,6 +208,10 @@
         "The key can't be claimed at present. The call did not run.",
         "send it again after the Retry-After time; look at the store where it lasts",
     ),
+    ErrorCode.TAKEOVER_UNKNOWN: ErrorEntry(
+        "The platform's store holds no takeover of this service.",
+        "check the service's name; a takeover is recorded once a controller has started it",
+    ),
     ErrorCode.REQUEST_MALFORMED: ErrorEntry(
         "The call is not a well-formed HTTP request. The call did not run.",
         "correct the caller's program",
--- a/src/magnoliasill/validation.py
+++ b/src/magnoliasill/validation.py
@@ -11,17 +11,24 @@
     ConfigurationReply,
     ConfigurationRequest,
     Digest,
+    EvidenceReport,
+    EvidenceSummary,
     MemberNews,
     MemberPage,
     MemberSummary,
     Probe,
     ProbeAck,
     ProbeRequest,
+    TakeoverNews,
 )
 from .node import MEMBER_BUCKETS
+from .rollout import LAST_STAGE
 
 if TYPE_CHECKING:
+    from collections.abc import Sized
+
     from .messages import MemberRecord, Message
+    from .rollout import Progress
 
 STATUSES = ("alive", "suspect", "failed", "left")
 MAX_TEXT = 128
@@ -31,6 +38,7 @@
 MAX_MEMBERS = 256
 MAX_DATA_CENTRES = 64
 MAX_WANTED = 256
+MAX_COUNTS = 4_096
 _ADDRESS = re.compile(r"[0-9a-fA-F.:\[\]]{2,45}:(?P<port>[0-9]{1,5})", re.ASCII)
 
 
@@ -67,6 +75,11 @@
             return _find_counter_problem(*versions)
         case ClaimRequest(asker=asker) | ClaimQuery(asker=asker):
             return "" if is_address(asker) else "invalid asker"
+        case EvidenceReport(counts=counts) | EvidenceSummary(counts=counts):
+            counters = _find_counter_problem(message.sequence, message.incarnation, *counts)
+            return counters or _find_length_problem(counts, MAX_COUNTS)
+        case TakeoverNews():
+            return _find_progress_problem(message.progress)
     return ""
 
 
@@ -105,10 +118,21 @@
     return counters or members or _find_length_problem(digest.heard, MAX_DATA_CENTRES)
 
 
+def _find_progress_problem(progress: Progress) -> str:
+    if not -1 <= progress.stage <= LAST_STAGE:
+        return f"stage {progress.stage}"
+    if not all(0.0 <= boost <= 1.0 for boost in progress.boosts.values()):
+        return "share out of range"
+    if not 0.0 <= progress.changed_at <= MAX_EPOCH_S:
+        return f"progress changed at {progress.changed_at}"
+    counters = _find_counter_problem(progress.number, progress.lowered, progress.alarms)
+    return counters or _find_length_problem(progress.boosts, MAX_COUNTS)
+
+
 def _find_counter_problem(*counters: int) -> str:
     absurd = [counter for counter in counters if not 0 <= counter <= MAX_COUNTER]
     return f"counter {absurd[0]}" if absurd else ""
 
 
-def _find_length_problem(items: list[object] | dict[str, int], limit: int) -> str:
+def _find_length_problem(items: Sized, limit: int) -> str:
     return f"{len(items)} items" if len(items) > limit else ""
