Keep the tool free of eventlet, and quiet when its reader goes away

Found by hand with the commands of docs/OPERATIONS.md: each command printed the deprecation warning of eventlet, which the tool does not need, and dump piped to head ended with a traceback. The test failed before with both.

--- a/src/magnoliasill/administration.py
+++ b/src/magnoliasill/administration.py
@@ -13,7 +13,8 @@
 from .errors import AdministrationError, MagnoliasillError
 from .events import ServerAnnounced
 from .metrics import format_metrics
-from .reports import dump_state, list_members, list_services, report_version
+from .progress import report_version
+from .reports import dump_state, list_members, list_services
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/src/magnoliasill/cli.py
+++ b/src/magnoliasill/cli.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from typing import Any
 
@@ -36,9 +37,13 @@
     """Run one command; the exit status is 0 only when it succeeded."""
     try:
         fire.Fire(_defer_all(COMMANDS), name="magnoliasill", serialize=run_pending)
+        sys.stdout.flush()
     except MagnoliasillError as error:
         print(format_error(error), file=sys.stderr)
         sys.exit(EXIT_FAILED)
+    except BrokenPipeError:  # the reader of the output went away, as `head` does
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        sys.exit(EXIT_FAILED)
 
 
 def format_error(error: MagnoliasillError) -> str:
--- a/src/magnoliasill/metrics.py
+++ b/src/magnoliasill/metrics.py
@@ -150,7 +150,7 @@
     yield f"# TYPE {name} summary"
     for percentile in PERCENTILES:
         seconds = histogram.get_value_at_percentile(percentile) / 1e6
-        yield f'{name}{{quantile="{percentile / 100}"}} {seconds}'
+        yield f'{name}{{quantile="{percentile / 100:g}"}} {seconds}'
     count = histogram.get_total_count()
     yield f"{name}_sum {histogram.get_mean_value() * count / 1e6 if count else 0.0}"
     yield f"{name}_count {count}"
--- a/src/magnoliasill/observing_commands.py
+++ b/src/magnoliasill/observing_commands.py
@@ -14,8 +14,8 @@
 from .codes import ErrorCode
 from .errors import AdministrationError
 from .messages import MemberRecord
+from .progress import VersionReport
 from .publishing_commands import format_output
-from .reports import VersionReport
 
 PARALLEL_REQUESTS = 32
 VERSION_TIMEOUT_S = 2.0
--- a/tests/test_processes_administration.py
+++ b/tests/test_processes_administration.py
@@ -30,6 +30,7 @@
 from .tool import run_tool
 
 WAIT_S = 60.0
+TOOL_START = "from magnoliasill.programs import run_tool; run_tool()"
 DAEMON_START = "from magnoliasill.programs import run_daemon; run_daemon()"
 EXAMPLE = ROOT / "examples" / "ikenna" / "services"
 
@@ -190,6 +191,20 @@
         self.assertEqual([], [name for name in names if f"`magnoliasill {name}" not in text])
 
 
+class OutputTest(testtools.TestCase):
+    """The tool writes nothing but its output."""
+
+    def test_reader_goes_away(self) -> None:
+        words = ["check", str(EXAMPLE)]
+        command = [sys.executable, "-c", TOOL_START, *words]
+        with subprocess.Popen(
+            command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True
+        ) as tool:
+            tool.stdout.close()
+            self.assertEqual("", tool.stderr.read())
+        self.assertEqual(1, tool.returncode)
+
+
 class DaemonStartTest(WithScenarios, testtools.TestCase):
     """A bad setting ends the daemon with status 2 and one log line that names it."""
 
