--- a/src/magnoliasill/administration.py
+++ b/src/magnoliasill/administration.py
@@ -14,6 +14,7 @@
 from .events import ServerAnnounced
 from .metrics import format_metrics
 from .progress import report_version
+from .records import list_rollouts
 from .reports import dump_state, list_members, list_services
 
 if TYPE_CHECKING:
@@ -161,6 +162,10 @@
     return _encode(list_services(administration.proxy.node))
 
 
+def _show_rollouts(administration: Administration, environ: dict[str, Any]) -> Reply:
+    return _encode(list_rollouts(administration.proxy.node))
+
+
 def _announce(administration: Administration, environ: dict[str, Any]) -> Reply:
     body = _read_body(environ, MAX_BODY_BYTES)
     try:
@@ -186,6 +191,7 @@
     "/v1/members": {"GET": _show_members},
     "/v1/version": {"GET": _show_version},
     "/v1/services": {"GET": _show_services},
+    "/v1/rollouts": {"GET": _show_rollouts},
     "/v1/server": {"POST": _announce},
     "/v1/publish": {"POST": _change},
     "/v1/remove": {"POST": _change},
