--- a/tools/faults.py
+++ b/tools/faults.py
@@ -37,16 +37,21 @@
     notes: dict[str, str]
 
 
-def _find_step(values: dict[str, Any]) -> tuple[Any, Any]:
+def _find_step(name: str, values: dict[str, Any]) -> tuple[Any, Any]:
     return values["step"], values["fault"]
 
 
-def _find_ends(values: dict[str, Any]) -> tuple[str, str]:
+def _find_ends(name: str, values: dict[str, Any]) -> tuple[str, str]:
     first, second = values["ends"]
     kind = "idempotent" if values["idempotent"] else "not to be repeated"
     return f"{kind}: {first}", f"then {second}"
 
 
+def _find_name(name: str, values: dict[str, Any]) -> tuple[str, str]:
+    step, fault = name.split("/")
+    return step, fault
+
+
 # The scenario tables of tests: title, module, class, test, and how to find step and fault.
 SCENARIOS = (
     (
@@ -70,6 +75,20 @@
         "test_verdict_is_true",
         _find_ends,
     ),
+    (
+        "Takeover of a good release: what happens to its controller",
+        "test_controller",
+        "GoodReleaseTest",
+        "test_completed_in_time",
+        _find_name,
+    ),
+    (
+        "Takeover of a release that goes bad",
+        "test_collecting",
+        "BadReleaseTest",
+        "test_taken_back",
+        _find_name,
+    ),
 )
 TITLES = {"test_publisher": "Publishing: requests to the platform's store"}
 
@@ -103,8 +122,8 @@
     ),
     (
         "a release is bad: at once, late, under load, on one route",
-        "test_rollout, test_sequential",
-        "partly: the decisions only, over synthetic outcomes",
+        "test_rollout, test_sequential, test_collecting, test_controller",
+        "partly: over synthetic outcomes with virtual clocks",
     ),
     (
         "a request crashes each backend server that runs it",
@@ -160,7 +179,7 @@
 
 
 def _read_scenarios(
-    title: str, module: str, case: str, test: str, find: Callable[[dict[str, Any]], Any]
+    title: str, module: str, case: str, test: str, find: Callable[[str, dict[str, Any]], Any]
 ) -> FaultTable:
     source = importlib.import_module(f"tests.{module}")
     loaded = getattr(source, case)
@@ -169,7 +188,7 @@
     cells: dict[tuple[str, str], str] = {}
     notes: dict[str, str] = {}
     for name, values in loaded.scenarios:
-        step, fault = find(values)
+        step, fault = find(name, values)
         identity = f"tests.{module}.{case}.{test}({name})"
         state = WAITS if (step, fault) in pathless else PROVED
         cells[_label(step), _label(fault)] = FAILS if identity in red else state
