--- a/src/magnoliasill/dispatch.py
+++ b/src/magnoliasill/dispatch.py
@@ -10,8 +10,9 @@
 from .balancer import LoadTable, Pick, Question, list_upstreams, pick_server
 from .codes import ErrorCode
 from .errors import CallError
-from .servers import ServerIndex, find_group
+from .servers import ServerIndex, find_group, list_addresses
 from .shares import focus_servers
+from .upstreams import forget_upstreams
 from .waiting import WaitingTable, wait_for_room, wake_next
 
 if TYPE_CHECKING:
@@ -23,6 +24,7 @@
     from .upstreams import Upstream
 
 WAIT_STEP_S = 0.05
+FORGET_INTERVAL_S = 60.0
 
 
 @attrs.define
@@ -34,12 +36,14 @@
         load: What is known of the backend servers.
         services: The load of each service.
         waiting: Calls that wait for room.
+        forgot_at: When unused entries were last dropped, in seconds of the node's clock.
     """
 
     servers: ServerIndex = attrs.field(factory=ServerIndex)
     load: LoadTable = attrs.field(factory=LoadTable)
     services: dict[str, ServiceLoad] = attrs.field(factory=dict)
     waiting: WaitingTable = attrs.field(factory=WaitingTable)
+    forgot_at: float = 0.0
 
 
 @attrs.frozen
@@ -78,8 +82,12 @@
 
 def find_servers(dispatcher: Dispatcher, node: Node, request: Request, now: float) -> ServerGroup:
     """Return the backend servers that a request may go to."""
+    index = dispatcher.servers
     name = request.service.service
-    group = find_group(dispatcher.servers, node, name, request.release, now)
+    group = find_group(index, node, name, request.release, now)
+    if now - dispatcher.forgot_at >= FORGET_INTERVAL_S:
+        dispatcher.forgot_at = now
+        forget_upstreams(dispatcher.load.upstreams, list_addresses(index), now)
     return focus_servers(node, name, request.release, group)
 
 
