--- a/src/magnoliasill/collecting.py
+++ b/src/magnoliasill/collecting.py
@@ -10,6 +10,8 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from .actions import SendMessage
 from .duties import rank_daemons
 from .evidence import Cell, Counts, Finding, reset_levels, seed_tester, update_tester
@@ -22,6 +24,7 @@
 
 if TYPE_CHECKING:
     from .actions import Action
+    from .evidence import RouteEvidence
     from .node import Node
 
 REPORT_INTERVAL_S = 0.5
@@ -136,9 +139,20 @@
         reset_levels(collection.tester)
     if decision.verdict is Verdict.HOLD:
         return []
+    evidence = collection.tester.routes.get(finding.route)
+    if evidence is not None:
+        decision = attrs.evolve(decision, reason=f"{decision.reason} ({_describe(evidence)})")
     return adopt_progress(node, now, takeover, apply_decision(takeover.progress, decision, now))
 
 
+def _describe(evidence: RouteEvidence) -> str:
+    old_calls = evidence.calls - evidence.new_calls
+    return (
+        f"new {evidence.new_failures} failed and {evidence.new_slow} slow of {evidence.new_calls},"
+        f" old {evidence.old_failures} and {evidence.old_slow} of {old_calls}"
+    )
+
+
 def _report(node: Node, now: float, takeover: Takeover) -> list[Action]:
     tally = takeover.tally
     if now < takeover.report_at or not any(tally.counts):
