--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -225,6 +225,7 @@
     parser.add_argument("--full", action="store_true")
     parser.add_argument("--cases", type=int, default=0, help="of each kind and deployment")
     parser.add_argument("--kinds", default="", help="only kinds that hold this text")
+    parser.add_argument("--processes", type=int, default=PROCESSES)
     options = parser.parse_args()
     number = options.cases or (FULL_CASES_PER_KIND if options.full else CASES_PER_KIND)
     kinds = [kind for kind in (*GOOD_KINDS, *BAD_KINDS) if options.kinds in kind]
@@ -235,7 +236,7 @@
         for index in range(number)
     ]
     started = time.monotonic()
-    with multiprocessing.Pool(PROCESSES) as pool:
+    with multiprocessing.Pool(options.processes) as pool:
         done = []
         for item in pool.imap_unordered(run_case, jobs, chunksize=8):
             done.append(item)
