--- a/src/magnoliasill/rollout.py
+++ b/src/magnoliasill/rollout.py
@@ -23,7 +23,7 @@
 
 LOWERED_SHARE = 0.1  # while a suspicion is settled
 MAX_BOOST = 0.5  # share of a route with few calls
-BOOST_BUDGET = 0.03  # of the service's calls, for all greater shares together
+BOOST_BUDGET = 0.02  # of the service's calls, for all greater shares together
 BOOST_CALLS_PER_SECOND = 0.3  # allowed in any case
 STAGES = (  # share in the trial data centre, share in the others
     (0.015, 0.015),
@@ -50,7 +50,7 @@
 SETTLE_S = 4.0  # without a finding before a lowered share is raised again
 SETTLE_CALLS = 100
 STAGE_CALLS = 20
-ROUTE_CALLS = 120
+ROUTE_CALLS = 60
 TOTAL_CALLS = 10
 SUSPICION_SCORE = 20.0
 SUSPICION_LEVEL = LEVEL_ALARM / 2
