--- a/src/magnoliasill/dispatch.py
+++ b/src/magnoliasill/dispatch.py
@@ -82,7 +82,8 @@
 
 def find_servers(dispatcher: Dispatcher, node: Node, request: Request, now: float) -> ServerGroup:
     """Return the backend servers that a request may go to."""
-    index, name = dispatcher.servers, request.service.service
+    index = dispatcher.servers
+    name = request.service.service
     group = find_group(index, node, name, request.release, now)
     if now - dispatcher.forgot_at >= FORGET_INTERVAL_S:
         dispatcher.forgot_at = now
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import contextlib
+import random
 
 import eventlet
 import testtools
 from testscenarios import WithScenarios
 
 from fakes.store import StoreFaults
+from magnoliasill import idempotency
 from magnoliasill.claim_ranges import list_candidates
 from magnoliasill.claim_records import digest_key, find_range
 from magnoliasill.codes import ErrorCode
+from magnoliasill.membership import leave
 
 from . import serving
 from .claim_cluster import (
@@ -28,6 +31,7 @@
 ANSWER = b"ran k-1"
 FIRST = name_address("a-1")
 TRIES = 40
+SHORT_WAIT_S = 0.45  # keeps the table quick; the order of the waits is as in service
 PAUSE_S = 0.1
 FINAL = {ErrorCode.KEY_USED, ErrorCode.KEY_REUSED, ErrorCode.OUTCOME_UNKNOWN}
 STEPS = ("ask", "record", "recorded", "grant", "run", "answer")
@@ -99,11 +103,11 @@
         thaw(cluster, address)
 
 
-def call_until_final(cluster: Cluster, address: str) -> object:
+def call_until_final(cluster: Cluster, address: str, key: str = KEY) -> object:
     """Call as a program does: again and again, until an answer or a final refusal."""
     result: object = None
     for _ in range(TRIES):
-        result = call_once(cluster, address, KEY)
+        result = call_once(cluster, address, key)
         if isinstance(result, bytes) or result in FINAL:
             return result
         eventlet.sleep(PAUSE_S)
@@ -121,6 +125,8 @@
 
     def setUp(self) -> None:
         super().setUp()
+        self.patch(idempotency, "CLAIM_WAIT_S", SHORT_WAIT_S)
+        self.patch(idempotency, "REPLY_WAIT_S", SHORT_WAIT_S / 3)
         self.cluster = build_cluster()
         self.addCleanup(self.cluster.ticker.kill)
         self.holder = find_holder(self.cluster)
@@ -146,6 +152,41 @@
         self.assertEqual((ANSWER, ANSWER), (second, third))
 
 
+class TwoFaultsTest(WithScenarios, testtools.TestCase):
+    """Faults of two random kinds at random steps and nodes, with two callers for each key."""
+
+    scenarios = [(f"seed {seed}", {"seed": seed}) for seed in range(1, 7)]
+
+    def test_at_most_once(self) -> None:
+        self.patch(idempotency, "CLAIM_WAIT_S", SHORT_WAIT_S)
+        self.patch(idempotency, "REPLY_WAIT_S", SHORT_WAIT_S / 3)
+        cluster = build_cluster(seed=self.seed)
+        self.addCleanup(cluster.ticker.kill)
+        generator = random.Random(self.seed)
+        addresses = list(cluster.nodes)
+        keys = [f"{self.seed} {number}" for number in range(4)]
+        for key in keys:
+            for step in generator.sample(STEPS, 2):
+                fault, victim = generator.choice(FAULTS), generator.choice(addresses)
+                cluster.faults[step] = lambda _, f=fault, v=victim: f(cluster, v, v)
+            with eventlet.Timeout(serving.TIMEOUT_S):
+                askers = generator.sample(addresses, 2)
+                calls = [eventlet.spawn(call_once, cluster, asker, key) for asker in askers]
+                results = {call.wait() for call in calls}
+                cluster.faults.clear()
+                heal(cluster)
+                for victim in cluster.dead.copy():
+                    start_node(cluster, cluster.nodes[victim].own.name, seed=self.seed + 100)
+                last = call_until_final(cluster, generator.choice(addresses), key)
+            answers = {result for result in results if isinstance(result, bytes)}
+            self.assertLessEqual(answers, {f"ran {key}".encode()})
+            self.assertIn(last, (f"ran {key}".encode(), ErrorCode.KEY_USED))
+            self.assertLessEqual(cluster.runs.get(key, 0), 1)
+            if isinstance(last, bytes):
+                self.assertEqual(1, cluster.runs[key])
+        self.assertEqual([], cluster.false_not_run)
+
+
 class AskerFaultTest(WithScenarios, testtools.TestCase):
     """The daemon that runs the request dies at each step."""
 
@@ -242,6 +283,13 @@
         self.assertEqual({KEY: 1}, self.cluster.runs)
         self.assertEqual(set(), results - {ANSWER, ErrorCode.KEY_IN_PROGRESS})
 
+    def test_nobody_to_ask(self) -> None:
+        alone = build_cluster(("a-1",))
+        self.addCleanup(alone.ticker.kill)
+        leave(alone.nodes[FIRST])
+        code = call_once(alone, FIRST, KEY)
+        self.assertEqual((ErrorCode.CLAIM_UNAVAILABLE, {}), (code, alone.runs))
+
     def test_expired_key(self) -> None:
         old = "01890a5d-ac96-774b-bcce-b302099a8057"
         code = call_once(self.cluster, FIRST, old)
