Answer at once after a crash notice was sent

Cause: after a backend server broke, the daemon held the caller's answer for 0.1 s so that its peers heard of the crash before the caller's next try. A final answer is not to be held back, for whatever purpose. The pause is gone.

--- a/src/magnoliasill/guard.py
+++ b/src/magnoliasill/guard.py
@@ -4,8 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-import eventlet
-
 from .codes import ErrorCode
 from .crashes import clear_suspect, digest_fingerprint, is_blocked, record_crash
 from .errors import CallError
@@ -23,9 +21,6 @@
     from .node import Node
 
 
-SPREAD_PAUSE_S = 0.1  # peers hear of a crash before the caller can send its request to them
-
-
 def guard_exchange(
     node: Node,
     exchange: ExchangeFunction,
@@ -49,10 +44,8 @@
         result = exchange(connections, address, call, timeout_s)
         if result.kind is OutcomeKind.BROKEN:
             if not probe_server(address):
-                actions = record_crash(node, clock(), _fingerprint(call), address)
-                for action in actions:
+                for action in record_crash(node, clock(), _fingerprint(call), address):
                     carry_out(action)
-                eventlet.sleep(min(SPREAD_PAUSE_S, max(timeout_s, 0.0)))
         elif result.answer is not None and node.crashes.suspects:
             clear_suspect(node.crashes, _fingerprint(call))
         return result
--- a/tests/test_processes_once.py
+++ b/tests/test_processes_once.py
@@ -36,6 +36,7 @@
 PAUSE_S = 4.0  # longer than the lease of a key range
 PROGRESS = 10
 CRASH = "crash me"
+NOTICES = 'magnoliasill_messages_received_total{kind="CrashNotice"}'
 SERVICE = """
 service = "fees"
 team = "money"
@@ -155,6 +156,12 @@
             else:
                 self.assertIn(body["code"], ("MS-504", "MS-521"))
 
+    def _count_notices(self, daemon: Any) -> float:
+        url = f"http://{daemon.admin}/metrics"
+        lines = urllib3.request("GET", url, retries=False, timeout=10).data.decode().splitlines()
+        found = [line for line in lines if line.startswith(NOTICES)]
+        return float(found[0].split()[-1]) if found else 0.0
+
     def _kill(self, codes: list[str]) -> None:
         for victim in self.daemons[:2]:
             victim.process.kill()
@@ -207,8 +214,12 @@
         local = self.daemons[:2]
         codes = []
         for turn in range(12):
+            other = local[1 - turn % 2]
+            heard = self._count_notices(other)
             _, body = self._call(local[turn % 2], "", CRASH, "PUT")
             codes.append(body["code"])
+            if body["code"] != "MS-528":
+                wait_until(lambda n=heard, d=other: self._count_notices(d) > n, WAIT_S, "notice")
         self.assertEqual("MS-528", codes[-1], codes)
         crashed = [d.name for d in self.daemons if d.backend.poll() is not None]
         self.assertLessEqual(len(crashed), 2, codes)
