--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -25,15 +25,14 @@
 )
 from bench.rollout_result import Meter, Result
 from magnoliasill.evidence import Tester, reset_levels, update_tester
+from magnoliasill.ramp import STAGES, compute_boosts
 from magnoliasill.rollout import (
-    STAGES,
     Decision,
     Phase,
     Plan,
     Progress,
     Verdict,
     apply_decision,
-    compute_boosts,
     compute_share,
     decide,
     is_adjusting,
--- a/src/magnoliasill/controller.py
+++ b/src/magnoliasill/controller.py
@@ -25,8 +25,9 @@
 from .collecting import build_cells, judge_locally, take_untested, tick_collecting
 from .duties import rank_daemons
 from .evidence import Tester, find_worst, update_tester
+from .ramp import compute_boosts
 from .records import Record, build_record, decode_record, name_lease_key, name_record_key
-from .rollout import Phase, Verdict, apply_decision, compute_boosts, decide, raise_share
+from .rollout import Phase, Verdict, apply_decision, decide, raise_share
 from .shares import update_takeovers
 from .spread_progress import adopt_progress, build_news, compare_progress, find_takeover
 from .takeovers import WINDOW_S, Collection
--- a/src/magnoliasill/records.py
+++ b/src/magnoliasill/records.py
@@ -7,7 +7,8 @@
 import attrs
 import msgspec
 
-from .rollout import LOWERED_SHARE, STAGES, Phase, Progress, is_lowered, list_untested_routes
+from .ramp import STAGES, list_untested_routes
+from .rollout import LOWERED_SHARE, Phase, Progress, is_lowered
 
 if TYPE_CHECKING:
     from .evidence import RouteEvidence
--- a/src/magnoliasill/shares.py
+++ b/src/magnoliasill/shares.py
@@ -7,7 +7,8 @@
 
 from .evidence import Tester
 from .node import list_alive
-from .rollout import LAST_STAGE, Phase, Progress, build_plan, compute_share, is_overdue
+from .ramp import LAST_STAGE
+from .rollout import Phase, Progress, build_plan, compute_share, is_overdue
 from .servers import ServerGroup
 from .takeovers import WINDOW_S, Collection, Control, Takeover
 from .tally import ServerFacts, build_tally
--- a/src/magnoliasill/validation.py
+++ b/src/magnoliasill/validation.py
@@ -22,7 +22,7 @@
     TakeoverNews,
 )
 from .node import MEMBER_BUCKETS
-from .rollout import LAST_STAGE
+from .ramp import LAST_STAGE
 
 if TYPE_CHECKING:
     from collections.abc import Sized
--- a/tests/takeover_faults.py
+++ b/tests/takeover_faults.py
@@ -7,7 +7,7 @@
 import attrs
 
 from magnoliasill.messages import EvidenceReport, EvidenceSummary, TakeoverNews
-from magnoliasill.rollout import LAST_STAGE
+from magnoliasill.ramp import LAST_STAGE
 
 from .network import freeze_node, kill_node, resume_node, start_node
 from .takeover_network import SERVICE, Scene, build_scene, publish_takeover
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -51,3 +51,10 @@
             self.assertTrue(path.exists(), module)
             if case:
                 self.assertIn(f"class {case}(", path.read_text(encoding="utf-8"))
+
+    def test_module_map_matches_the_tree(self) -> None:
+        text = (ROOT / "docs" / "DEVELOPERS.md").read_text(encoding="utf-8")
+        rows = [row for row in text.split("## Module map")[1].split("##")[0].splitlines()]
+        named = sorted(re.findall(r"`(\w+)`", "".join(rows)))
+        paths = (ROOT / "src" / "magnoliasill").glob("*.py")
+        self.assertEqual(sorted(path.stem for path in paths if path.stem != "__init__"), named)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -9,16 +9,14 @@
 from testscenarios import WithScenarios
 
 from magnoliasill.evidence import LEVEL_ALARM, Finding, RouteEvidence
+from magnoliasill.ramp import LAST_STAGE, STAGES, compute_boosts
 from magnoliasill.rollout import (
     AGREEMENT,
-    LAST_STAGE,
     LOWERED_SHARE,
-    STAGES,
     Phase,
     Plan,
     Progress,
     Verdict,
-    compute_boosts,
     compute_share,
     decide,
     judge,
