Pass paths on as written, and use the field's terms for disconnects and connections

Cause: the caller port routed and forwarded the decoded path. a%20b could not be sent at all (502), a%2Fb became a/b at the backend server, and %C3%B1 ended with 500. Renamed: departures to disconnects, ChangeDesk to ChangeContext, kin to older connections.

--- a/src/magnoliasill/administration.py
+++ b/src/magnoliasill/administration.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from .changes import ChangeDesk
+    from .changes import ChangeContext
     from .events import Event
     from .proxy import Proxy
 
@@ -62,12 +62,12 @@
     Attributes:
         proxy: The daemon's serving state.
         submit: Passes an event to the engine.
-        desk: Carries out the teams' changes.
+        context: Carries out the teams' changes.
     """
 
     proxy: Proxy
     submit: Callable[[Event], None]
-    desk: ChangeDesk
+    context: ChangeContext
 
 
 def build_administration(administration: Administration) -> Callable[..., Iterable[bytes]]:
@@ -179,7 +179,7 @@
 def _change(administration: Administration, environ: dict[str, Any]) -> Reply:
     body = _read_body(environ, MAX_CHANGE_BYTES)
     authorization = environ.get("HTTP_AUTHORIZATION", "")
-    accepted = carry_out_change(administration.desk, environ["PATH_INFO"], authorization, body)
+    accepted = carry_out_change(administration.context, environ["PATH_INFO"], authorization, body)
     return _encode(accepted)
 
 
--- a/src/magnoliasill/call.py
+++ b/src/magnoliasill/call.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -15,6 +16,7 @@
     from .routing import RouteTarget
 
 MAX_CHUNKED_BYTES = 4_000_000  # the end of a longer body in chunks can't be told beforehand
+_DOT_SEGMENT = re.compile(r"/(?:\.|%2e){1,2}(?:/|$)", re.IGNORECASE)
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -58,11 +60,12 @@
     fresh: bool = False
 
 
-def read_call(environ: dict[str, Any], target: RouteTarget, now: float) -> Call:
+def read_call(environ: dict[str, Any], path: str, target: RouteTarget, now: float) -> Call:
     """Read a call whole.
 
     Args:
         environ: The WSGI environment.
+        path: The path, from `read_path`.
         target: The route that the call belongs to.
         now: Seconds on the monotonic clock.
 
@@ -76,7 +79,6 @@
     if not target.route.idempotent and not key:
         raise CallError(ErrorCode.KEY_MISSING, "this route needs an Idempotency-Key header")
     body = _read_body(environ, target.service.limits.max_body_bytes)
-    path = environ["PATH_INFO"]
     query = environ.get("QUERY_STRING", "")
     return Call(
         method=environ["REQUEST_METHOD"],
@@ -90,6 +92,25 @@
     )
 
 
+def read_path(environ: dict[str, Any]) -> str:
+    """Return the path of a call as its caller wrote it, without the query.
+
+    Decoding it would make another path of it for the backend server: `%2F` would become a
+    separator.
+
+    Args:
+        environ: The WSGI environment.
+
+    Raises:
+        CallError: If it has a segment of dots, which could lead the backend server to a route
+            other than the one that was found.
+    """
+    path: str = environ["RAW_PATH_INFO"]
+    if _DOT_SEGMENT.search(path):
+        raise CallError(ErrorCode.REQUEST_MALFORMED, "the path has a segment of dots")
+    return path
+
+
 def _read_body(environ: dict[str, Any], limit: int) -> bytes | Upload | None:
     source = environ["wsgi.input"]
     if "HTTP_TRANSFER_ENCODING" in environ:
--- a/src/magnoliasill/changes.py
+++ b/src/magnoliasill/changes.py
@@ -70,7 +70,7 @@
 
 
 @attrs.define
-class ChangeDesk:
+class ChangeContext:
     """What carrying out changes needs.
 
     Attributes:
@@ -95,11 +95,13 @@
 }
 
 
-def carry_out_change(desk: ChangeDesk, path: str, authorization: str, body: bytes) -> Accepted:
+def carry_out_change(
+    context: ChangeContext, path: str, authorization: str, body: bytes
+) -> Accepted:
     """Check the team's token, then have the change accepted by the store.
 
     Args:
-        desk: What carrying out changes needs.
+        context: What carrying out changes needs.
         path: `/v1/publish`, `/v1/remove` or `/v1/undo`.
         authorization: The Authorization header.
         body: The JSON body.
@@ -112,35 +114,35 @@
             changes are in progress.
         MagnoliasillError: As `publish` raises.
     """
-    if desk.in_progress >= MAX_CHANGES_IN_PROGRESS:
-        message = f"{desk.in_progress} changes are in progress"
+    if context.in_progress >= MAX_CHANGES_IN_PROGRESS:
+        message = f"{context.in_progress} changes are in progress"
         raise AdministrationError(ErrorCode.ADMIN_BUSY, message)
-    desk.in_progress += 1
+    context.in_progress += 1
     try:
         request = _decode(body, _REQUESTS[path])
-        head = _accept(desk, request, authorization)
+        head = _accept(context, request, authorization)
     finally:
-        desk.in_progress -= 1
+        context.in_progress -= 1
     fields = {"team": request.team, "version": head.version, "publish_id": request.publish_id}
-    desk.log(LogEvent.CHANGE_ACCEPTED, **fields)
+    context.log(LogEvent.CHANGE_ACCEPTED, **fields)
     return Accepted(head.version, request.publish_id)
 
 
-def _accept(desk: ChangeDesk, request: Any, authorization: str) -> Head:
+def _accept(context: ChangeContext, request: Any, authorization: str) -> Head:
     try:
-        check_token(desk.store, request.team, authorization.removeprefix(BEARER))
-        return publish(desk.store, _plan(desk, request), desk.clock(), desk.pause)
+        check_token(context.store, request.team, authorization.removeprefix(BEARER))
+        return publish(context.store, _plan(context, request), context.clock(), context.pause)
     except MagnoliasillError as error:
         fields = {"team": request.team[:63], "code": error.code.value, "reason": error.message}
-        desk.log(LogEvent.CHANGE_REFUSED, **fields)
+        context.log(LogEvent.CHANGE_REFUSED, **fields)
         raise
 
 
-def _plan(desk: ChangeDesk, request: Any) -> Publish:
+def _plan(context: ChangeContext, request: Any) -> Publish:
     identity, team = request.publish_id, request.team
     match request:
         case UndoRequest(version=version):
-            return plan_undo(desk.store, identity, version, team)
+            return plan_undo(context.store, identity, version, team)
         case RemoveRequest(service=service):
             return Publish(identity, {}, None, frozenset({service}), team)
     files = [decode_service_file(bytes(raw)) for raw in request.services]
--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -129,18 +129,18 @@
             del table.idle[address]
 
 
-def take_kin(table: ConnectionTable, address: str, before: float) -> Link | None:
+def take_older_connection(table: ConnectionTable, address: str, before: float) -> Link | None:
     """Return the idle connection opened last before a time, or None."""
     idle = table.idle.get(address, ())
-    kin = [link for link in idle if link.opened_at < before and _is_open(link)]
-    if not kin:
+    older = [link for link in idle if link.opened_at < before and _is_open(link)]
+    if not older:
         return None
-    link = max(kin, key=lambda found: found.opened_at)
+    link = max(older, key=lambda found: found.opened_at)
     idle.remove(link)
     return link
 
 
-def drop_kin(table: ConnectionTable, address: str, before: float) -> None:
+def drop_older_connections(table: ConnectionTable, address: str, before: float) -> None:
     """Close the idle connections to a backend server that were opened before a time."""
     kept: deque[Link] = deque()
     for link in table.idle.pop(address, ()):
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -20,12 +20,12 @@
 from .actions import Log, ResetPeer, ResolveWait, SendMessage
 from .administration import Administration, build_administration
 from .callers import CallerProtocol
-from .changes import ChangeDesk
+from .changes import ChangeContext
 from .claim_ranges import release_ranges
 from .codes import ErrorCode, LogEvent
 from .connections import close_expired
 from .deferred import defer, run_pending
-from .departures import cancel_departed
+from .disconnects import cancel_disconnected
 from .engine import step
 from .error_catalogue import ERRORS
 from .errors import (
@@ -161,13 +161,13 @@
 
 
 def _build_administration(daemon: Daemon) -> Administration:
-    desk = ChangeDesk(
+    context = ChangeContext(
         daemon.store,
         lambda: datetime.now(UTC),
         lambda attempt: eventlet.sleep(CHANGE_RETRY_PAUSE_S * attempt),
         lambda event, **fields: _log(daemon, Log(event, fields)),
     )
-    return Administration(daemon.proxy, lambda event: submit(daemon, event), desk)
+    return Administration(daemon.proxy, lambda event: submit(daemon, event), context)
 
 
 def submit(daemon: Daemon, event: Event) -> None:
@@ -246,7 +246,7 @@
     while True:
         submit(daemon, Tick())
         now = time.monotonic()
-        cancel_departed(daemon.proxy.watched, now)
+        cancel_disconnected(daemon.proxy.watched, now)
         close_expired(daemon.proxy.connections, now)
         eventlet.sleep(interval)
 
--- a/src/magnoliasill/departures.py
+++ b/src/magnoliasill/disconnects.py
@@ -1,4 +1,4 @@
-"""Departures: cancels the calls whose callers closed their connections."""
+"""Disconnects: cancels the calls whose callers closed their connections."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 MIN_AGE_S = 0.1
 
 
-class CallerGoneError(Exception):
+class CallerDisconnectedError(Exception):
     """The caller closed its connection before its call was answered."""
 
 
@@ -38,7 +38,7 @@
 
 @contextmanager
 def watch_caller(calls: set[OpenCall], environ: dict[str, Any]) -> Iterator[None]:
-    """Let the block end with `CallerGoneError` once the caller has closed its connection.
+    """Let the block end with `CallerDisconnectedError` once the caller has closed its connection.
 
     Args:
         calls: The calls that are watched.
@@ -53,7 +53,7 @@
         calls.discard(entry)
 
 
-def cancel_departed(calls: set[OpenCall], now: float) -> int:
+def cancel_disconnected(calls: set[OpenCall], now: float) -> int:
     """End every watched call whose caller has gone.
 
     Args:
@@ -66,7 +66,7 @@
     gone = [entry for entry in calls if now - entry.since >= MIN_AGE_S and _is_closed(entry.sock)]
     for entry in gone:
         if entry in calls:
-            kill(entry.greenlet, CallerGoneError)
+            kill(entry.greenlet, CallerDisconnectedError)
     return len(gone)
 
 
--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/exchange.py
@@ -12,13 +12,13 @@
 
 from .connections import (
     connect,
-    drop_kin,
+    drop_older_connections,
     give_back,
     open_connection,
     read_response,
     send_request,
     take_connection,
-    take_kin,
+    take_older_connection,
     wait_readable,
 )
 from .outcomes import OutcomeKind
@@ -142,7 +142,7 @@
     connections: ConnectionTable, address: str, link: Link, kind: OutcomeKind, problem: str
 ) -> Exchange:
     link.http.close()
-    drop_kin(connections, address, monotonic())
+    drop_older_connections(connections, address, monotonic())
     return Exchange(kind, problem=problem)
 
 
@@ -202,12 +202,12 @@
     """
     if timeout_s <= SILENT_AFTER_S or wait_readable(link, SILENT_AFTER_S):
         return False
-    kin = take_kin(connections, address, sent_at)
-    if kin is None or _probe(kin):
-        if kin is not None:
-            give_back(connections, address, kin)
+    older = take_older_connection(connections, address, sent_at)
+    if older is None or _probe(older):
+        if older is not None:
+            give_back(connections, address, older)
         return False
-    kin.http.close()
+    older.http.close()
     return probe_server(address) and not wait_readable(link, MIN_TIMEOUT_S)
 
 
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -8,10 +8,10 @@
 import attrs
 
 from .answers import answer_refusal
-from .call import HOP_HEADERS, read_call
+from .call import HOP_HEADERS, read_call, read_path
 from .codes import ErrorCode
 from .connections import ConnectionTable
-from .departures import CallerGoneError, watch_caller
+from .disconnects import CallerDisconnectedError, watch_caller
 from .dispatch import Dispatcher
 from .errors import CallError
 from .exchange import exchange_call
@@ -26,7 +26,7 @@
 
     from .actions import Log
     from .call import Call
-    from .departures import OpenCall
+    from .disconnects import OpenCall
     from .exchange import Answer, ExchangeFunction
     from .metrics import Metrics
     from .node import Node
@@ -34,7 +34,7 @@
     from .routing import RouteTarget
     from .store import StoreFunction
 
-CALLER_GONE_STATUS = "499 Client Closed Request"
+CALLER_DISCONNECTED_STATUS = "499 Client Closed Request"
 
 
 @attrs.define
@@ -92,9 +92,11 @@
         except CallError as error:
             proxy.metrics.count("refusals", error.code.value)
             return answer_refusal(start_response, error.code, error.message, error.retry_after_s)
-        except CallerGoneError:
+        except CallerDisconnectedError:
             proxy.metrics.counters["cancelled"].inc()
-            start_response(CALLER_GONE_STATUS, [("Content-Length", "0"), ("Connection", "close")])
+            start_response(
+                CALLER_DISCONNECTED_STATUS, [("Content-Length", "0"), ("Connection", "close")]
+            )
             return []
 
     return application
@@ -107,8 +109,9 @@
 
 
 def _serve(proxy: Proxy, environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-    target = _route(proxy, environ["REQUEST_METHOD"], environ["PATH_INFO"])
-    call = read_call(environ, target, proxy.clock())
+    path = read_path(environ)
+    target = _route(proxy, environ["REQUEST_METHOD"], path)
+    call = read_call(environ, path, target, proxy.clock())
     answer = _run(proxy, target, call, environ)
     headers = [(name, value) for name, value in answer.headers if name.lower() not in HOP_HEADERS]
     length = _find_length(answer)
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -33,6 +33,7 @@
         Route("pay", "POST", "/fees", idempotent=False),
         Route("view", "GET", "/fees"),
         Route("put", "PUT", "/fees"),
+        Route("open", "GET", "/receipts/*"),
     ]
     limits = Limits(max_body_bytes=max_body_bytes)
     file = ServiceFile("fees", "team", routes, [Release("r1")], "r1", limits=limits)
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -12,7 +12,7 @@
 
 from fakes.store import StoreTables, build_local_store
 from magnoliasill.administration import CALLS, Administration, build_administration
-from magnoliasill.changes import MAX_CHANGE_BYTES, MAX_CHANGES_IN_PROGRESS, ChangeDesk
+from magnoliasill.changes import MAX_CHANGE_BYTES, MAX_CHANGES_IN_PROGRESS, ChangeContext
 from magnoliasill.codes import ErrorCode
 from magnoliasill.error_catalogue import ERRORS
 from magnoliasill.errors import AdministrationError
@@ -41,8 +41,8 @@
         proxy = Proxy(node, self.store, build_metrics())
         self.logged: list[object] = []
         log = lambda event, **fields: self.logged.append((event, fields))  # noqa: E731
-        self.desk = ChangeDesk(self.store, lambda: NOW, lambda attempt: None, log)
-        self.application = build_administration(Administration(proxy, self._submit, self.desk))
+        self.context = ChangeContext(self.store, lambda: NOW, lambda attempt: None, log)
+        self.application = build_administration(Administration(proxy, self._submit, self.context))
         set_token(self.store, "team", "secret", 0.0, rotate=False)
         set_token(self.store, "rival", "other", 0.0, rotate=False)
 
@@ -183,7 +183,7 @@
         self.assertEqual(1, read_accepted(self.store)[0].version)
 
     def test_busy(self) -> None:
-        self.desk.in_progress = MAX_CHANGES_IN_PROGRESS
+        self.context.in_progress = MAX_CHANGES_IN_PROGRESS
         status, headers, content = self._publish("p1")
         self.assertEqual(("503 Service Unavailable", "MS-608"), (status, content["code"]))
         self.assertIn("Retry-After", headers)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -123,3 +123,35 @@
         )
         self.assertEqual((200, {}), exchange_bytes(address, data))
         self.assertEqual([b"abcde"], received)
+
+
+class EncodedPathTest(WithScenarios, testtools.TestCase):
+    """The path reaches the backend server as the caller wrote it, and is routed as written."""
+
+    scenarios = [
+        (target, {"target": target, "status": status})
+        for target, status in (
+            ("/receipts/a%20b", 200),
+            ("/receipts/a%2Fb/..%2Fc", 200),
+            ("/receipts/%C3%B1?q=%20%26", 200),
+            ("/receipts/a;v=1", 200),
+            ("/%66ees", 404),
+            ("/receipts/../fees", 400),
+            ("/receipts/%2E%2e/fees", 400),
+        )
+    ]
+
+    def test_passed_on_as_written(self) -> None:
+        lines: list[str] = []
+
+        def handle(sock: object) -> None:
+            lines.append(read_request(sock).split(b"\r\n")[0].decode())
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+            sock.close()
+
+        application = build_application(build_proxy(serve_bytes(handle)))
+        address = serve_locally(application, CallerProtocol)
+        status, _ = exchange_bytes(address, frame(f"GET {self.target} HTTP/1.1"))
+        self.assertEqual(self.status, status)
+        expected = [f"GET {self.target} HTTP/1.1"] if status == 200 else []
+        self.assertEqual(expected, lines)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -54,7 +54,7 @@
 
     def test_module_map_matches_the_tree(self) -> None:
         text = (ROOT / "docs" / "DEVELOPERS.md").read_text(encoding="utf-8")
-        rows = [row for row in text.split("## Module map")[1].split("##")[0].splitlines()]
-        named = sorted(re.findall(r"`(\w+)`", "".join(rows)))
+        table = text.split("## Module map")[1].split("##")[0]
+        named = sorted(re.findall(r"`(\w+)`", table))
         paths = (ROOT / "src" / "magnoliasill").glob("*.py")
         self.assertEqual(sorted(path.stem for path in paths if path.stem != "__init__"), named)
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -231,7 +231,7 @@
     def _call(self) -> Any:
         return exchange_call(self.table, self.address, build_call(), DEADLINE_S)
 
-    def test_found_and_dropped_with_kin(self) -> None:
+    def test_found_and_dropped_with_older_ones(self) -> None:
         self.box.epoch += 1
         started = time.monotonic()
         with eventlet.Timeout(TIMEOUT_S):
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -67,7 +67,7 @@
     def test_calls(self) -> None:
         application = build_application(self.proxy)
         hooks: list[tuple] = []
-        environ = {"REQUEST_METHOD": "GET", "PATH_INFO": "/x", "eventlet.posthooks": hooks}
+        environ = {"REQUEST_METHOD": "GET", "RAW_PATH_INFO": "/x", "eventlet.posthooks": hooks}
         list(application(environ, lambda *values: None))
         for hook, arguments, options in hooks:
             hook(environ, *arguments, **options)
--- a/tests/test_processes_calls.py
+++ b/tests/test_processes_calls.py
@@ -64,7 +64,7 @@
         taken = wait_until(lambda: self._count_serving() == 1, WAIT_S, "drain is known")
         self.assertLess(taken, DRAIN_BOUND_S)
 
-    def test_departed_caller_cancels_the_run(self) -> None:
+    def test_disconnected_caller_cancels_the_run(self) -> None:
         for server in self.servers:
             post_json(server, "/control/faults", {"delay_ms": SLOW_MS})
         host, _, port = self.daemons[0].caller.rpartition(":")
