Take timed assertions out of the caller path's process tests

The two cancellations run on a route whose own deadline is 10 s, at servers that would run for 60 s, so that a run that ends within the wait was cancelled.

--- a/tests/test_processes_calls.py
+++ b/tests/test_processes_calls.py
@@ -26,8 +26,9 @@
 
 WAIT_S = 60.0
 SLOW_MS = 3_000
-DRAIN_BOUND_S = 3.0
-CANCEL_BOUND_S = 1.5  # the route's own deadline ends the call after 2 s
+STUCK_MS = 60_000
+LONG_PATH = "/lessons/1"  # its route's own deadline ends a call after 10 s
+CANCEL_WAIT_S = 8.0  # a run that only the deadline ends is still going on by then
 
 
 class CallPathTest(testtools.TestCase):
@@ -61,33 +62,32 @@
         statuses = [self._call(self.daemons[0].caller).status for _ in range(60)]
         self.assertEqual([200] * 60, statuses)
         self.assertEqual(0, read_json(self.servers[1], "/control/runs")["calls"])
-        taken = wait_until(lambda: self._count_serving() == 1, WAIT_S, "drain is known")
-        self.assertLess(taken, DRAIN_BOUND_S)
+        wait_until(lambda: self._count_serving() == 1, WAIT_S, "drain is known")
+        self.assertEqual(0, read_json(self.servers[1], "/control/runs")["calls"])
 
     def test_disconnected_caller_cancels_the_run(self) -> None:
         for server in self.servers:
-            post_json(server, "/control/faults", {"delay_ms": SLOW_MS})
+            post_json(server, "/control/faults", {"delay_ms": STUCK_MS})
         host, _, port = self.daemons[0].caller.rpartition(":")
         caller = socket.create_connection((host, int(port)))
-        caller.sendall(b"GET /lessons HTTP/1.1\r\nHost: a\r\n\r\n")
+        caller.sendall(f"GET {LONG_PATH} HTTP/1.1\r\nHost: a\r\n\r\n".encode())
         wait_until(lambda: self._sum("calls") == 1, WAIT_S, "run begun")
         caller.close()
-        taken = wait_until(lambda: self._sum("cancelled") == 1, WAIT_S, "run cancelled")
-        self.assertLess(taken, CANCEL_BOUND_S)
+        wait_until(lambda: self._sum("cancelled") == 1, CANCEL_WAIT_S, "run cancelled")
         dump = read_json(self.daemons[0].admin, "/v1/state")
         self.assertEqual([0], sorted({entry["in_flight"] for entry in dump["upstreams"]}))
 
     def test_deadlines(self) -> None:
         for server in self.servers:
-            post_json(server, "/control/faults", {"delay_ms": SLOW_MS})
+            post_json(server, "/control/faults", {"delay_ms": STUCK_MS})
         for text, status, code in (("0", 504, "MS-512"), ("soon", 400, "MS-513")):
             answer = self._call(self.daemons[0].caller, {"X-Deadline-Ms": text})
             self.assertEqual((status, code), (answer.status, answer.json()["code"]))
         self.assertEqual(0, self._sum("calls"))
-        answer = self._call(self.daemons[0].caller, {"X-Deadline-Ms": "300"})
+        caller, path = self.daemons[0].caller, LONG_PATH
+        answer = self._call(caller, {"X-Deadline-Ms": "300"}, path)
         self.assertIn(answer.status, (502, 504))
-        taken = wait_until(self._has_stopped, WAIT_S, "the server stopped at the deadline")
-        self.assertLess(taken, CANCEL_BOUND_S)
+        wait_until(self._has_stopped, CANCEL_WAIT_S, "the server stopped at the deadline")
 
     def test_overload_is_refused_at_once_with_a_spread_return(self) -> None:
         for server in self.servers:
@@ -111,8 +111,10 @@
         self.assertGreater(len(delays), 1)
         self.assertEqual(60 - len(refused), self._sum("calls"))
 
-    def _call(self, caller: str, headers: dict[str, str] | None = None) -> object:
-        url = f"http://{caller}/lessons"
+    def _call(
+        self, caller: str, headers: dict[str, str] | None = None, path: str = "/lessons"
+    ) -> object:
+        url = f"http://{caller}{path}"
         return urllib3.request("GET", url, headers=headers, retries=False, timeout=10)
 
     def _has_stopped(self) -> bool:
