--- a/src/magnoliasill/ramp.py
+++ b/src/magnoliasill/ramp.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from .evidence import FAILURES, RATE_FLOORS, SLOWNESS
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -33,6 +36,7 @@
 MIN_DWELL_S = 1.0
 MAX_BAKE_S = 600.0
 ROUTE_CALLS = 60
+DOUBT_PROBABILITY = 0.002  # on a route with fewer calls than that, at the end
 
 
 def compute_boosts(plan: Plan, now: float, routes: Mapping[str, RouteEvidence]) -> dict[str, float]:
@@ -65,6 +69,39 @@
     ]
 
 
+def find_doubted_route(plan: Plan, routes: Mapping[str, RouteEvidence]) -> str:
+    """Return what speaks against a release on a route with too few calls for the tests.
+
+    Args:
+        plan: What was asked for.
+        routes: The evidence of each route.
+
+    Returns:
+        The route and its counts, or an empty string if no route's hits are unlikely by chance.
+    """
+    for name in plan.routes:
+        evidence = routes.get(name)
+        if evidence is None or not 0 < evidence.new_calls < ROUTE_CALLS:
+            continue
+        old_calls = evidence.calls - evidence.new_calls
+        for measure, new_hits, old_hits in (
+            (FAILURES, evidence.new_failures, evidence.old_failures),
+            (SLOWNESS, evidence.new_slow, evidence.old_slow),
+        ):
+            rate = max(RATE_FLOORS[measure], (old_hits + 1) / (old_calls + 2))
+            if compute_tail(evidence.new_calls, new_hits, rate) < DOUBT_PROBABILITY:
+                return f"{measure} on route {name} ({new_hits} of {evidence.new_calls} calls)"
+    return ""
+
+
+def compute_tail(calls: int, hits: int, rate: float) -> float:
+    """Return the probability of at least this many hits among calls that are hits at a rate."""
+    return sum(
+        math.comb(calls, count) * rate**count * (1.0 - rate) ** (calls - count)
+        for count in range(hits, calls + 1)
+    )
+
+
 def compute_dwell(plan: Plan, progress: Progress) -> float:
     """Return the seconds at the present stage, fewer when time is short."""
     window = plan.finish_by - plan.start_at
--- a/src/magnoliasill/rollout.py
+++ b/src/magnoliasill/rollout.py
@@ -23,6 +23,7 @@
     compute_bake,
     compute_dwell,
     compute_latest_raise,
+    find_doubted_route,
     list_untested_routes,
 )
 
@@ -338,6 +339,9 @@
     baked = now - progress.changed_at >= MIN_BAKE_FRACTION * window
     if is_lowered(progress) or _is_suspicious(finding):
         return Decision(Verdict.REVERSE, f"a suspicion on route {finding.route} was not settled")
+    doubted = find_doubted_route(plan, routes)
+    if doubted:
+        return Decision(Verdict.REVERSE, f"{doubted}: too few calls to prove it, too bad to go on")
     if calls < TOTAL_CALLS:
         return Decision(Verdict.REVERSE, f"{calls} of {TOTAL_CALLS} calls at the deadline")
     if progress.stage < LAST_STAGE or not baked:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -113,6 +113,29 @@
             },
         ),
     ]
+    scenarios += [
+        (
+            f"full_share_{name}",
+            {
+                "progress": attrs.evolve(RUNNING, stage=LAST_STAGE, changed_at=1_015.0),
+                "routes": {"view": RouteEvidence(calls=400, **counts)},
+                "want": want,
+            },
+        )
+        for name, counts, want in (
+            ("few_calls_none_bad", {"new_calls": 11}, Verdict.COMPLETE),
+            ("few_calls_one_failed", {"new_calls": 11, "new_failures": 1}, Verdict.COMPLETE),
+            ("few_calls_two_failed", {"new_calls": 11, "new_failures": 2}, Verdict.REVERSE),
+            ("few_calls_some_slow", {"new_calls": 11, "new_slow": 2}, Verdict.COMPLETE),
+            ("few_calls_most_slow", {"new_calls": 11, "new_slow": 6}, Verdict.REVERSE),
+            (
+                "few_calls_bad_before_too",
+                {"new_calls": 11, "new_failures": 2, "old_failures": 60},
+                Verdict.COMPLETE,
+            ),
+            ("enough_calls", {"new_calls": 60, "new_failures": 2}, Verdict.COMPLETE),
+        )
+    ]
 
     def test_decision(self) -> None:
         decision = decide(
