--- a/src/magnoliasill/crashes.py
+++ b/src/magnoliasill/crashes.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import hashlib
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 
-import attrs
-
 from .actions import Action, Log, SendMessage
 from .codes import LogEvent
+from .crash_table import CrashTable, Suspect
 from .messages import CrashNotice
+from .spreading import choose_peers
 
 if TYPE_CHECKING:
     from .node import Node
@@ -26,30 +25,6 @@
 SERVER_BYTES = 4
 
 
-@attrs.define
-class Suspect:
-    """A request that was running on backend servers when they broke.
-
-    Attributes:
-        servers: Digests of those servers' addresses since the last trial.
-        seen_at: When the last of them was added.
-        blocks: How often the request was blocked.
-        blocked_until: Until when it is refused.
-    """
-
-    servers: set[bytes] = attrs.field(factory=set)
-    seen_at: float = 0.0
-    blocks: int = 0
-    blocked_until: float = 0.0
-
-
-@attrs.define
-class CrashTable:
-    """Suspect requests by fingerprint, the one seen last at the end."""
-
-    suspects: OrderedDict[bytes, Suspect] = attrs.field(factory=OrderedDict)
-
-
 def digest_fingerprint(method: str, target: str, body: bytes) -> bytes:
     """Return what equal requests have in common; the caller's key is left out.
 
@@ -129,11 +104,6 @@
 
 
 def _tell_peers(node: Node, fingerprint: bytes, suspect: Suspect) -> list[Action]:
-    peers = [
-        member.record.peer_address
-        for member in node.members.values()
-        if member.record.status == "alive" and member.record.data_centre == node.own.data_centre
-    ]
-    chosen = node.random.sample(peers, min(FANOUT, len(peers)))
     servers = sorted(suspect.servers)[:MAX_NOTICE_SERVERS]
-    return [SendMessage(address, CrashNotice(fingerprint, servers)) for address in chosen]
+    notice = CrashNotice(fingerprint, servers)
+    return [SendMessage(peer.peer_address, notice) for peer in choose_peers(node, FANOUT, 0)]
--- a/src/magnoliasill/node.py
+++ b/src/magnoliasill/node.py
@@ -8,7 +8,7 @@
 
 from .claim_table import ClaimTable
 from .configuration import ConfigurationTable
-from .crashes import CrashTable
+from .crash_table import CrashTable
 from .messages import MemberRecord
 from .takeovers import TakeoverTable
 
