Start the tool and list serving members by one function each; drop two unused codes

Found on reading the whole change: four copies of the command that starts the command-line tool and five of the count of serving members in tests, benches and the demonstration now stand once in fakes/processes.py.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -19,7 +19,7 @@
 from fakes.processes import (
     HOST,
     ROOT,
-    read_json,
+    list_serving,
     read_version,
     start_backend,
     start_daemon,
@@ -120,15 +120,10 @@
         start_backend(fleet, daemon, "lessons", "r1", work_ms=0.0)
     publish_folder(fleet, ROOT / "examples" / "ikenna" / "services")
     wait_until(lambda: all(read_version(d) == 1 for d in daemons), START_TIMEOUT_S, "version")
-    wait_until(lambda: _count_serving(daemons[0]) == len(daemons), START_TIMEOUT_S, "members")
+    wait_until(lambda: len(list_serving(daemons[0])) == len(daemons), START_TIMEOUT_S, "members")
     return daemons[0]
 
 
-def _count_serving(daemon: DaemonProcess) -> int:
-    state = read_json(daemon.admin, "/v1/state")
-    return sum(record["serving"] for record in (state["own"], *state["members"]))
-
-
 def pace(caller: str, backend: str, seconds: float, generator: random.Random) -> Round:
     """Send calls through the daemon and directly, in turn, at the same pace."""
     proxied, direct = _connect(caller), _connect(backend)
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import os
-import subprocess
 import sys
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from fakes.processes import ROOT
+from fakes.processes import run_tool
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -16,14 +15,13 @@
     from fakes.processes import DaemonProcess, Fleet
 
 CLOCK_TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-TOOL_START = "from magnoliasill.programs import run_tool; run_tool()"
 
 
 def publish_folder(fleet: Fleet, folder: Path) -> None:
     """Publish the service files of a folder with the command-line tool."""
-    command = [sys.executable, "-c", TOOL_START, "publish", str(folder)]
-    command += ["--store", fleet.store_url]
-    subprocess.run(command, cwd=ROOT, check=True, stdout=sys.stderr)
+    done = run_tool("publish", str(folder), "--store", fleet.store_url)
+    print(done.stdout, done.stderr, sep="", end="", file=sys.stderr)
+    done.check_returncode()
 
 
 def read_cpu_ms(daemon: DaemonProcess) -> float:
--- a/bench/overload.py
+++ b/bench/overload.py
@@ -20,6 +20,7 @@
 from bench.measures import percentile, publish_folder, read_cpu_ms
 from fakes.processes import (
     HOST,
+    list_serving,
     read_json,
     read_version,
     start_backend,
@@ -200,11 +201,7 @@
 
 
 def _is_ready(daemon: DaemonProcess) -> bool:
-    if read_version(daemon) != 1:
-        return False
-    state = read_json(daemon.admin, "/v1/state")
-    serving = sum(record["serving"] for record in (state["own"], *state["members"]))
-    return serving == BACKEND_SERVERS
+    return read_version(daemon) == 1 and len(list_serving(daemon)) == BACKEND_SERVERS
 
 
 def _run_phase(fleet: Fleet, factor: float, seconds: float, seed: int) -> dict[str, Any]:
--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -28,6 +28,8 @@
 _guards: list[socket.socket] = []
 ROOT = Path(__file__).resolve().parent.parent
 DAEMON_START = "from magnoliasill.programs import run_daemon; run_daemon()"
+TOOL_START = "from magnoliasill.programs import run_tool; run_tool()"
+TOOL_TIMEOUT_S = 60.0
 
 
 @attrs.define
@@ -212,6 +214,18 @@
         return 0
 
 
+def list_serving(daemon: DaemonProcess) -> list[dict[str, Any]]:
+    """Return the member records with a backend server that takes work, as a daemon knows them."""
+    state = read_json(daemon.admin, "/v1/state")
+    return [record for record in (state["own"], *state["members"]) if record["serving"]]
+
+
+def run_tool(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run the command-line tool to its end."""
+    command = [sys.executable, "-c", TOOL_START, *arguments]
+    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=TOOL_TIMEOUT_S)
+
+
 def wait_until(condition: Callable[[], bool], timeout_s: float, what: str) -> float:
     """Wait until a condition holds.
 
--- a/src/magnoliasill/error_catalogue.py
+++ b/src/magnoliasill/error_catalogue.py
@@ -133,10 +133,6 @@
         "The body of a call is larger than the service's limit.",
         "send less, or raise `limits.max_body_bytes` of the service",
     ),
-    ErrorCode.ADMIN_REFUSED: ErrorEntry(
-        "The administration port refused the request.",
-        "read the message; docs/ADMINISTRATION.md describes each call",
-    ),
     ErrorCode.ADMIN_UNREACHABLE: ErrorEntry(
         "The administration address does not answer, or not as a daemon does.",
         "check that the address is the administration `ip:port` of a running daemon",
--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -108,9 +108,6 @@
         reaction="tell the platform's operators where several daemons say so",
     ),
     LogEvent.STORE_AVAILABLE: EventEntry("The platform's store answers again."),
-    LogEvent.CALL_FAILED: EventEntry(
-        "A call ended without a whole answer.", fields=("code", "reason")
-    ),
     LogEvent.SERVER_EJECTED: EventEntry(
         "This daemon sends no calls to a backend server for a while, for its failures.",
         fields=("service", "server"),
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import subprocess
-import sys
 import tempfile
 from pathlib import Path
 
@@ -13,8 +12,10 @@
 from fakes.processes import (
     ROOT,
     find_ports,
+    list_serving,
     read_json,
     read_version,
+    run_tool,
     start_backend,
     start_daemon,
     start_fleet,
@@ -23,16 +24,9 @@
 )
 
 WAIT_S = 60.0
-TOOL_START = "from magnoliasill.programs import run_tool; run_tool()"
 SERVICES = ("lessons", "assessments", "media", "certs")
 
 
-def run_tool(*arguments: str) -> subprocess.CompletedProcess[str]:
-    """Run the command-line tool to its end."""
-    command = [sys.executable, "-c", TOOL_START, *arguments]
-    return subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=WAIT_S)
-
-
 class WholePathTest(testtools.TestCase):
     """Publish, converge, serve, stop."""
 
@@ -92,9 +86,7 @@
         self.assertIn("--caller-port", second.stderr)
 
     def _sees_all(self, daemon: object) -> bool:
-        state = read_json(daemon.admin, "/v1/state")
-        records = [state["own"], *state["members"]]
-        return {record["service"] for record in records if record["serving"]} == set(SERVICES)
+        return {record["service"] for record in list_serving(daemon)} == set(SERVICES)
 
     def _call(self, caller: str, method: str, path: str, key: str = "") -> object:
         headers = {"Idempotency-Key": key} if key else {}
--- a/tests/test_processes_administration.py
+++ b/tests/test_processes_administration.py
@@ -15,6 +15,7 @@
 
 from fakes.processes import (
     ROOT,
+    TOOL_START,
     DaemonProcess,
     find_ports,
     post_json,
@@ -30,7 +31,6 @@
 from .tool import run_tool
 
 WAIT_S = 60.0
-TOOL_START = "from magnoliasill.programs import run_tool; run_tool()"
 DAEMON_START = "from magnoliasill.programs import run_daemon; run_daemon()"
 EXAMPLE = ROOT / "examples" / "ikenna" / "services"
 
--- a/tests/test_processes_calls.py
+++ b/tests/test_processes_calls.py
@@ -13,16 +13,17 @@
 from fakes.processes import (
     HOST,
     ROOT,
+    list_serving,
     post_json,
     read_json,
     read_version,
+    run_tool,
     start_backend,
     start_daemon,
     start_fleet,
     stop_fleet,
     wait_until,
 )
-from tests.test_processes import run_tool
 
 WAIT_S = 60.0
 SLOW_MS = 3_000
@@ -127,6 +128,4 @@
         return read_version(daemon) == 1 and self._count_serving(daemon) == 2
 
     def _count_serving(self, daemon: object = None) -> int:
-        state = read_json((daemon or self.daemons[0]).admin, "/v1/state")
-        records = [state["own"], *state["members"]]
-        return sum(record["serving"] for record in records)
+        return len(list_serving(daemon or self.daemons[0]))
--- a/tests/test_processes_once.py
+++ b/tests/test_processes_once.py
@@ -21,6 +21,7 @@
     read_json,
     read_version,
     restart_daemon,
+    run_tool,
     start_backend,
     start_daemon,
     start_fleet,
@@ -29,8 +30,6 @@
 )
 from fakes.store import StoreFaults
 
-from .test_processes import run_tool
-
 WAIT_S = 60.0
 RETRY_PAUSE_S = 0.05
 PAUSE_S = 4.0  # longer than the lease of a key range
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import subprocess
 import sys
 import tempfile
 import tomllib
@@ -14,8 +13,10 @@
 from fakes.processes import (
     HOST,
     ROOT,
+    list_serving,
     read_json,
     read_version,
+    run_tool,
     start_backend,
     start_daemon,
     start_fleet,
@@ -29,7 +30,6 @@
     from fakes.processes import DaemonProcess, Fleet
 
 EXAMPLE = ROOT / "examples" / "ikenna"
-TOOL_START = "from magnoliasill.programs import run_tool; run_tool()"
 START_TIMEOUT_S = 60.0
 CONVERGENCE_TARGET_S = 6.0
 
@@ -59,7 +59,7 @@
     send_submission_twice(daemons)
     with tempfile.TemporaryDirectory() as folder:
         services = EXAMPLE / "services"
-        show_takeovers(fleet, daemons, services, Path(folder), run_tool, show)
+        show_takeovers(fleet, daemons, services, Path(folder), use_tool, show)
 
 
 def start_processes(fleet: Fleet) -> list[DaemonProcess]:
@@ -80,7 +80,7 @@
 
 def publish_example(fleet: Fleet, daemons: list[DaemonProcess]) -> None:
     """Publish the example and show each daemon's time of convergence."""
-    show(run_tool("publish", str(EXAMPLE / "services"), "--store", fleet.store_url))
+    show(use_tool("publish", str(EXAMPLE / "services"), "--store", fleet.store_url))
     wait_until(lambda: all(read_version(d) == 1 for d in daemons), START_TIMEOUT_S, "version 1")
     slowest = 0.0
     for daemon in daemons:
@@ -123,10 +123,9 @@
     return urllib3.request(method, url, headers=headers, body=b"", retries=False, timeout=15)
 
 
-def run_tool(*arguments: str) -> str:
+def use_tool(*arguments: str) -> str:
     """Run the command-line tool; its failure ends the demonstration."""
-    command = [sys.executable, "-c", TOOL_START, *arguments]
-    done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True)
+    done = run_tool(*arguments)
     require(done.returncode == 0, done.stderr)
     return done.stdout.strip()
 
@@ -144,11 +143,9 @@
 
 def _sees_all(daemon: DaemonProcess, count: int) -> bool:
     try:
-        state = read_json(daemon.admin, "/v1/state")
+        return len(list_serving(daemon)) == count
     except urllib3.exceptions.HTTPError:
         return False
-    records = [state["own"], *state["members"]]
-    return sum(record["serving"] for record in records) == count
 
 
 if __name__ == "__main__":
--- a/tools/demo_takeover.py
+++ b/tools/demo_takeover.py
@@ -80,7 +80,7 @@
     daemons: list[DaemonProcess],
     services: Path,
     folder: Path,
-    run_tool: Callable[..., str],
+    use_tool: Callable[..., str],
     show: Callable[[str], None],
 ) -> None:
     """Publish a takeover to a good release and one to a bad release, and show how each ends.
@@ -90,7 +90,7 @@
         daemons: The running daemons.
         services: The example's service files.
         folder: An empty folder for changed service files.
-        run_tool: Runs the command-line tool and returns what it printed.
+        use_tool: Runs the command-line tool and returns what it printed.
         show: Prints a line.
 
     Raises:
@@ -103,15 +103,15 @@
     for old, new, length_s, wanted in steps:
         _start_servers(fleet, daemons, callers, new, wanted)
         with Traffic(callers) as traffic:
-            _publish(fleet, daemons, folder, (old, new, length_s), run_tool)
+            _publish(fleet, daemons, folder, (old, new, length_s), use_tool)
             show(f"a takeover of {SERVICE} from {old} to {new} within {length_s} s is published")
             took = wait_until(
-                lambda: _read(run_tool, fleet)["progress"]["phase"] != "running",
+                lambda: _read(use_tool, fleet)["progress"]["phase"] != "running",
                 length_s + 10.0,
                 "the end of the takeover",
             )
-        show(run_tool("rollouts", SERVICE, "--store", fleet.store_url))
-        phase = _read(run_tool, fleet)["progress"]["phase"]
+        show(use_tool("rollouts", SERVICE, "--store", fleet.store_url))
+        phase = _read(use_tool, fleet)["progress"]["phase"]
         show(f"  {phase} after {took:.1f} s; calls by release: {traffic.releases}")
         if phase != wanted:
             raise SystemExit(f"FAILED: the takeover to {new} was {phase}")
@@ -141,7 +141,7 @@
     daemons: list[DaemonProcess],
     folder: Path,
     takeover: tuple[str, str, int],
-    run_tool: Callable[..., str],
+    use_tool: Callable[..., str],
 ) -> None:
     old, new, length_s = takeover
     path = folder / f"{SERVICE}.toml"
@@ -154,17 +154,17 @@
     times = {"start": start.isoformat(), "finish": finish.isoformat()}
     path.write_text(text + TAKEOVER.format(old=old, new=new, **times))
     version = max(read_version(daemon) for daemon in daemons) + 1
-    run_tool("publish", str(folder), "--store", fleet.store_url)
+    use_tool("publish", str(folder), "--store", fleet.store_url)
     wait_until(
         lambda: all(read_version(daemon) >= version for daemon in daemons),
         START_TIMEOUT_S,
         f"version {version}",
     )
-    wait_until(lambda: _read(run_tool, fleet).get("to_release") == new, START_TIMEOUT_S, "record")
+    wait_until(lambda: _read(use_tool, fleet).get("to_release") == new, START_TIMEOUT_S, "record")
 
 
-def _read(run_tool: Callable[..., str], fleet: Fleet) -> dict[str, Any]:
-    records = msgspec.json.decode(run_tool("rollouts", "--store", fleet.store_url, "--json"))
+def _read(use_tool: Callable[..., str], fleet: Fleet) -> dict[str, Any]:
+    records = msgspec.json.decode(use_tool("rollouts", "--store", fleet.store_url, "--json"))
     return next((record for record in records if record["service"] == SERVICE), {})
 
 
