--- a/src/magnoliasill/mesh/backend.py
+++ b/src/magnoliasill/mesh/backend.py
@@ -85,7 +85,7 @@
         return HeartbeatEffect.STALE
     if not same:
         if known is not None:
-            _end(backend, known)
+            _end(backend, _identify(known))
         backend.leaving_at = None
     effect = HeartbeatEffect.RENEWED if same else HeartbeatEffect.STARTED
     backend.latest = heartbeat
@@ -108,9 +108,9 @@
     """
     known = backend.latest
     if known is None or known.instance != instance or (born and born != known.born):
-        backend.ended[(instance, born)] = None
+        _end(backend, (instance, born))
         return False
-    _end(backend, known)
+    _end(backend, _identify(known))
     if backend.leaving_at is None:
         backend.leaving_at = now
     return True
@@ -130,7 +130,7 @@
     return not heartbeat.born and heartbeat.sequence < known.sequence and heartbeat.cold_s > 0
 
 
-def _end(backend: Backend, heartbeat: Heartbeat) -> None:
-    backend.ended[_identify(heartbeat)] = None
+def _end(backend: Backend, incarnation: tuple[str, int]) -> None:
+    backend.ended[incarnation] = None
     while len(backend.ended) > MAX_ENDED:
         backend.ended.popitem(last=False)
--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -15,12 +15,14 @@
 from ..platform.headers import read_request, strip_request
 from .bodies import read_body
 from .forwarding import Request, forward_request
-from .protocol import end_connection, find_length, list_headers, read_target, strip_answer
+from .protocol import count_open, end_connection, find_length, list_headers, read_target, strip_answer
+from .state import is_closing
 from .transfer import Message, Reply
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
+RETURN_S = 0.2  # until a new connection finds another daemon, or this one's successor
 CANCELLED_STATUS = "499 Client Closed Request"
 
 if TYPE_CHECKING:
@@ -32,7 +34,7 @@
     """Return the WSGI application of the callers' port."""
 
     def application(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-        sidecar.open_requests += 1
+        count_open(sidecar, environ)
         progress = _Progress(sidecar.clock())
         try:
             reply = _serve(sidecar, environ, progress)
@@ -44,8 +46,6 @@
             _log_cancelled(sidecar, progress)
             start_response(CANCELLED_STATUS, [("Content-Length", "0"), ("Connection", "close")])
             return []
-        finally:
-            sidecar.open_requests -= 1
         end_connection(sidecar, environ)
         _log_answer(sidecar, progress, reply)
         return _answer(reply, start_response)
@@ -66,6 +66,9 @@
     headers = list_headers(environ)
     marks = read_request(headers)
     progress.identifier = marks.identifier
+    if is_closing(sidecar):
+        message = "the daemon is stopping and takes no more requests"
+        raise CallError(ErrorCode.NOT_READY, message, RETURN_S)
     table = sidecar.table
     if table is None:
         raise CallError(ErrorCode.NOT_READY, "no configuration is in force on this daemon")
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -8,6 +8,7 @@
 from time import monotonic, time_ns
 from typing import TYPE_CHECKING, Any
 
+import attrs
 import eventlet
 import msgspec
 
@@ -32,7 +33,7 @@
 from .meters import Meters
 from .protocol import IDLE_SLACK_S, PEER_IDLE_S, build_protocol, serve_port
 from .registration import Registration, keep_registered
-from .state import Sidecar
+from .state import LINGER_S, Sidecar
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -44,8 +45,7 @@
 LISTEN_BACKLOG = 1024
 STEP_S = 0.05  # a caller's leaving and a hopeless wait are noticed within this
 FILE_STEP_S = 0.5  # between two looks at the settings file
-LINGER_S = 3.0  # two missed readiness checks, a second apart, and a caller's last request
-EXIT_MARGIN_S = 0.8  # before the platform ends the process
+EXIT_MARGIN_S = 0.5  # before the platform ends the process
 DRAIN_STEP_S = 0.02
 
 
@@ -87,28 +87,65 @@
     write: Callable[..., None],
     journal: Journal,
 ) -> None:
-    store = StoreClient(settings.store, STORE_TIMEOUT_S)
-    sidecar = Sidecar(settings, store, meters, write, start_id=f"{time_ns():x}")
-    _apply_bounds(sidecar)
     stop = eventlet.Event()
+    running = start_sidecar(settings, meters, write)
+    sidecar = running.sidecar
     signal.signal(signal.SIGTERM, lambda *_: stop.ready() or stop.send())
     signal.signal(signal.SIGINT, lambda *_: stop.ready() or stop.send())
     signal.signal(signal.SIGHUP, lambda *_: eventlet.spawn(_reload, sidecar, path))
-    sockets = _open_ports(sidecar)
-    registration = Registration()
-    sidecar.registration = registration.wake
-    for loop in (
-        lambda: follow_store(sidecar),
-        lambda: keep_registered(sidecar, registration),
-        lambda: keep_deciding(sidecar, registration),
-        lambda: _step(sidecar),
-        lambda: _watch_file(sidecar, path),
-    ):
-        eventlet.spawn(_keep, sidecar, loop)
+    eventlet.spawn(_keep, sidecar, lambda: _watch_file(sidecar, path))
     eventlet.spawn(keep_writing, journal)
     sidecar.log(LogEvent.DAEMON_STARTED, caller_port=settings.callers)
     stop.wait()
-    _stop(sidecar, registration, sockets)
+    stop_sidecar(running)
+
+
+@attrs.frozen
+class RunningSidecar:
+    """A sidecar whose ports are open.
+
+    Attributes:
+        sidecar: Its tables.
+        sockets: The sockets that it listens on.
+        servers: What serves them.
+        loops: Its loops.
+    """
+
+    sidecar: Sidecar
+    sockets: list[Any]
+    servers: list[Any]
+    loops: list[Any]
+
+
+def start_sidecar(
+    settings: SidecarSettings, meters: Meters, write: Callable[..., None]
+) -> RunningSidecar:
+    """Open the ports and start the loops of a sidecar.
+
+    Args:
+        settings: Its settings.
+        meters: Its counters and histograms.
+        write: Writes an event to its log.
+
+    Raises:
+        SettingsError: If an address can't be listened on.
+    """
+    store = StoreClient(settings.store, STORE_TIMEOUT_S)
+    sidecar = Sidecar(settings, store, meters, write, start_id=f"{time_ns():x}")
+    _apply_bounds(sidecar)
+    sockets, servers = _open_ports(sidecar)
+    registration = Registration()
+    sidecar.registration = registration.wake
+    loops = [
+        eventlet.spawn(_keep, sidecar, loop)
+        for loop in (
+            lambda: follow_store(sidecar),
+            lambda: keep_registered(sidecar, registration),
+            lambda: keep_deciding(sidecar, registration),
+            lambda: _step(sidecar),
+        )
+    ]
+    return RunningSidecar(sidecar, sockets, servers, loops)
 
 
 def _keep(sidecar: Sidecar, loop: Callable[[], None]) -> None:
@@ -121,7 +158,7 @@
         eventlet.sleep(STEP_S)
 
 
-def _open_ports(sidecar: Sidecar) -> list[Any]:
+def _open_ports(sidecar: Sidecar) -> tuple[list[Any], list[Any]]:
     settings = sidecar.settings
     callers = build_protocol(
         lambda: (sidecar.table.limits.idle_timeout_s if sidecar.table else PEER_IDLE_S)
@@ -142,12 +179,12 @@
     ]
     if settings.metrics:
         ports.append((settings.metrics, build_metrics_application(sidecar), peers))
-    sockets = []
-    for address, application, protocol in ports:
-        sock = _listen(address)
-        sockets.append(sock)
+    sockets = [_listen(address) for address, _, _ in ports]
+    servers = [
         eventlet.spawn(serve_port, sock, application, protocol)
-    return sockets
+        for sock, (_, application, protocol) in zip(sockets, ports, strict=True)
+    ]
+    return sockets, servers
 
 
 def _listen(address: str) -> Any:
@@ -213,14 +250,25 @@
     sidecar.log(LogEvent.SETTINGS_RELOADED, path=path)
 
 
-def _stop(sidecar: Sidecar, registration: Registration, sockets: list[Any]) -> None:
+def stop_sidecar(running: RunningSidecar) -> None:
+    """Let callers go elsewhere, finish the requests in progress and close the ports.
+
+    Args:
+        running: The sidecar.
+    """
+    sidecar = running.sidecar
     started = sidecar.stopping_at = monotonic()
     sidecar.log(LogEvent.DAEMON_STOPPING, open_calls=sidecar.open_requests)
     sidecar.registration()
     last = started + sidecar.settings.bounds.grace_s - EXIT_MARGIN_S
     linger_until = min(started + LINGER_S, last)
-    while monotonic() < linger_until or (sidecar.open_requests and monotonic() < last):
-        eventlet.sleep(DRAIN_STEP_S)
-    for sock in sockets:
+    eventlet.sleep(max(linger_until - started, 0.0))
+    for server in running.servers:  # idle connections end at once, others after their answers
+        server.kill()
+    for sock in running.sockets:
         sock.close()
+    while sidecar.open_requests and monotonic() < last:
+        eventlet.sleep(DRAIN_STEP_S)
+    for loop in running.loops:
+        loop.kill()
     sidecar.log(LogEvent.DAEMON_STOPPED, open_calls=sidecar.open_requests)
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -22,7 +22,7 @@
 from ..platform.headers import mark_request, read_answer
 from .bodies import read_body
 from .exposure import is_withheld
-from .protocol import end_connection, find_length, list_headers, read_target, strip_answer
+from .protocol import count_open, end_connection, find_length, list_headers, read_target, strip_answer
 from .transfer import BrokenError, Message, NotSentError, Reply, exchange
 
 if TYPE_CHECKING:
@@ -57,15 +57,13 @@
         call = decode_call(environ.get("HTTP_" + CALL_HEADER.upper().replace("-", "_"), ""))
         if call is None:
             return _answer_control(control(read_target(environ), environ), start_response)
-        sidecar.open_requests += 1
+        count_open(sidecar, environ)
         try:
             passage = _serve_call(sidecar, environ, call)
         except CallerDisconnectedError:
             sidecar.meters.count("gate", "cancelled")
             start_response(CANCELLED_STATUS, [("Content-Length", "0"), ("Connection", "close")])
             return []
-        finally:
-            sidecar.open_requests -= 1
         end_connection(sidecar, environ)
         return _answer(passage, start_response)
 
--- a/src/magnoliasill/sidecar/protocol.py
+++ b/src/magnoliasill/sidecar/protocol.py
@@ -91,6 +91,16 @@
     return [(name, value) for name, value in raw if name.lower() not in dropped]
 
 
+def count_open(sidecar: Sidecar, environ: dict[str, Any]) -> None:
+    """Count a request as open until its answer was written or its caller is gone."""
+    sidecar.open_requests += 1
+    environ["eventlet.posthooks"].append((_finish, (sidecar,), {}))
+
+
+def _finish(environ: dict[str, Any], sidecar: Sidecar) -> None:
+    sidecar.open_requests -= 1
+
+
 def end_connection(sidecar: Sidecar, environ: dict[str, Any]) -> None:
     """Let a connection end with its answer if the sidecar is stopping."""
     if sidecar.stopping_at is not None:
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -31,6 +31,9 @@
     from .meters import Meters
 
 
+LINGER_S = 3.0  # two missed readiness checks, a second apart, and a caller's last request
+
+
 @attrs.define
 class OpenOrder:
     """An order as this sidecar saw it.
@@ -139,3 +142,9 @@
         slots=latest.slots,
         leaving=sidecar.backend.leaving_at is not None,
     )
+
+
+def is_closing(sidecar: Sidecar) -> bool:
+    """Return whether a request that comes now could be cut off by the end of the process."""
+    stopping_at = sidecar.stopping_at
+    return stopping_at is not None and sidecar.clock() - stopping_at >= LINGER_S
--- a/src/magnoliasill/sidecar/transfer.py
+++ b/src/magnoliasill/sidecar/transfer.py
@@ -122,6 +122,21 @@
             self.source.paused = False
 
 
+class _Response(HTTPResponse):
+    """A response that leaves it to us when its connection is closed.
+
+    Attributes:
+        closes: Whether the connection ends with it.
+    """
+
+    closes = False
+
+    def begin(self) -> None:
+        """Read the head; the library would close the connection before the body is read."""
+        super().begin()
+        self.closes, self.will_close = self.will_close, False
+
+
 class _Unclosed:
     """The buffer for one response, which must not close it."""
 
@@ -247,19 +262,19 @@
     method: str,
     deadline: float,
     belongs: Callable[[int, list[tuple[str, str]]], bool],
-) -> HTTPResponse:
+) -> _Response:
     """Return the response to this request; passes over whole answers to earlier ones."""
     _limit(link, deadline)
-    link.http.response_class = lambda sock, **options: HTTPResponse(link.reader, **options)
+    link.http.response_class = lambda sock, **options: _Response(link.reader, **options)
     response = BaseConnection.getresponse(link.http)
     for _ in range(MAX_STRAY_ANSWERS):
         if belongs(response.status, response.getheaders()):
             return response
-        if response.will_close:
+        if response.closes:
             break
         response.read()
         _limit(link, deadline)
-        response = HTTPResponse(link.reader, method=method)
+        response = _Response(link.reader, method=method)
         response.begin()
     if belongs(response.status, response.getheaders()):
         return response
@@ -270,7 +285,7 @@
     table: ConnectionTable,
     address: str,
     link: Link,
-    response: HTTPResponse,
+    response: _Response,
     deadline: float,
     whole: bool,
 ) -> Reply:
@@ -300,16 +315,15 @@
     table: ConnectionTable,
     address: str,
     link: Link,
-    response: HTTPResponse,
+    response: _Response,
     deadline: float,
     whole: bool,
 ) -> Iterator[bytes]:
     done = False
-    closes = response.will_close or not whole
+    closes = response.closes or not whole
     try:
         while True:
-            with suppress(AttributeError):  # the socket is gone once the library closed its end
-                _limit(link, deadline)
+            _limit(link, deadline)
             piece = response.read(PIECE_BYTES)
             if not piece:
                 break
@@ -322,7 +336,6 @@
             give_back(table, address, link)
         else:
             link.http.close()
-            link.reader.source.sock.close()
 
 
 def _note_idle_bound(table: ConnectionTable, address: str, headers: list[tuple[str, str]]) -> None:
--- /dev/null
+++ b/tests/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the core of a sidecar."""
--- /dev/null
+++ b/tests/mesh/test_backend.py
@@ -0,0 +1,97 @@
+"""Tests of the backend server's table: incarnations, late heartbeats, leaving."""
+
+from __future__ import annotations
+
+import attrs
+import testtools
+
+from magnoliasill.mesh.backend import (
+    MAX_ENDED,
+    Backend,
+    Heartbeat,
+    HeartbeatEffect,
+    apply_heartbeat,
+    apply_leave,
+    is_open,
+)
+
+FIRST = Heartbeat("i-1", 1_000, 5, "10.0.0.1:80", "certs", "v1", "a", 9, False, 0.0)
+
+
+class HeartbeatTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.backend = Backend()
+        apply_heartbeat(self.backend, FIRST, 1.0)
+
+    def apply(self, at: float = 2.0, **changes: object) -> HeartbeatEffect:
+        return apply_heartbeat(self.backend, attrs.evolve(FIRST, **changes), at)
+
+    def test_first_opens(self) -> None:
+        self.assertTrue(is_open(self.backend))
+
+    def test_overtaken_heartbeat_changes_nothing(self) -> None:
+        self.assertEqual(HeartbeatEffect.LEAVING, self.apply(sequence=7, leaving=True))
+        self.assertEqual(HeartbeatEffect.STALE, self.apply(sequence=6))
+        self.assertFalse(is_open(self.backend))
+
+    def test_restart_under_the_same_identifier(self) -> None:
+        self.apply(sequence=7, leaving=True)
+        self.assertEqual(HeartbeatEffect.STARTED, self.apply(born=2_000, sequence=1))
+        self.assertTrue(is_open(self.backend))
+
+    def test_late_heartbeat_of_an_earlier_incarnation(self) -> None:
+        self.apply(instance="i-2", born=2_000, sequence=1)
+        self.assertEqual(HeartbeatEffect.STALE, self.apply(sequence=9))
+        self.assertEqual("i-2", self.backend.latest.instance)
+
+    def test_late_heartbeat_of_an_incarnation_that_was_never_heard(self) -> None:
+        self.apply(instance="i-2", born=2_000, sequence=1)
+        effect = self.apply(instance="i-0", born=500, sequence=99)
+        self.assertEqual(HeartbeatEffect.STALE, effect)
+
+    def test_leaving_is_not_taken_back(self) -> None:
+        self.apply(sequence=6, leaving=True)
+        self.apply(sequence=7, leaving=False)
+        self.assertFalse(is_open(self.backend))
+
+    def test_leaving_is_told_once(self) -> None:
+        self.assertEqual(HeartbeatEffect.LEAVING, self.apply(sequence=6, leaving=True))
+        self.assertEqual(HeartbeatEffect.RENEWED, self.apply(sequence=7, leaving=True))
+
+    def test_counts_begin_anew_where_no_start_is_told(self) -> None:
+        backend = Backend()
+        apply_heartbeat(backend, attrs.evolve(FIRST, born=0), 1.0)
+        again = attrs.evolve(FIRST, born=0, sequence=1, cold_s=3.0, slots=4)
+        apply_heartbeat(backend, again, 2.0)
+        self.assertEqual(4, backend.latest.slots)
+
+
+class LeaveTest(testtools.TestCase):
+    def test_leaving_without_draining_first(self) -> None:
+        backend = Backend()
+        apply_heartbeat(backend, FIRST, 1.0)
+        self.assertTrue(apply_leave(backend, "i-1", 1_000, 2.0))
+        self.assertFalse(is_open(backend))
+        late = attrs.evolve(FIRST, sequence=99)
+        self.assertEqual(HeartbeatEffect.STALE, apply_heartbeat(backend, late, 3.0))
+        self.assertFalse(is_open(backend))
+
+    def test_late_leave_of_an_earlier_incarnation(self) -> None:
+        backend = Backend()
+        apply_heartbeat(backend, attrs.evolve(FIRST, born=2_000), 1.0)
+        self.assertFalse(apply_leave(backend, "i-1", 1_000, 2.0))
+        self.assertTrue(is_open(backend))
+
+    def test_memory_is_bounded(self) -> None:
+        backend = Backend()
+        for number in range(10 * MAX_ENDED):
+            beat = attrs.evolve(FIRST, instance=f"i-{number}", born=number + 1)
+            apply_heartbeat(backend, beat, float(number))
+        self.assertEqual(MAX_ENDED, len(backend.ended))
+
+    def test_memory_is_bounded_for_leaves_of_others(self) -> None:
+        backend = Backend()
+        for number in range(10 * MAX_ENDED):
+            apply_leave(backend, f"i-{number}", 0, float(number))
+        self.assertEqual(MAX_ENDED, len(backend.ended))
--- /dev/null
+++ b/tests/mesh/test_gate.py
@@ -0,0 +1,153 @@
+"""Tests of the gate under the load that it answers: more work than slots."""
+
+from __future__ import annotations
+
+import testtools
+
+from magnoliasill.mesh.gate import (
+    MAX_WAITING_PER_SLOT,
+    Gate,
+    Offer,
+    Ticket,
+    close_gate,
+    finish_request,
+    leave_queue,
+    observe_answer,
+    offer_request,
+    start_waiting,
+)
+
+WORK_S = 0.1
+
+
+class GateCase(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.gate = Gate(slots=2, mean_s=WORK_S)
+        self.resumed: list[tuple[str, bool]] = []
+
+    def build(
+        self,
+        name: str,
+        now: float = 0.0,
+        target_s: float = 1.0,
+        deadline_s: float = 2.0,
+        priority: int = 2,
+        nested: bool = False,
+    ) -> Ticket:
+        return Ticket(
+            route="r",
+            nested=nested,
+            priority=priority,
+            target_at=now + target_s,
+            deadline_at=now + deadline_s,
+            arrived_at=now,
+            resume=lambda admitted: self.resumed.append((name, admitted)),
+        )
+
+    def offer(self, name: str, now: float = 0.0, late: bool = False, **options: object) -> Offer:
+        return offer_request(self.gate, self.build(name, now, **options), now, late)
+
+    def fill(self) -> None:
+        self.assertTrue(self.offer("first").admitted)
+        self.assertTrue(self.offer("second").admitted)
+
+
+class OfferTest(GateCase):
+    def test_slots_are_never_exceeded(self) -> None:
+        self.fill()
+        for number in range(20):
+            self.offer(f"more-{number}")
+        self.assertEqual(2, self.gate.running)
+
+    def test_a_request_without_enough_time_left_is_refused_even_where_slots_are_free(self) -> None:
+        self.assertEqual("deadline", self.offer("late", deadline_s=0.02).reason)
+
+    def test_what_would_miss_its_target_goes_elsewhere_first(self) -> None:
+        self.fill()
+        self.assertEqual("target", self.offer("r", target_s=0.12).reason)
+        self.assertTrue(self.offer("r", target_s=0.12, late=True).queued)
+
+    def test_what_would_miss_its_deadline_is_refused_at_once(self) -> None:
+        self.fill()
+        for number in range(7):
+            self.offer(f"wait-{number}", priority=1)
+        offer = self.offer("last", target_s=0.3, deadline_s=0.3, late=True)
+        self.assertEqual("deadline", offer.reason)
+
+    def test_the_queue_is_bounded(self) -> None:
+        self.fill()
+        offers = [self.offer(f"{n}", target_s=99, deadline_s=99) for n in range(40)]
+        self.assertEqual(MAX_WAITING_PER_SLOT * 2, sum(offer.queued for offer in offers))
+        self.assertEqual("queue", offers[-1].reason)
+
+
+class OrderTest(GateCase):
+    def start_all(self, now: float = 0.0) -> list[str]:
+        while self.gate.waiting:
+            finish_request(self.gate, now)
+        return [name for name, admitted in self.resumed if admitted]
+
+    def test_calls_of_running_work_go_first(self) -> None:
+        self.fill()
+        self.offer("new", priority=0)
+        self.offer("nested", priority=5, nested=True)
+        self.assertEqual(["nested", "new"], self.start_all())
+
+    def test_urgent_before_less_urgent(self) -> None:
+        self.fill()
+        self.offer("less", priority=2)
+        self.offer("urgent", priority=1)
+        self.assertEqual(["urgent", "less"], self.start_all())
+
+    def test_what_is_late_anyway_goes_behind_what_is_not(self) -> None:
+        self.fill()
+        self.offer("late", priority=1, target_s=0.15, late=True)
+        self.offer("in time", priority=2, target_s=1.5)
+        self.assertEqual(["in time", "late"], self.start_all(now=0.2))
+
+    def test_the_nearest_target_first_among_equals(self) -> None:
+        self.fill()
+        self.offer("far", target_s=1.5)
+        self.offer("near", target_s=0.8)
+        self.assertEqual(["near", "far"], self.start_all())
+
+
+class WaitingTest(GateCase):
+    def test_a_hopeless_wait_ends_with_a_refusal(self) -> None:
+        self.fill()
+        self.offer("waits", deadline_s=0.5)
+        start_waiting(self.gate, 0.48)
+        self.assertEqual([("waits", False)], self.resumed)
+        self.assertEqual([], self.gate.waiting)
+
+    def test_a_leaving_server_refuses_all_that_waits(self) -> None:
+        self.fill()
+        self.offer("a")
+        self.offer("b")
+        close_gate(self.gate)
+        self.assertEqual([("a", False), ("b", False)], self.resumed)
+
+    def test_a_caller_that_left_gets_no_slot(self) -> None:
+        self.fill()
+        ticket = self.build("left")
+        offer_request(self.gate, ticket, 0.0, False)
+        leave_queue(self.gate, ticket)
+        finish_request(self.gate, 0.1)
+        self.assertEqual([], self.resumed)
+        self.assertEqual(1, self.gate.running)
+
+
+class ObservationTest(GateCase):
+    def test_failures_do_not_shorten_the_mean(self) -> None:
+        for _ in range(50):
+            observe_answer(self.gate, "r", 0.001, failed=True)
+        self.assertEqual(WORK_S, self.gate.mean_s)
+        self.assertGreater(self.gate.failing, 0.9)
+
+    def test_each_route_has_its_own_mean(self) -> None:
+        for _ in range(200):
+            observe_answer(self.gate, "short", 0.02, failed=False)
+            observe_answer(self.gate, "long", 0.5, failed=False)
+        self.assertAlmostEqual(0.02, self.gate.route_s["short"], 3)
+        self.assertAlmostEqual(0.5, self.gate.route_s["long"], 3)
--- /dev/null
+++ b/tests/mesh/test_takeovers.py
@@ -0,0 +1,183 @@
+"""Tests of takeovers: planned shares, their ends, and which release may get requests."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import testtools
+
+from magnoliasill.mesh.evidence import (
+    RouteCounts,
+    Verdict,
+    add_counts,
+    count_answer,
+    judge_release,
+)
+from magnoliasill.mesh.takeovers import (
+    HOLD_SHARE,
+    Moment,
+    Order,
+    Phase,
+    Takeover,
+    decide_takeover,
+    find_share,
+    plan_share,
+    start_takeover,
+)
+
+ORDER = Order("lessons", "v2", 14.0)
+STEP_S = 0.4
+EXPOSURE_SHARE = 0.1
+EXPOSURE_CALLS = 50
+
+
+def play(verdict_at: float | None = None, servers_at: float = 0.5) -> list[Takeover]:
+    """Return the takeover after each step."""
+    takeover = start_takeover(ORDER, 7, None, ["v1"])
+    course = []
+    for step in range(40):
+        elapsed = step * STEP_S
+        bad = verdict_at is not None and elapsed >= verdict_at
+        moment = Moment(
+            elapsed, int(elapsed >= servers_at), Verdict.BAD if bad else Verdict.UNCLEAR
+        )
+        takeover = decide_takeover(takeover, ORDER, moment)
+        course.append(takeover)
+    return course
+
+
+class CourseTest(testtools.TestCase):
+    def test_a_good_release_is_completed_before_the_deadline(self) -> None:
+        course = play()
+        done = next(i for i, found in enumerate(course) if found.phase is Phase.COMPLETED)
+        self.assertLess(done * STEP_S, ORDER.duration_s)
+        self.assertEqual(1.0, course[done].share)
+
+    def test_completed_only_after_it_had_everything(self) -> None:
+        course = play()
+        done = next(i for i, found in enumerate(course) if found.phase is Phase.COMPLETED)
+        self.assertEqual(1.0, course[done - 1].share)
+
+    def test_a_share_never_falls_while_nothing_speaks_against_it(self) -> None:
+        shares = [found.share for found in play()]
+        self.assertEqual(sorted(shares), shares)
+
+    def test_a_bad_release_is_taken_back_and_stays_so(self) -> None:
+        course = play(verdict_at=3.0)
+        self.assertIs(Phase.TAKEN_BACK, course[-1].phase)
+        self.assertEqual(0.0, course[-1].share)
+
+    def test_a_release_whose_fault_shows_in_the_last_step_stays_within_the_exposure(self) -> None:
+        for duration in (8.0, 12.0, 14.0, 16.0, 30.0):
+            rate, received, total = 250.0, 0.0, 0.0
+            full_since = None
+            for tick in range(int(duration * 100)):
+                share = plan_share(duration, tick / 100)
+                if share >= 0.6 and full_since is None:
+                    full_since = tick / 100
+                if full_since is not None and tick / 100 > full_since + 2 * STEP_S:
+                    share = 0.0  # two looks at a heavy load are enough for a verdict
+                received += share * rate / 100
+                total += rate / 100
+            self.assertLessEqual(received, EXPOSURE_SHARE * total + EXPOSURE_CALLS, duration)
+
+    def test_a_release_without_servers_is_taken_back_at_the_end(self) -> None:
+        self.assertIs(Phase.TAKEN_BACK, play(servers_at=99.0)[-1].phase)
+
+    def test_most_of_the_time_is_spent_at_a_small_share(self) -> None:
+        self.assertEqual(HOLD_SHARE, plan_share(14.0, 0.5 * 14.0))
+
+
+class ShareTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.takeover = Takeover("lessons", "v2", 7, share=0.06)
+
+    def test_before_any_order(self) -> None:
+        self.assertEqual(1.0, find_share(None, "", "v1"))
+
+    def test_an_ordered_release_waits_for_the_decider(self) -> None:
+        self.assertEqual(0.0, find_share(None, "v2", "v2"))
+        self.assertEqual(1.0, find_share(None, "v2", "v1"))
+
+    def test_running(self) -> None:
+        self.assertEqual(0.06, find_share(self.takeover, "", "v2"))
+        self.assertEqual(1.0, find_share(self.takeover, "", "v1"))
+
+    def test_completed(self) -> None:
+        done = attrs.evolve(self.takeover, phase=Phase.COMPLETED, share=1.0)
+        self.assertEqual(1.0, find_share(done, "", "v2"))
+        self.assertEqual(0.0, find_share(done, "", "v1"))
+
+    def test_taken_back_and_ordered_again(self) -> None:
+        back = attrs.evolve(self.takeover, phase=Phase.TAKEN_BACK, share=0.0)
+        self.assertEqual(0.0, find_share(back, "", "v2"))
+        again = start_takeover(Order("lessons", "v3", 14.0), 9, back, ["v1", "v3"])
+        self.assertEqual(("v2",), again.retired)
+        self.assertEqual(0.0, find_share(again, "", "v2"))
+        self.assertEqual(1.0, find_share(again, "", "v1"))
+
+    def test_a_second_takeover_starts_from_the_release_of_the_first(self) -> None:
+        done = attrs.evolve(self.takeover, phase=Phase.COMPLETED, share=1.0)
+        again = start_takeover(Order("lessons", "v3", 14.0), 9, done, ["v1", "v2", "v3"])
+        self.assertEqual(0.0, find_share(again, "", "v1"))
+        self.assertEqual(1.0, find_share(again, "", "v2"))
+
+
+def sample(seed: int, answers: int, failing: float, slow: float = 0.0) -> dict[str, RouteCounts]:
+    generator = random.Random(seed)
+    counts: dict[str, RouteCounts] = {}
+    for _ in range(answers):
+        seconds = generator.lognormvariate(-2.4, 0.8)
+        if generator.random() < slow:
+            seconds *= 8
+        count_answer(counts, "view", generator.random() < failing, seconds, cold=False)
+    return counts
+
+
+class EvidenceTest(testtools.TestCase):
+    def test_good_releases_are_kept(self) -> None:
+        kept = 0
+        for seed in range(200):
+            old, new = sample(seed, 2_000, 0.004), sample(1_000 + seed, 150, 0.004)
+            kept += judge_release(old, new)[0] is Verdict.UNCLEAR
+        self.assertGreaterEqual(kept, 198)
+
+    def test_failures_show_before_the_fiftieth(self) -> None:
+        for share in (0.3, 0.5, 0.9):
+            for seed in range(50):
+                new = sample(seed, int(40 / share), share)
+                verdict, reason = judge_release(sample(7, 2_000, 0.004), new)
+                self.assertIs(Verdict.BAD, verdict, (share, seed))
+                self.assertIn("failed", reason)
+
+    def test_slow_answers_show(self) -> None:
+        found = 0
+        for seed in range(50):
+            new = sample(seed, 130, 0.0, slow=0.31)
+            found += judge_release(sample(7, 2_000, 0.004), new)[0] is Verdict.BAD
+        self.assertGreaterEqual(found, 48)
+
+    def test_a_fault_of_one_route_is_not_hidden_by_another(self) -> None:
+        old, new = sample(1, 1_000, 0.0), sample(2, 400, 0.0)
+        old["submit"] = RouteCounts(200, 1)
+        new["submit"] = RouteCounts(20, 12)
+        self.assertIs(Verdict.BAD, judge_release(old, new)[0])
+
+    def test_failures_that_the_old_release_has_too_are_no_fault_of_the_new(self) -> None:
+        old, new = sample(1, 2_000, 0.3), sample(2, 150, 0.3)
+        self.assertIs(Verdict.UNCLEAR, judge_release(old, new)[0])
+
+    def test_a_cold_start_is_not_slowness(self) -> None:
+        counts: dict[str, RouteCounts] = {}
+        for _ in range(100):
+            count_answer(counts, "view", False, 9.0, cold=True)
+        self.assertIs(Verdict.UNCLEAR, judge_release(sample(1, 1_000, 0.0), counts)[0])
+
+    def test_counts_of_several_servers_add_up(self) -> None:
+        total: dict[str, RouteCounts] = {}
+        add_counts(total, sample(1, 10, 0.0))
+        add_counts(total, sample(2, 15, 0.0))
+        self.assertEqual(25, total["view"].answers)
+        self.assertEqual(25, sum(total["view"].seconds))
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/sidecar/fleet.py
@@ -0,0 +1,332 @@
+"""A small fleet in one process: sidecars, backend servers and the store, on loopback addresses."""
+
+from __future__ import annotations
+
+import itertools
+import os
+import socket
+import time
+from collections import Counter
+from typing import Any
+
+import attrs
+import eventlet
+import eventlet.wsgi
+import msgspec
+
+from fakes.platform_store import Tables, build_application, put_item
+from magnoliasill.mesh.settings import Bounds, SidecarSettings
+from magnoliasill.sidecar.daemon import RunningSidecar, start_sidecar
+from magnoliasill.sidecar.meters import Meters
+
+PORTS = {"callers": 8304, "gate": 8300, "readiness": 8302, "control": 8306, "server": 8301}
+STORE_PORT = 8309
+SIGNATURE = ("Response-Signature", "test.00")
+READY_TIMEOUT_S = 10.0
+_networks = itertools.count(1)
+
+
+@attrs.define
+class Server:
+    """A backend server on the users' platform.
+
+    Attributes:
+        address: Where it listens.
+        service: Its service.
+        release: Its release.
+        instance: Its identifier.
+        slots: Requests that it says it runs at once.
+        work_s: Seconds that a request takes.
+        runs: How often each attempt ran.
+        requests: Heads and bodies as they came: method, target, headers, body.
+        running: Requests that run.
+        most_running: The most that ran at once.
+        cancelled: Requests whose connection closed while they ran.
+        sequence: Of its latest heartbeat.
+        behave: Returns the bytes of an answer in place of the usual ones, or None.
+    """
+
+    address: str
+    service: str
+    release: str = "v1"
+    instance: str = "i-1"
+    slots: int = 9
+    work_s: float = 0.0
+    runs: Counter[str] = attrs.field(factory=Counter)
+    requests: list[tuple[str, str, dict[str, str], bytes]] = attrs.field(factory=list)
+    running: int = 0
+    most_running: int = 0
+    cancelled: int = 0
+    sequence: int = 0
+    behave: Any = None
+    listener: Any = None
+
+
+@attrs.define
+class Fleet:
+    """Everything that runs."""
+
+    network: int
+    tables: Tables
+    servers: list[Server] = attrs.field(factory=list)
+    sidecars: list[RunningSidecar] = attrs.field(factory=list)
+    events: list[dict[str, Any]] = attrs.field(factory=list)
+    store: Any = None
+
+
+def open_fleet(services: list[str], bounds: Bounds | None = None, **options: Any) -> Fleet:
+    """Start a store, and a sidecar with a backend server for each named service."""
+    fleet = Fleet(next(_networks), Tables())
+    listener = eventlet.listen((_ip(fleet, 250), STORE_PORT))
+    fleet.store = listener
+    application = build_application(fleet.tables)
+    eventlet.spawn(eventlet.wsgi.server, listener, application, log_output=False, debug=False)
+    for service in services:
+        add_member(fleet, service, bounds, **options)
+    return fleet
+
+
+def add_member(
+    fleet: Fleet, service: str, bounds: Bounds | None = None, heard: bool = True, **options: Any
+) -> Server:
+    """Start one more backend server with its sidecar."""
+    number = len(fleet.servers) + 1
+    ip = _ip(fleet, number)
+    server = Server(f"{ip}:{PORTS['server']}", service, instance=f"i-{number}", **options)
+    server.listener = eventlet.listen((ip, PORTS["server"]), backlog=512)
+    eventlet.spawn(_serve, server)
+    settings = SidecarSettings(
+        name=f"vm-{number}",
+        data_centre=f"dc-{number % 2}",
+        callers=f"{ip}:{PORTS['callers']}",
+        gate=f"{ip}:{PORTS['gate']}",
+        readiness=f"{ip}:{PORTS['readiness']}",
+        control=f"{ip}:{PORTS['control']}",
+        server=server.address,
+        service=service,
+        store=f"{_ip(fleet, 250)}:{STORE_PORT}",
+        bounds=bounds or Bounds(),
+    )
+
+    def write(event: Any, **fields: Any) -> None:
+        fleet.events.append({"daemon": settings.name, "event": event.name.lower(), **fields})
+
+    fleet.servers.append(server)
+    fleet.sidecars.append(start_sidecar(settings, Meters(), write))
+    if heard:
+        send_heartbeat(fleet, number - 1)
+    return server
+
+
+def close_fleet(fleet: Fleet) -> None:
+    """End everything without waiting."""
+    for running in fleet.sidecars:
+        for loop in (*running.loops, *running.servers):
+            loop.kill()
+        for sock in running.sockets:
+            sock.close()
+    for server in fleet.servers:
+        server.listener.close()
+    fleet.store.close()
+
+
+def send_heartbeat(fleet: Fleet, index: int, state: str = "ready", **changes: Any) -> int:
+    """Send a heartbeat of one server; returns the status."""
+    server = fleet.servers[index]
+    server.sequence += 1
+    body = {
+        "address": server.address,
+        "node_info": {
+            "service_name": server.service,
+            "version": server.release,
+            "zone": "dc",
+            "slots": server.slots,
+        },
+        "status": {"state": state, "sequence": server.sequence, "warmup_left_s": 0},
+        "born": 1,
+        **changes,
+    }
+    data = msgspec.json.encode(body)
+    control = fleet.sidecars[index].sidecar.settings.control
+    head = f"PUT /-/instances/{server.instance} HTTP/1.1\r\nHost: x\r\n"
+    return call(control, head + f"Content-Length: {len(data)}\r\n\r\n", data)[0]
+
+
+def put_configuration(fleet: Fleet, version: int, *rules: dict[str, Any]) -> None:
+    """Write a configuration as the operator does."""
+    services = sorted({server.service for server in fleet.servers})
+    body = {
+        "version": f"r{version}",
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 2_000_000,
+            "header_timeout_s": 3,
+            "idle_timeout_s": 15,
+        },
+        "listener_set": [{"host_name": "shop.example", "rule_set": list(rules)}],
+        "cluster_set": [{"name": name, "health_path": "/health"} for name in services],
+    }
+    put_item(fleet.tables, "op/config", msgspec.json.encode(body))
+
+
+def build_rule(service: str, kind: str = "idempotent", **changes: Any) -> dict[str, Any]:
+    """Return a rule of the configuration for `/SERVICE/`."""
+    action = {"service_name": service, "timeout_s": 2.0, "max_attempts": 2}
+    action.update(changes.pop("action", {}))
+    return {
+        "name": f"r-{service}",
+        "route_kind": kind,
+        "target_latency_s": 0.5,
+        "priority": 1,
+        "match_criteria": {"prefix": f"/{service}/"},
+        "route_action": action,
+        **changes,
+    }
+
+
+def wait_for(condition: Any, message: str) -> None:
+    """Wait until a condition holds."""
+    until = time.monotonic() + READY_TIMEOUT_S
+    while not condition():
+        if time.monotonic() > until:
+            raise AssertionError(message)
+        eventlet.sleep(0.01)
+
+
+def wait_ready(fleet: Fleet) -> None:
+    """Wait until every sidecar knows the configuration and every member."""
+    count = len(fleet.servers)
+    for running in fleet.sidecars:
+        sidecar = running.sidecar
+        wait_for(lambda s=sidecar: s.table is not None, "no configuration")
+        wait_for(lambda s=sidecar: len(s.members.records) == count, "not all members")
+
+
+def call(address: str, head: str, body: bytes = b"") -> tuple[int, dict[str, str], bytes]:
+    """Send one request on a new connection; returns status, headers and body."""
+    with connect(address) as sock:
+        sock.sendall(head.encode() + body)
+        return read_answer(sock.makefile("rb"))
+
+
+def connect(address: str) -> Any:
+    """Return a connection."""
+    host, _, port = address.rpartition(":")
+    return eventlet.connect((host, int(port)))
+
+
+def send(
+    fleet: Fleet,
+    index: int,
+    path: str,
+    identifier: str = "a-1",
+    method: str = "GET",
+    body: bytes = b"",
+    deadline_ms: int = 2000,
+    extra: str = "",
+) -> tuple[int, dict[str, str], bytes]:
+    """Send a caller's request to one sidecar."""
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {identifier}\r\n"
+        f"Request-Deadline: {deadline_ms}\r\n{extra}"
+    )
+    if body:
+        head += f"Content-Length: {len(body)}\r\n"
+    return call(fleet.sidecars[index].sidecar.settings.callers, head + "\r\n", body)
+
+
+def read_answer(file: Any) -> tuple[int, dict[str, str], bytes]:
+    """Read one answer whole."""
+    status = int(file.readline().split()[1])
+    headers: dict[str, str] = {}
+    while (line := file.readline().strip()) != b"":
+        name, _, value = line.decode().partition(":")
+        headers[name.lower()] = value.strip()
+    if headers.get("transfer-encoding") == "chunked":
+        parts = []
+        while size := int(file.readline(), 16):
+            part = file.read(size)
+            if len(part) < size:
+                raise EOFError("the answer ends early")
+            parts.append(part)
+            file.readline()
+        return status, headers, b"".join(parts)
+    length = int(headers.get("content-length", 0))
+    body = file.read(length)
+    if len(body) < length:
+        raise EOFError("the answer ends early")
+    return status, headers, body
+
+
+def _ip(fleet: Fleet, number: int) -> str:
+    return f"127.{20 + os.getpid() % 200}.{fleet.network}.{number}"
+
+
+def _serve(server: Server) -> None:
+    while True:
+        try:
+            sock, _ = server.listener.accept()
+        except OSError:
+            return
+        eventlet.spawn(_serve_connection, server, sock)
+
+
+def _serve_connection(server: Server, sock: Any) -> None:
+    file = sock.makefile("rb")
+    try:
+        while (line := file.readline()).strip():
+            method, target, _ = line.decode().split()
+            headers: dict[str, str] = {}
+            while (row := file.readline().strip()) != b"":
+                name, _, value = row.decode().partition(":")
+                headers[name.lower()] = value.strip()
+            body = file.read(int(headers.get("content-length", 0)))
+            server.requests.append((method, target, headers, body))
+            if not _answer(server, sock, headers, body):
+                return
+    except OSError:
+        return
+    finally:
+        sock.close()
+
+
+def _answer(server: Server, sock: Any, headers: dict[str, str], body: bytes) -> bool:
+    identifier = headers.get("attempt-id", "")
+    if headers.get("target-instance") != server.instance:
+        head = f"HTTP/1.1 421 Misdirected\r\nInstance-Id: {server.instance}\r\n"
+        sock.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
+        return True
+    server.runs[identifier] += 1
+    server.running += 1
+    server.most_running = max(server.most_running, server.running)
+    try:
+        eventlet.sleep(server.work_s)
+    finally:
+        server.running -= 1
+    if _is_closed(sock):
+        server.cancelled += 1
+        return False
+    special = server.behave(server, identifier) if server.behave else None
+    if special is not None:
+        sock.sendall(special)
+        return not special.endswith(b"!close") and special != b""
+    sock.sendall(build_answer(identifier, b"made by " + server.instance.encode()))
+    return True
+
+
+def build_answer(identifier: str, body: bytes, status: str = "200 OK", extra: str = "") -> bytes:
+    """Return the bytes of a backend server's answer."""
+    head = (
+        f"HTTP/1.1 {status}\r\nAttempt-Id: {identifier}\r\n{SIGNATURE[0]}: {SIGNATURE[1]}\r\n"
+        f"Keep-Alive: timeout=10\r\n{extra}Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def _is_closed(sock: Any) -> bool:
+    try:
+        return not sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
--- /dev/null
+++ b/tests/sidecar/test_calls.py
@@ -0,0 +1,281 @@
+"""Tests of a request's way through two sidecars, over real connections."""
+
+from __future__ import annotations
+
+import eventlet
+import testtools
+
+from . import fleet as harness
+from .fleet import build_answer, build_rule, open_fleet, put_configuration, send, wait_for
+
+LONG_BYTES = 600_000
+
+
+class CallCase(testtools.TestCase):
+    services = ("shop", "stock")
+    rules = (build_rule("shop"), build_rule("stock"))
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = open_fleet(list(self.services))
+        self.addCleanup(harness.close_fleet, self.fleet)
+        put_configuration(self.fleet, 3, *self.rules)
+        harness.wait_ready(self.fleet)
+        self.shop, self.stock = self.fleet.servers[:2]
+
+
+class PathTest(CallCase):
+    def test_own_server_and_another_vm(self) -> None:
+        self.assertEqual(b"made by i-1", send(self.fleet, 0, "/shop/x")[2])
+        self.assertEqual(b"made by i-2", send(self.fleet, 0, "/stock/x")[2])
+
+    def test_what_the_server_sees(self) -> None:
+        extra = "X-Own: 1\r\nX-Own: 2\r\nCaller-Service: forged\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+        send(self.fleet, 0, "/stock//a%2Fb/../c?q=%20&", "id-7", "POST", b"abc", extra=extra)
+        method, target, headers, body = self.stock.requests[0]
+        self.assertEqual(
+            ("POST", "/stock//a%2Fb/../c?q=%20&", b"abc"), (method, target, body)
+        )
+        self.assertEqual("id-7", headers["attempt-id"])
+        self.assertEqual("shop", headers["caller-service"])
+        self.assertEqual("i-2", headers["target-instance"])
+        self.assertEqual("shop.example", headers["host"])
+        self.assertLessEqual(int(headers["request-deadline"]), 2000)
+        self.assertNotIn("x-hop", headers)
+        self.assertNotIn("magnoliasill-call", headers)
+
+    def test_repeated_headers_stay(self) -> None:
+        seen: list[str] = []
+        self.stock.behave = lambda server, identifier: seen.append(identifier)
+        send(self.fleet, 0, "/stock/x", extra="X-Own: 1\r\nX-Own: 2\r\n")
+        self.assertEqual("2", self.stock.requests[0][2]["x-own"])  # the harness keeps the last
+
+    def test_answer_is_returned_as_it_is(self) -> None:
+        self.stock.behave = lambda server, identifier: build_answer(
+            identifier, b"no", "409 Conflict", "X-Answer: yes\r\n"
+        )
+        status, headers, body = send(self.fleet, 0, "/stock/x", "id-8")
+        self.assertEqual((409, b"no"), (status, body))
+        self.assertEqual("test.00", headers["response-signature"])
+        self.assertEqual("yes", headers["x-answer"])
+        self.assertNotIn("magnoliasill-report", headers)
+
+    def test_unknown_route_and_host(self) -> None:
+        self.assertEqual(404, send(self.fleet, 0, "/none/x")[0])
+
+    def test_chunked_body(self) -> None:
+        head = (
+            "POST /stock/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: c-1\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        address = self.fleet.sidecars[0].sidecar.settings.callers
+        self.assertEqual(200, harness.call(address, head, b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")[0])
+        self.assertEqual(b"abcde", self.stock.requests[0][3])
+
+    def test_long_bodies_both_ways(self) -> None:
+        answer = b"y" * LONG_BYTES
+        self.stock.behave = lambda server, identifier: build_answer(identifier, answer)
+        body = b"x" * LONG_BYTES
+        status, _, received = send(self.fleet, 0, "/stock/x", method="POST", body=body)
+        self.assertEqual((200, LONG_BYTES), (status, len(received)))
+        self.assertEqual(body, self.stock.requests[0][3])
+        wait_for(lambda: self.fleet.sidecars[1].sidecar.gate.running == 0, "a slot is lost")
+
+    def test_body_over_the_limit(self) -> None:
+        status = send(self.fleet, 0, "/stock/x", method="POST", body=b"x" * 2_000_001)[0]
+        self.assertEqual(413, status)
+        self.assertEqual([], self.stock.requests)
+
+    def test_several_requests_on_one_connection(self) -> None:
+        with harness.connect(self.fleet.sidecars[0].sidecar.settings.callers) as sock:
+            file = sock.makefile("rb")
+            for number in range(3):
+                head = f"GET /stock/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: k{number}\r\n"
+                sock.sendall(f"{head}\r\n".encode())
+                status, headers, _ = harness.read_answer(file)
+                self.assertEqual((200, f"k{number}"), (status, headers["attempt-id"]))
+
+    def test_no_configuration_yet_is_no_404(self) -> None:
+        fresh = open_fleet(["shop"])
+        self.addCleanup(harness.close_fleet, fresh)
+        self.assertEqual(503, send(fresh, 0, "/shop/x")[0])
+        self.assertEqual(503, self._ask_readiness(fresh, 0))
+        self.assertEqual(200, self._ask_readiness(self.fleet, 0))
+
+    def _ask_readiness(self, fleet: harness.Fleet, index: int) -> int:
+        address = fleet.sidecars[index].sidecar.settings.readiness
+        return harness.call(address, "GET /-/readiness HTTP/1.1\r\nHost: x\r\n\r\n")[0]
+
+
+class SpoiledAnswerTest(CallCase):
+    """Answers that are not whole, not signed or not of this request never look like a success."""
+
+    rules = (build_rule("shop"), build_rule("stock", kind="non_idempotent"))
+
+    def spoil(self, build: object) -> tuple[int, dict[str, str], bytes]:
+        self.stock.behave = lambda server, identifier: build(identifier)
+        return send(self.fleet, 0, "/stock/x", "s-1", "POST", b"abc")
+
+    def test_cut_short(self) -> None:
+        status = self.spoil(lambda i: build_answer(i, b"abcdef")[:-3] + b"!close"[:0])[0:1]
+        self.assertIn(status[0], (502, 504))
+
+    def test_no_http(self) -> None:
+        self.assertEqual(502, self.spoil(lambda i: b"\x00garbage\r\n\r\n!close")[0])
+
+    def test_unsigned(self) -> None:
+        answer = b"HTTP/1.1 200 OK\r\nAttempt-Id: s-1\r\nContent-Length: 2\r\n\r\nok"
+        self.assertEqual(502, self.spoil(lambda i: answer)[0])
+
+    def test_encoded(self) -> None:
+        extra = "Content-Encoding: gzip\r\n"
+        self.assertEqual(502, self.spoil(lambda i: build_answer(i, b"x", extra=extra))[0])
+
+    def test_of_another_request(self) -> None:
+        self.assertIn(
+            self.spoil(lambda i: build_answer("other", b"x") + b"!close")[0], (502, 504)
+        )
+
+    def test_late_extra_answer_is_passed_over(self) -> None:
+        self.stock.behave = lambda server, identifier: (
+            build_answer("other", b"stray") + build_answer(identifier, b"right")
+        )
+        self.assertEqual((200, b"right"), send(self.fleet, 0, "/stock/x", "s-2")[::2])
+
+    def test_extra_answer_does_not_reach_the_next_request(self) -> None:
+        self.stock.behave = lambda server, identifier: build_answer(identifier, b"one") * 2
+        self.assertEqual(b"one", send(self.fleet, 0, "/stock/x", "s-3")[2])
+        self.stock.behave = None
+        status, headers, _ = send(self.fleet, 0, "/stock/x", "s-4")
+        self.assertEqual((200, "s-4"), (status, headers["attempt-id"]))
+
+    def test_without_a_length_ends_with_its_connection(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nAttempt-Id: s-5\r\nResponse-Signature: t\r\n\r\n"
+        self.stock.behave = lambda server, identifier: head + b"all!close"
+        status, _, body = send(self.fleet, 0, "/stock/x", "s-5")
+        self.assertEqual((200, b"all!close"), (status, body))
+
+
+class RepeatTest(CallCase):
+    """What may run again, where, and how often."""
+
+    services = ("shop", "stock", "stock")
+    rules = (build_rule("shop", kind="non_idempotent"), build_rule("stock"))
+
+    def break_off(self, server: harness.Server) -> None:
+        server.behave = lambda found, identifier: b""
+
+    def test_idempotent_goes_to_another_server(self) -> None:
+        for server in self.fleet.servers[1:]:
+            server.behave = lambda found, i: (
+                b"!close" if sum(s.runs[i] for s in self.fleet.servers) < 2 else None
+            )
+        self.assertEqual(200, send(self.fleet, 0, "/stock/x", "r-1")[0])
+        self.assertEqual([1, 1], [server.runs["r-1"] for server in self.fleet.servers[1:]])
+
+    def test_never_more_servers_than_the_route_allows(self) -> None:
+        for server in self.fleet.servers[1:]:
+            server.behave = lambda found, i: build_answer(i, b"", "500 Internal Server Error")
+        self.assertEqual(500, send(self.fleet, 0, "/stock/x", "r-2")[0])
+        self.assertEqual(2, sum(server.runs["r-2"] for server in self.fleet.servers))
+
+    def test_what_must_not_be_repeated_is_not(self) -> None:
+        self.shop.behave = lambda found, identifier: b"!close"
+        status = send(self.fleet, 1, "/shop/x", "r-3", "POST", b"abc")[0]
+        self.assertEqual((502, 1), (status, self.shop.runs["r-3"]))
+
+    def test_a_server_that_did_not_run_it_costs_nothing(self) -> None:
+        shed = b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+        self.shop.behave = lambda found, identifier: shed
+        status, headers, _ = send(self.fleet, 1, "/shop/x", "r-4", "POST", b"abc")
+        self.assertEqual(503, status)
+        self.assertGreater(float(headers["retry-after"]), 0)
+        self.assertLess(float(headers["retry-after"]), 2 / 3)
+
+    def test_a_server_that_is_gone_is_not_run(self) -> None:
+        self.shop.listener.close()
+        eventlet.sleep(0)
+        for link in self.fleet.sidecars[0].sidecar.server_links.idle.values():
+            link.clear()
+        self.assertEqual(503, send(self.fleet, 1, "/shop/x", "r-5", "POST", b"abc")[0])
+
+    def test_budget_over_many_failures(self) -> None:
+        for server in self.fleet.servers[1:]:
+            server.behave = lambda found, i: build_answer(i, b"", "500 Internal Server Error")
+        for number in range(200):
+            send(self.fleet, 0, "/stock/x", f"b-{number}")
+        arrivals = sum(sum(server.runs.values()) for server in self.fleet.servers)
+        bounds = self.fleet.sidecars[0].sidecar.settings.bounds
+        allowed = bounds.repeat_ratio * 200 + bounds.repeat_extra
+        self.assertLessEqual(arrivals - 200, allowed)
+        self.assertGreater(arrivals - 200, 0)
+
+
+class LeavingTest(CallCase):
+    services = ("shop", "stock", "stock")
+
+    def test_nothing_arrives_after_the_acknowledgement(self) -> None:
+        self.assertEqual(200, harness.send_heartbeat(self.fleet, 1, "draining"))
+        for number in range(20):
+            self.assertEqual(200, send(self.fleet, 0, "/stock/x", f"d-{number}")[0])
+        self.assertEqual(0, sum(self.stock.runs.values()))
+
+    def test_work_in_progress_is_finished(self) -> None:
+        self.shop.work_s = 0.3
+        running = eventlet.spawn(send, self.fleet, 1, "/shop/x", "d-1")
+        wait_for(lambda: self.shop.running == 1, "it does not run")
+        harness.send_heartbeat(self.fleet, 0, "draining")
+        self.assertEqual(200, running.wait()[0])
+
+    def test_acknowledged_while_the_store_is_away(self) -> None:
+        self.fleet.tables.faults.refuse = 503
+        self.assertEqual(200, harness.send_heartbeat(self.fleet, 1, "draining"))
+        self.assertEqual(200, send(self.fleet, 0, "/stock/x", "d-2")[0])
+        self.assertEqual(0, self.stock.runs["d-2"])
+
+    def test_unreadable_heartbeats_change_nothing(self) -> None:
+        control = self.fleet.sidecars[1].sidecar.settings.control
+        for data in (b"", b"{", b"[]", b"\xff\xfe", b'{"status":{"state":"draining"}}'):
+            head = f"PUT /-/instances/i-2 HTTP/1.1\r\nHost: x\r\nContent-Length: {len(data)}\r\n"
+            self.assertEqual(400, harness.call(control, head + "\r\n", data)[0])
+        self.assertEqual(400, harness.send_heartbeat(self.fleet, 1, "odd"))
+        send(self.fleet, 1, "/stock/x", "d-3")
+        self.assertEqual(1, sum(server.runs["d-3"] for server in self.fleet.servers))
+
+
+class CancelTest(CallCase):
+    def test_a_caller_that_left_ends_the_work(self) -> None:
+        self.stock.work_s = 0.5
+        sock = harness.connect(self.fleet.sidecars[0].sidecar.settings.callers)
+        sock.sendall(b"GET /stock/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: g-1\r\n\r\n")
+        wait_for(lambda: self.stock.running == 1, "it does not run")
+        sock.close()
+        wait_for(lambda: self.stock.cancelled == 1, "it was not cancelled")
+
+    def test_what_waits_for_a_caller_that_left_never_runs(self) -> None:
+        self.fleet.sidecars[1].sidecar.gate.slots = 1
+        self.stock.work_s = 0.5
+        first = eventlet.spawn(send, self.fleet, 0, "/stock/x", "g-2", deadline_ms=5000)
+        wait_for(lambda: self.stock.running == 1, "it does not run")
+        sock = harness.connect(self.fleet.sidecars[0].sidecar.settings.callers)
+        sock.sendall(b"GET /stock/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: g-3\r\n\r\n")
+        gate = self.fleet.sidecars[1].sidecar.gate
+        wait_for(lambda: len(gate.waiting) == 1, "it does not wait")
+        sock.close()
+        wait_for(lambda: len(gate.waiting) == 0, "it still waits")
+        self.assertEqual(200, first.wait()[0])
+        self.assertEqual(0, self.stock.runs["g-3"])
+
+
+class LoadTest(CallCase):
+    def test_slots_are_never_exceeded(self) -> None:
+        self.fleet.sidecars[1].sidecar.gate.slots = 3
+        self.stock.work_s = 0.03
+        pool = eventlet.GreenPool()
+        ends = list(
+            pool.imap(lambda n: send(self.fleet, n % 2, "/stock/x", f"l-{n}")[0], range(60))
+        )
+        self.assertLessEqual(self.stock.most_running, 3)
+        self.assertEqual(set(), set(ends) - {200, 503})
+        ran = sum(self.stock.runs.values())
+        self.assertEqual(ran, ends.count(200))
