--- a/src/magnoliasill/mesh/gate.py
+++ b/src/magnoliasill/mesh/gate.py
@@ -16,7 +16,12 @@
 
 INITIAL_SECONDS = 0.1
 SMOOTHING = 0.1
-DEADLINE_SHARE = 0.9  # of the time left that a request's expected end has to lie in
+TARGET_SPREAD = 1.5  # times its usual time that must be left to the target when it would start
+START_SPREAD = 1.2  # times its usual time left with which a waiting request still goes first
+LATE_SHARE = 0.4  # of the time left that a request may be expected to wait beyond its target
+LATE_SMOOTHING = 0.05
+LATE_HOPE = 0.5  # share of late requests that got a slot, below which others need not wait
+LATE_TRIAL = 20  # one of so many late requests waits all the same, to notice the end of the load
 LAST_CHANCE_SHARE = 0.5  # of its usual time that must be left when a waiting request starts
 MAX_WAITING_PER_SLOT = 4
 
@@ -55,6 +60,8 @@
         mean_s: Seconds that a request takes, over all routes.
         route_s: Seconds that a request takes, by route.
         failing: The share of failures among its latest answers.
+        late_hope: The share of requests waiting beyond their targets that got a slot lately.
+        late_refused: Late requests refused in a row.
     """
 
     slots: int = 1
@@ -63,6 +70,8 @@
     mean_s: float = INITIAL_SECONDS
     route_s: dict[str, float] = attrs.field(factory=dict)
     failing: float = 0.0
+    late_hope: float = 1.0
+    late_refused: int = 0
 
 
 @attrs.frozen
@@ -97,14 +106,30 @@
         return Offer(admitted=True)
     if len(gate.waiting) >= MAX_WAITING_PER_SLOT * gate.slots:
         return Offer(reason="queue")
-    end_at = now + estimate_wait(gate, ticket, now) + service_s
-    limit_at = ticket.deadline_at if late else min(ticket.target_at, ticket.deadline_at)
-    if end_at > now + (limit_at - now) * DEADLINE_SHARE:
-        return Offer(reason="deadline" if late else "target")
+    wait_s = estimate_wait(gate, ticket, now)
+    if now + wait_s + TARGET_SPREAD * service_s > ticket.target_at:
+        if not late:
+            return Offer(reason="target")
+        if not _may_wait_late(gate, ticket, wait_s + service_s, now):
+            return Offer(reason="deadline")
     gate.waiting.append(ticket)
     return Offer(queued=True)
 
 
+def _may_wait_late(gate: Gate, ticket: Ticket, seconds: float, now: float) -> bool:
+    """Return whether a request that can't be served in time can expect to be served at all.
+
+    Others go before it as long as they come, so the load of late tells more than the queue.
+    """
+    if seconds > LATE_SHARE * (ticket.deadline_at - now):
+        return False
+    if gate.late_hope >= LATE_HOPE or gate.late_refused >= LATE_TRIAL:
+        gate.late_refused = 0
+        return True
+    gate.late_refused += 1
+    return False
+
+
 def estimate_wait(gate: Gate, ticket: Ticket, now: float) -> float:
     """Return the seconds until a request would start, by those that go before it."""
     own = _order(gate, ticket, now)
@@ -122,10 +147,13 @@
     """Refuse waiting requests that can't end in time any more, and start others in order."""
     for ticket in [found for found in gate.waiting if _is_hopeless(gate, found, now)]:
         gate.waiting.remove(ticket)
+        _note_late(gate, False)
         ticket.resume(False)
     while gate.waiting and gate.running < gate.slots:
         ticket = min(gate.waiting, key=lambda found: _order(gate, found, now))
         gate.waiting.remove(ticket)
+        if _is_late(gate, ticket, now):
+            _note_late(gate, True)
         gate.running += 1
         ticket.resume(True)
 
@@ -161,11 +189,23 @@
 
 
 def _order(gate: Gate, ticket: Ticket, now: float) -> tuple[bool, bool, int, float]:
+    return (not ticket.nested, _is_late(gate, ticket, now), ticket.priority, ticket.target_at)
+
+
+def _is_late(gate: Gate, ticket: Ticket, now: float) -> bool:
     service_s = gate.route_s.get(ticket.route, gate.mean_s)
-    late = now + service_s > ticket.target_at
-    return (not ticket.nested, late, ticket.priority, ticket.target_at)
+    return now + START_SPREAD * service_s > ticket.target_at
 
 
 def _is_hopeless(gate: Gate, ticket: Ticket, now: float) -> bool:
     service_s = gate.route_s.get(ticket.route, gate.mean_s)
-    return now + LAST_CHANCE_SHARE * service_s >= ticket.deadline_at
+    if now + LAST_CHANCE_SHARE * service_s >= ticket.deadline_at:
+        return True
+    if gate.late_hope >= LATE_HOPE or not _is_late(gate, ticket, now):
+        return False
+    waited_s = now - ticket.arrived_at
+    return waited_s > LATE_SHARE * (ticket.deadline_at - ticket.arrived_at)
+
+
+def _note_late(gate: Gate, started: bool) -> None:
+    gate.late_hope += LATE_SMOOTHING * (float(started) - gate.late_hope)
--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -7,6 +7,7 @@
 LAPSE_GRACE_S = 4.0  # a live server is back within two seconds of the store's return
 UNREACHABLE_FIRST_S = 0.25  # longer than a round trip within a region
 UNREACHABLE_MAX_S = 2.0  # a partition that heals is noticed within this
+SILENT_S = 0.1  # a refusal comes sooner; only lost packets take so long
 GONE_S = 3.0  # a gate that said its server is leaving is not asked again for so long
 
 
@@ -137,6 +138,28 @@
         condition.avoid_s = min(condition.avoid_s * 2, UNREACHABLE_MAX_S)
 
 
+def note_silence(table: MemberTable, data_centre: str, since: float, now: float) -> None:
+    """Avoid a whole data centre from which nothing was heard while one of its members was silent.
+
+    The pattern: a data centre is cut off. Each of its members would cost a request to find out.
+
+    Args:
+        table: The members.
+        data_centre: Where the silent member runs.
+        since: When it was asked, in seconds on the monotonic clock.
+        now: Seconds on the monotonic clock.
+    """
+    conditions = [
+        find_condition(table, member)
+        for member in table.records.values()
+        if member.data_centre == data_centre
+    ]
+    if any(condition.reported_at >= since for condition in conditions):
+        return
+    for condition in conditions:
+        note_unreachable(condition, now)
+
+
 def note_closed(condition: Condition, now: float) -> None:
     """Avoid a member whose gate said that its backend server takes no work."""
     condition.avoid_until = max(condition.avoid_until, now + GONE_S)
--- a/src/magnoliasill/mesh/placement.py
+++ b/src/magnoliasill/mesh/placement.py
@@ -19,7 +19,8 @@
 
     from .takeovers import Takeover
 
-REMOTE_PENALTY = 0.35  # of a server's time for one request; bytes between data centres are paid for
+REMOTE_S = 0.01  # a crossing between data centres, there and back, with its share of the links
+REMOTE_S_PER_BYTE = 5e-6  # what a byte between data centres costs, in seconds that a caller waits
 DEFAULT_SECONDS = 0.1  # a request's time at a server that has not reported yet
 REPORT_FADES_S = 1.0  # a report this old counts half
 FAILING_WEIGHT = 6.0  # times of a request that one failing for certain counts
@@ -38,6 +39,7 @@
         tried: Names of members that have had the request.
         ordered: The release of an order that no takeover follows yet, or empty.
         takeover: The service's latest takeover, or None.
+        answer_bytes: The usual size of an answer.
     """
 
     service: str
@@ -46,6 +48,7 @@
     tried: Collection[str] = ()
     ordered: str = ""
     takeover: Takeover | None = None
+    answer_bytes: float = 0.0
 
 
 def choose_release_members(table: MemberTable, choice: Choice, random: Random) -> list[Member]:
@@ -111,6 +114,6 @@
     load = (max(reported, condition.in_flight) + 1) / member.slots
     factor = 1 + BUSY_CURVE * min(load, 1.0) + max(load - 1.0, 0.0)
     factor += FAILING_WEIGHT * condition.failing**2
-    if member.data_centre != choice.data_centre:
-        factor += REMOTE_PENALTY
-    return service_s * factor
+    if member.data_centre == choice.data_centre:
+        return service_s * factor
+    return service_s * factor + REMOTE_S + REMOTE_S_PER_BYTE * choice.answer_bytes
--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -15,7 +15,14 @@
 from ..platform.headers import read_request, strip_request
 from .bodies import read_body
 from .forwarding import Request, forward_request
-from .protocol import count_open, end_connection, find_length, list_headers, read_target, strip_answer
+from .protocol import (
+    count_open,
+    end_connection,
+    find_length,
+    list_headers,
+    read_target,
+    strip_answer,
+)
 from .state import is_closing
 from .transfer import Message, Reply
 
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -10,14 +10,21 @@
 from ..codes import ErrorCode, LogEvent
 from ..errors import CallError
 from ..mesh.hop import CALL_HEADER, REPORT_HEADER, GateReport, HopCall, decode_report, encode_note
-from ..mesh.members import find_condition, note_closed, note_report, note_unreachable
+from ..mesh.members import (
+    SILENT_S,
+    find_condition,
+    note_closed,
+    note_report,
+    note_silence,
+    note_unreachable,
+)
 from ..mesh.placement import Choice, choose_member, choose_release_members
 from ..mesh.repeats import take_repeat
 from ..mesh.returns import Pressure, choose_return, count_offered
 from .bodies import LongBody
 from .gate_port import pass_gate
 from .state import find_takeover
-from .transfer import BrokenError, Message, NotSentError, Reply, exchange
+from .transfer import BETWEEN_VMS, BrokenError, Message, NotSentError, Reply, exchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,6 +35,7 @@
 
 MAX_OFFERS = 6  # gates asked for one request; each costs about a millisecond
 ANSWER_SLACK_S = 0.05  # for an answer that is on its way at the deadline
+SIZE_SMOOTHING = 0.1
 RETRY_LEFT_S = 0.02  # less time than that serves no second attempt
 
 
@@ -148,6 +156,7 @@
         tried=course.tried,
         ordered=ordered,
         takeover=takeover,
+        answer_bytes=sidecar.answer_bytes.get(request.route.name, 0.0),
     )
 
 
@@ -243,7 +252,14 @@
     sent = attrs.evolve(message, headers=headers)
     deadline = cutoff + ANSWER_SLACK_S
     try:
-        reply = exchange(sidecar.peer_links, member.gate, sent, deadline, call.idempotent)
+        reply = exchange(
+            sidecar.peer_links,
+            member.gate,
+            sent,
+            deadline,
+            call.idempotent,
+            patience=BETWEEN_VMS,
+        )
     except NotSentError as error:
         return OfferResult(OfferEnd.UNREACHED, error.message)
     except BrokenError as error:
@@ -279,6 +295,8 @@
             note_closed(condition, now)
     elif result.end is OfferEnd.UNREACHED or "Timed" not in result.reason:
         note_unreachable(condition, now)
+        if seconds >= SILENT_S:
+            note_silence(sidecar.members, member.data_centre, now - seconds, now)
         avoid_s = round(condition.avoid_until - now, 3)
         sidecar.log(
             LogEvent.MEMBER_UNREACHABLE, member=member.name, reason=result.reason, avoid_s=avoid_s
@@ -286,6 +304,7 @@
     sidecar.meters.count("attempts", result.end.value)
     sidecar.meters.observe("hop", seconds)
     if result.end is OfferEnd.ANSWERED:
+        _note_size(sidecar, request.route.name, len(result.reply.body))
         sidecar.log(
             LogEvent.ATTEMPT_ENDED,
             id=request.identifier,
@@ -306,3 +325,8 @@
         report_age_s=report_age_s,
         seconds=round(seconds, 4),
     )
+
+
+def _note_size(sidecar: Sidecar, route: str, size: int) -> None:
+    known = sidecar.answer_bytes.get(route, float(size))
+    sidecar.answer_bytes[route] = known + SIZE_SMOOTHING * (size - known)
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -22,7 +22,14 @@
 from ..platform.headers import mark_request, read_answer
 from .bodies import read_body
 from .exposure import is_withheld
-from .protocol import count_open, end_connection, find_length, list_headers, read_target, strip_answer
+from .protocol import (
+    count_open,
+    end_connection,
+    find_length,
+    list_headers,
+    read_target,
+    strip_answer,
+)
 from .transfer import BrokenError, Message, NotSentError, Reply, exchange
 
 if TYPE_CHECKING:
@@ -199,7 +206,7 @@
 
 def _find_refusal(sidecar: Sidecar, call: HopCall) -> str:
     backend, latest = sidecar.backend, sidecar.backend.latest
-    if latest is None or not is_open(backend):
+    if latest is None or not is_open(backend) or sidecar.stopping_at is not None:
         return "closed"
     if latest.instance != call.instance or latest.service != call.service:
         return "other_instance"
@@ -315,7 +322,7 @@
         busy=gate.running + len(gate.waiting),
         mean_s=round(gate.mean_s, 4),
         failing=round(gate.failing, 3),
-        closed=not is_open(sidecar.backend),
+        closed=not is_open(sidecar.backend) or sidecar.stopping_at is not None,
     )
 
 
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -73,6 +73,7 @@
         taken: Attempts that must not be repeated and were passed to it.
         server_links: Connections to it.
         peer_links: Connections to other sidecars.
+        answer_bytes: The usual size of an answer, by route.
         budget: Repeats of each service.
         pressures: Refusals of each service.
         watched: Requests that end when their callers go away.
@@ -102,6 +103,7 @@
     taken: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
     server_links: ConnectionTable = attrs.field(factory=ConnectionTable)
     peer_links: ConnectionTable = attrs.field(factory=ConnectionTable)
+    answer_bytes: dict[str, float] = attrs.field(factory=dict)
     budget: RepeatBudget = attrs.field(factory=lambda: RepeatBudget(0.2, 50.0, 10.0))
     pressures: dict[str, Pressure] = attrs.field(factory=dict)
     watched: set[OpenCall] = attrs.field(factory=set)
--- a/src/magnoliasill/sidecar/transfer.py
+++ b/src/magnoliasill/sidecar/transfer.py
@@ -4,6 +4,7 @@
 
 import http.client
 import io
+import socket
 from collections import deque
 from contextlib import suppress
 from http.client import HTTPConnection as BaseConnection
@@ -153,6 +154,23 @@
         """Nothing is written to it."""
 
 
+@attrs.frozen
+class Patience:
+    """How soon a connection that is silent counts as dead.
+
+    Attributes:
+        connect_s: Until a new connection is established.
+        unacknowledged_ms: Until bytes that were sent are acknowledged.
+    """
+
+    connect_s: float
+    unacknowledged_ms: int
+
+
+WITHIN_VM = Patience(1.0, 2_000)
+BETWEEN_VMS = Patience(0.25, 700)  # many round trips; a packet lost once is sent again in time
+
+
 def exchange(
     table: ConnectionTable,
     address: str,
@@ -160,6 +178,7 @@
     deadline: float,
     repeatable: bool,
     belongs: Callable[[int, list[tuple[str, str]]], bool] = lambda status, headers: True,
+    patience: Patience = WITHIN_VM,
 ) -> Reply:
     """Send a request and read its answer.
 
@@ -170,6 +189,7 @@
         deadline: Seconds on the monotonic clock after which nobody waits.
         repeatable: Whether it may be sent on a connection that the other end may have closed.
         belongs: Tells by status and headers whether an answer is that of this request.
+        patience: How soon a silent connection counts as dead.
 
     Raises:
         NotSentError: If it was certainly not sent.
@@ -179,7 +199,7 @@
     left_s = max(deadline - monotonic(), MIN_TIMEOUT_S)
     link = _take(table, address, left_s, repeatable)
     if link.http.sock is None:
-        _connect(link, left_s)
+        _connect(link, left_s, patience)
     if link.reader is None:
         link.reader = _Reader(link.http.sock)
     try:
@@ -206,9 +226,12 @@
     return take_connection(table, address, left_s)
 
 
-def _connect(link: Link, left_s: float) -> None:
+def _connect(link: Link, left_s: float, patience: Patience) -> None:
     try:
-        connect(link, left_s)
+        connect(link, min(left_s, patience.connect_s))
+        link.http.sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, patience.unacknowledged_ms
+        )
     except Exception as error:  # the library's errors and those of the socket have no common base
         link.http.close()
         raise NotSentError(ErrorCode.NOT_RUN, str(error)) from error
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -30,12 +30,12 @@
         self.assertEqual(b"made by i-2", send(self.fleet, 0, "/stock/x")[2])
 
     def test_what_the_server_sees(self) -> None:
-        extra = "X-Own: 1\r\nX-Own: 2\r\nCaller-Service: forged\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+        extra = (
+            "X-Own: 1\r\nX-Own: 2\r\nCaller-Service: forged\r\nConnection: X-Hop\r\nX-Hop: 1\r\n"
+        )
         send(self.fleet, 0, "/stock//a%2Fb/../c?q=%20&", "id-7", "POST", b"abc", extra=extra)
         method, target, headers, body = self.stock.requests[0]
-        self.assertEqual(
-            ("POST", "/stock//a%2Fb/../c?q=%20&", b"abc"), (method, target, body)
-        )
+        self.assertEqual(("POST", "/stock//a%2Fb/../c?q=%20&", b"abc"), (method, target, body))
         self.assertEqual("id-7", headers["attempt-id"])
         self.assertEqual("shop", headers["caller-service"])
         self.assertEqual("i-2", headers["target-instance"])
@@ -132,9 +132,7 @@
         self.assertEqual(502, self.spoil(lambda i: build_answer(i, b"x", extra=extra))[0])
 
     def test_of_another_request(self) -> None:
-        self.assertIn(
-            self.spoil(lambda i: build_answer("other", b"x") + b"!close")[0], (502, 504)
-        )
+        self.assertIn(self.spoil(lambda i: build_answer("other", b"x") + b"!close")[0], (502, 504))
 
     def test_late_extra_answer_is_passed_over(self) -> None:
         self.stock.behave = lambda server, identifier: (
