--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -123,7 +123,17 @@
     ),
     LogEvent.REQUEST_ANSWERED: EventEntry(
         "A caller got a backend server's answer.",
-        fields=("id", "route", "service", "version", "status", "attempts", "seconds", "member"),
+        fields=(
+            "id",
+            "route",
+            "service",
+            "version",
+            "nested",
+            "status",
+            "attempts",
+            "seconds",
+            "member",
+        ),
     ),
     LogEvent.REQUEST_REFUSED: EventEntry(
         "A request was refused and certainly did not run.",
@@ -142,7 +152,17 @@
     ),
     LogEvent.REQUEST_FAILED: EventEntry(
         "A request ended without a backend server's answer and may have run.",
-        fields=("id", "route", "service", "version", "status", "reason", "attempts", "seconds"),
+        fields=(
+            "id",
+            "route",
+            "service",
+            "version",
+            "nested",
+            "status",
+            "reason",
+            "attempts",
+            "seconds",
+        ),
         reaction="follow the identifier to the gate's lines",
     ),
     LogEvent.REQUEST_CANCELLED: EventEntry(
--- a/src/magnoliasill/mesh/gate.py
+++ b/src/magnoliasill/mesh/gate.py
@@ -121,6 +121,8 @@
 
     Others go before it as long as they come, so the load of late tells more than the queue.
     """
+    if ticket.nested:  # refusing it would waste what its caller has already done
+        return now + seconds <= ticket.deadline_at
     if seconds > LATE_SHARE * (ticket.deadline_at - now):
         return False
     if gate.late_hope >= LATE_HOPE or gate.late_refused >= LATE_TRIAL:
@@ -201,7 +203,7 @@
     service_s = gate.route_s.get(ticket.route, gate.mean_s)
     if now + LAST_CHANCE_SHARE * service_s >= ticket.deadline_at:
         return True
-    if gate.late_hope >= LATE_HOPE or not _is_late(gate, ticket, now):
+    if ticket.nested or gate.late_hope >= LATE_HOPE or not _is_late(gate, ticket, now):
         return False
     waited_s = now - ticket.arrived_at
     return waited_s > LATE_SHARE * (ticket.deadline_at - ticket.arrived_at)
--- a/src/magnoliasill/mesh/hop.py
+++ b/src/magnoliasill/mesh/hop.py
@@ -25,6 +25,7 @@
         time_left_s: Seconds that the caller still waits.
         target_left_s: Seconds within which an answer is worth most; below 0 once they are over.
         late: Whether it may wait beyond that.
+        repeat: Whether it was sent to another backend server before.
     """
 
     identifier: str
@@ -38,6 +39,7 @@
     time_left_s: float
     target_left_s: float
     late: bool
+    repeat: bool = False
 
 
 @attrs.frozen
--- a/src/magnoliasill/mesh/placement.py
+++ b/src/magnoliasill/mesh/placement.py
@@ -24,7 +24,7 @@
 DEFAULT_SECONDS = 0.1  # a request's time at a server that has not reported yet
 REPORT_FADES_S = 1.0  # a report this old counts half
 FAILING_WEIGHT = 6.0  # times of a request that one failing for certain counts
-JITTER = 0.1  # keeps sidecars with the same reports from choosing the same server
+JITTER = 0.05  # keeps sidecars with the same reports from choosing the same server
 BUSY_CURVE = 0.5  # a server that is nearly full is slower than one that is idle
 
 
--- a/src/magnoliasill/mesh/repeats.py
+++ b/src/magnoliasill/mesh/repeats.py
@@ -57,6 +57,11 @@
     _find(budget, service).requests.add(now)
 
 
+def count_repeat(budget: RepeatBudget, service: str, now: float) -> None:
+    """Note a repeat that nobody asked for: a call made by a run that is itself a repeat."""
+    _find(budget, service).repeats.add(now)
+
+
 def take_repeat(budget: RepeatBudget, service: str, daemons: int, now: float) -> bool:
     """Note a repeat if the budget allows it; returns whether it does.
 
--- a/src/magnoliasill/platform/headers.py
+++ b/src/magnoliasill/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -107,7 +108,7 @@
         milliseconds = float(text)
     except ValueError:
         return None
-    return milliseconds / 1000 if milliseconds >= 0 else None
+    return milliseconds / 1000 if 0 <= milliseconds < math.inf else None
 
 
 def _read_load(text: str) -> tuple[int | None, int]:
--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -10,7 +10,7 @@
 from ..codes import ErrorCode, LogEvent
 from ..disconnects import CallerDisconnectedError, watch_caller
 from ..errors import CallError
-from ..mesh.repeats import count_request
+from ..mesh.repeats import count_repeat, count_request
 from ..mesh.routes import choose_destination, find_route
 from ..platform.headers import read_request, strip_request
 from .bodies import read_body
@@ -23,7 +23,7 @@
     read_target,
     strip_answer,
 )
-from .state import is_closing
+from .state import find_parent, is_closing
 from .transfer import Message, Reply
 
 if TYPE_CHECKING:
@@ -83,19 +83,23 @@
     route = _find_route(table, environ, target)
     _check_head(table, headers)
     now = progress.started_at
+    parent = find_parent(sidecar, marks.identifier)
     time_left_s = route.timeout_s if marks.time_left_s is None else marks.time_left_s
     request = Request(
         identifier=marks.identifier,
         route=route,
         service=choose_destination(sidecar.splits, route, sidecar.random),
         version=table.version,
-        nested=environ["REMOTE_ADDR"] == sidecar.settings.server.rpartition(":")[0],
+        nested=parent is not None,
+        repeat=bool(parent),
         arrived_at=now,
         cutoff=now + min(time_left_s, route.timeout_s),
         caller_deadline=now + time_left_s,
     )
     progress.request = request
     count_request(sidecar.budget, request.service, now)
+    if request.repeat:
+        count_repeat(sidecar.budget, request.service, now)
     with watch_caller(sidecar.watched, environ) as watch:
         if not route.idempotent:
             request.on_start = watch.release
@@ -146,6 +150,7 @@
             "route": "",
             "service": "",
             "version": version,
+            "nested": False,
             "attempts": 0,
             "seconds": seconds,
         }
@@ -154,6 +159,7 @@
         "route": request.route.name,
         "service": request.service,
         "version": request.version,
+        "nested": request.nested,
         "attempts": len(request.offers),
         "seconds": seconds,
     }
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -29,11 +29,12 @@
 from .deciding import COUNTS_PATH, describe_counts, keep_deciding
 from .following import expire_members, follow_store
 from .gate_port import build_gate_application
+from .heads import install_head_parser
 from .journal import Journal, keep_writing, open_journal, write_pending
 from .meters import Meters
 from .protocol import IDLE_SLACK_S, PEER_IDLE_S, build_protocol, serve_port
 from .registration import Registration, keep_registered
-from .state import LINGER_S, Sidecar
+from .state import GATE_LINGER_S, LINGER_S, Sidecar
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -130,6 +131,7 @@
     Raises:
         SettingsError: If an address can't be listened on.
     """
+    install_head_parser()
     store = StoreClient(settings.store, STORE_TIMEOUT_S)
     sidecar = Sidecar(settings, store, meters, write, start_id=f"{time_ns():x}")
     _apply_bounds(sidecar)
@@ -259,7 +261,7 @@
     sidecar = running.sidecar
     started = sidecar.stopping_at = monotonic()
     sidecar.log(LogEvent.DAEMON_STOPPING, open_calls=sidecar.open_requests)
-    sidecar.registration()
+    eventlet.spawn_after(GATE_LINGER_S, sidecar.registration)
     last = started + sidecar.settings.bounds.grace_s - EXIT_MARGIN_S
     linger_until = min(started + LINGER_S, last)
     eventlet.sleep(max(linger_until - started, 0.0))
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -49,6 +49,7 @@
         service: The service that takes it.
         version: The configuration by which it was routed.
         nested: Whether the VM's backend server made it while it ran another one.
+        repeat: Whether that other one is itself a repeat.
         arrived_at: Seconds on the monotonic clock.
         cutoff: By when it gets its final answer.
         caller_deadline: When its caller stops waiting.
@@ -61,6 +62,7 @@
     service: str
     version: int
     nested: bool
+    repeat: bool
     arrived_at: float
     cutoff: float
     caller_deadline: float
@@ -139,7 +141,7 @@
         if not _may_offer(sidecar, request, message, course):
             break
         request.offers.append(member.name)
-        result = _offer(sidecar, request, message, member, course.late)
+        result = _offer(sidecar, request, message, member, course)
         if result.end is OfferEnd.ANSWERED and not _is_worth_retry(request, result.reply):
             return result.reply
         if not _continue_after(sidecar, request, member, course, result):
@@ -211,7 +213,7 @@
 
 
 def _offer(
-    sidecar: Sidecar, request: Request, message: Message, member: Member, late: bool
+    sidecar: Sidecar, request: Request, message: Message, member: Member, course: _Course
 ) -> OfferResult:
     condition = find_condition(sidecar.members, member)
     now = sidecar.clock()
@@ -226,7 +228,8 @@
         priority=request.route.priority,
         time_left_s=request.cutoff - now,
         target_left_s=request.arrived_at + request.route.target_s - now,
-        late=late,
+        late=course.late,
+        repeat=request.repeat or course.arrivals > 0,
     )
     condition.in_flight += 1
     try:
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -30,6 +30,7 @@
     read_target,
     strip_answer,
 )
+from .state import is_gate_closing
 from .transfer import BrokenError, Message, NotSentError, Reply, exchange
 
 if TYPE_CHECKING:
@@ -140,6 +141,7 @@
     if refusal:
         return _refuse(sidecar, call, refusal, arrived_at)
     held = True
+    sidecar.running[call.identifier] = call.repeat
     try:
         refusal = _find_refusal(sidecar, call)
         if refusal:
@@ -153,6 +155,7 @@
             passage = attrs.evolve(passage, reply=attrs.evolve(passage.reply, rest=rest))
         return passage
     finally:
+        sidecar.running.pop(call.identifier, None)
         if held:
             finish_request(sidecar.gate, sidecar.clock())
 
@@ -206,7 +209,7 @@
 
 def _find_refusal(sidecar: Sidecar, call: HopCall) -> str:
     backend, latest = sidecar.backend, sidecar.backend.latest
-    if latest is None or not is_open(backend) or sidecar.stopping_at is not None:
+    if latest is None or not is_open(backend) or is_gate_closing(sidecar):
         return "closed"
     if latest.instance != call.instance or latest.service != call.service:
         return "other_instance"
@@ -322,7 +325,7 @@
         busy=gate.running + len(gate.waiting),
         mean_s=round(gate.mean_s, 4),
         failing=round(gate.failing, 3),
-        closed=not is_open(sidecar.backend) or sidecar.stopping_at is not None,
+        closed=not is_open(sidecar.backend) or is_gate_closing(sidecar),
     )
 
 
--- a/src/magnoliasill/sidecar/registration.py
+++ b/src/magnoliasill/sidecar/registration.py
@@ -72,15 +72,9 @@
 
 def _register(sidecar: Sidecar, registration: Registration) -> None:
     wanted = describe_self(sidecar)
-    key = MEMBER_PREFIX + sidecar.settings.name
     if wanted is None:
-        if registration.written is not None:
-            condition = (Condition(key, registration.revision),)
-            sidecar.store.transact(Transaction(conditions=condition, removals=(key,)))
-            registration.written, registration.revision = None, 0
-            sidecar.meters.count("store", "write")
-            sidecar.log(LogEvent.REGISTRATION_CHANGED, instance="", leaving=True, revision=0)
         return
+    key = MEMBER_PREFIX + sidecar.settings.name
     if not registration.lease:
         registration.lease = sidecar.store.grant_lease(LEASE_S)
         sidecar.meters.count("store", "lease")
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -31,7 +31,8 @@
     from .meters import Meters
 
 
-LINGER_S = 3.0  # two missed readiness checks, a second apart, and a caller's last request
+LINGER_S = 2.6  # two missed readiness checks, a second apart, and a caller's last request
+GATE_LINGER_S = 1.6  # the backend server serves on until its last requests just end in time
 
 
 @attrs.define
@@ -70,6 +71,7 @@
         backend: The backend server beside this sidecar.
         gate: The requests at it.
         counts: Its answers by route.
+        running: Identifiers of the requests that run at it, and whether each is a repeat.
         taken: Attempts that must not be repeated and were passed to it.
         server_links: Connections to it.
         peer_links: Connections to other sidecars.
@@ -100,6 +102,7 @@
     backend: Backend = attrs.field(factory=Backend)
     gate: Gate = attrs.field(factory=Gate)
     counts: dict[str, RouteCounts] = attrs.field(factory=dict)
+    running: dict[str, bool] = attrs.field(factory=dict)
     taken: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
     server_links: ConnectionTable = attrs.field(factory=ConnectionTable)
     peer_links: ConnectionTable = attrs.field(factory=ConnectionTable)
@@ -132,7 +135,7 @@
 def describe_self(sidecar: Sidecar) -> Member | None:
     """Return this sidecar's record as it should stand in the store, or None for none."""
     latest = sidecar.backend.latest
-    if latest is None or sidecar.stopping_at is not None:
+    if latest is None:
         return None
     return Member(
         name=sidecar.settings.name,
@@ -142,11 +145,34 @@
         release=latest.release,
         instance=latest.instance,
         slots=latest.slots,
-        leaving=sidecar.backend.leaving_at is not None,
+        leaving=sidecar.backend.leaving_at is not None or is_gate_closing(sidecar),
     )
 
 
 def is_closing(sidecar: Sidecar) -> bool:
     """Return whether a request that comes now could be cut off by the end of the process."""
+    return _is_past(sidecar, LINGER_S)
+
+
+def is_gate_closing(sidecar: Sidecar) -> bool:
+    """Return whether other sidecars are to send their requests elsewhere."""
+    return _is_past(sidecar, GATE_LINGER_S)
+
+
+def _is_past(sidecar: Sidecar, seconds: float) -> bool:
     stopping_at = sidecar.stopping_at
-    return stopping_at is not None and sidecar.clock() - stopping_at >= LINGER_S
+    return stopping_at is not None and sidecar.clock() - stopping_at >= seconds
+
+
+def find_parent(sidecar: Sidecar, identifier: str) -> bool | None:
+    """Tell whether the own backend server makes this call while it runs another request.
+
+    Identifiers of such calls begin with that of the request that they belong to.
+
+    Returns:
+        None if it does not; else whether that request is itself a repeat.
+    """
+    for parent, repeat in sidecar.running.items():
+        if identifier != parent and identifier.startswith(parent):
+            return repeat
+    return None
--- /dev/null
+++ b/tests/mesh/test_members.py
@@ -0,0 +1,190 @@
+"""Tests of the members' table and of placement, by the loads that they answer."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import attrs
+import testtools
+
+from magnoliasill.mesh.members import (
+    GONE_S,
+    LAPSE_GRACE_S,
+    UNREACHABLE_MAX_S,
+    Member,
+    MemberTable,
+    drop_lapsed,
+    find_condition,
+    lapse_member,
+    note_closed,
+    note_report,
+    note_silence,
+    note_unreachable,
+    put_member,
+    remove_member,
+)
+from magnoliasill.mesh.placement import Choice, choose_member, choose_release_members
+from magnoliasill.mesh.takeovers import Phase, Takeover
+
+
+def build_member(name: str, data_centre: str = "a", **changes: object) -> Member:
+    member = Member(name, data_centre, f"{name}:1", "shop", "v1", f"i-{name}", 9)
+    return attrs.evolve(member, **changes)
+
+
+class TableCase(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.table = MemberTable()
+        self.random = random.Random(7)
+
+    def add(self, *members: Member) -> None:
+        for member in members:
+            put_member(self.table, member)
+
+    def choose(self, now: float = 10.0, **options: object) -> Member | None:
+        choice = Choice("shop", "a", now, **options)
+        candidates = choose_release_members(self.table, choice, self.random)
+        return choose_member(self.table, candidates, choice, self.random)
+
+    def report(self, name: str, busy: int, mean_s: float = 0.1, failing: float = 0.0) -> None:
+        condition = find_condition(self.table, self.table.records[name])
+        note_report(condition, busy, mean_s, failing, 10.0)
+
+
+class RecordTest(TableCase):
+    def test_replaced_by_another_service(self) -> None:
+        self.add(build_member("m"))
+        self.add(build_member("m", service="other"))
+        self.assertIsNone(self.choose())
+
+    def test_a_lapsed_record_is_used_for_a_while(self) -> None:
+        self.add(build_member("m"))
+        lapse_member(self.table, "m", 10.0)
+        self.assertEqual([], drop_lapsed(self.table, 10.0 + LAPSE_GRACE_S / 2))
+        self.assertEqual("m", self.choose().name)
+        drop_lapsed(self.table, 10.0 + LAPSE_GRACE_S)
+        self.assertIsNone(self.choose())
+
+    def test_a_record_that_came_back_stays(self) -> None:
+        self.add(build_member("m"))
+        lapse_member(self.table, "m", 10.0)
+        self.add(build_member("m"))
+        self.assertEqual([], drop_lapsed(self.table, 99.0))
+
+    def test_conditions_do_not_pile_up(self) -> None:
+        for number in range(100):
+            self.add(build_member("m", instance=f"i-{number}"))
+        remove_member(self.table, "m")
+        self.assertEqual({}, self.table.conditions)
+
+
+class AvoidanceTest(TableCase):
+    def test_longer_each_time_up_to_a_bound(self) -> None:
+        condition = find_condition(self.table, build_member("m"))
+        now, waits = 0.0, []
+        for _ in range(10):
+            note_unreachable(condition, now)
+            waits.append(condition.avoid_until - now)
+            now = condition.avoid_until
+        self.assertEqual(sorted(waits), waits)
+        self.assertEqual(UNREACHABLE_MAX_S, waits[-1])
+
+    def test_many_failures_at_once_count_once(self) -> None:
+        condition = find_condition(self.table, build_member("m"))
+        for _ in range(10):
+            note_unreachable(condition, 1.0)
+        self.assertLess(condition.avoid_until, 1.0 + UNREACHABLE_MAX_S / 2)
+
+    def test_a_closed_gate(self) -> None:
+        self.add(build_member("m"))
+        note_closed(find_condition(self.table, self.table.records["m"]), 10.0)
+        self.assertIsNone(self.choose(10.0 + GONE_S / 2))
+        self.assertIsNotNone(self.choose(10.0 + GONE_S))
+
+
+class SilentDataCentreTest(TableCase):
+    """A data centre is cut off: one silent member is enough to avoid all of it."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.add(build_member("near"), build_member("far-1", "b"), build_member("far-2", "b"))
+        self.report("near", 9)
+
+    def test_avoided_whole(self) -> None:
+        note_silence(self.table, "b", 11.0, 11.3)
+        self.assertEqual({"near"}, {self.choose(11.35).name for _ in range(20)})
+
+    def test_not_where_another_member_of_it_answered(self) -> None:
+        far = find_condition(self.table, self.table.records["far-2"])
+        note_report(far, 0, 0.1, 0.0, 11.2)
+        note_silence(self.table, "b", 11.0, 11.3)
+        self.assertIn("far-2", {self.choose(11.35).name for _ in range(20)})
+
+
+class PlacementTest(TableCase):
+    def count(self, **options: object) -> Counter[str]:
+        return Counter(self.choose(**options).name for _ in range(200))
+
+    def test_own_data_centre_while_it_has_room(self) -> None:
+        self.add(build_member("near"), build_member("far", "b"))
+        self.report("near", 2)
+        self.report("far", 2)
+        self.assertEqual(200, self.count()["near"])
+
+    def test_a_burst_spills_over(self) -> None:
+        self.add(build_member("near"), build_member("far", "b"))
+        self.report("near", 20)
+        self.report("far", 0)
+        self.assertEqual(200, self.count()["far"])
+
+    def test_large_answers_stay_longer(self) -> None:
+        self.add(build_member("near"), build_member("far", "b"))
+        self.report("near", 14)
+        self.report("far", 0)
+        self.assertEqual(200, self.count(answer_bytes=90_000.0)["near"])
+
+    def test_uneven_speeds(self) -> None:
+        self.add(build_member("slow"), build_member("fast"))
+        self.report("slow", 4, mean_s=0.2)
+        self.report("fast", 6, mean_s=0.1)
+        self.assertEqual(200, self.count()["fast"])
+
+    def test_a_failing_server_gets_little_while_others_have_room(self) -> None:
+        self.add(build_member("grey"), build_member("well"))
+        self.report("grey", 0, failing=0.5)
+        self.report("well", 4)
+        self.assertEqual(200, self.count()["well"])
+
+    def test_an_old_report_fades(self) -> None:
+        self.add(build_member("m-1"), build_member("m-2"))
+        self.report("m-1", 30)
+        self.report("m-2", 3)
+        self.assertIn("m-1", {self.choose(now=25.0).name for _ in range(50)})
+
+    def test_equal_members_share(self) -> None:
+        self.add(*(build_member(f"m-{n}") for n in range(4)))
+        self.assertGreater(min(self.count().values()), 25)
+
+    def test_tried_and_leaving_members_get_nothing(self) -> None:
+        self.add(build_member("tried"), build_member("leaving", leaving=True))
+        self.assertIsNone(self.choose(tried={"tried"}))
+
+
+class ReleaseTest(TableCase):
+    def test_share_of_a_running_takeover(self) -> None:
+        self.add(build_member("old"), build_member("new", release="v2"))
+        takeover = Takeover("shop", "v2", 1, share=0.06)
+        found = Counter(self.choose(takeover=takeover).name for _ in range(2_000))
+        self.assertAlmostEqual(0.06, found["new"] / 2_000, delta=0.02)
+
+    def test_nothing_for_one_that_was_taken_back_even_where_it_is_alone(self) -> None:
+        self.add(build_member("new", release="v2"))
+        takeover = Takeover("shop", "v2", 1, Phase.TAKEN_BACK)
+        self.assertIsNone(self.choose(takeover=takeover))
+
+    def test_all_where_nothing_else_is_left(self) -> None:
+        self.add(build_member("new", release="v2"))
+        takeover = Takeover("shop", "v2", 1, share=0.06)
+        self.assertEqual("new", self.choose(takeover=takeover).name)
--- /dev/null
+++ b/tests/mesh/test_repeats.py
@@ -0,0 +1,80 @@
+"""Tests of the budget of repeats and of the return times of refused callers."""
+
+from __future__ import annotations
+
+import random
+
+import testtools
+
+from magnoliasill.mesh.repeats import RepeatBudget, count_request, take_repeat
+from magnoliasill.mesh.returns import (
+    FIRST_S,
+    INTERVAL_S,
+    MAX_S,
+    Pressure,
+    choose_return,
+    count_offered,
+)
+
+RATIO, EXTRA, WINDOW_S = 0.2, 58.0, 10.0
+
+
+class BudgetTest(testtools.TestCase):
+    def test_any_window_over_all_sidecars_keeps_the_bound(self) -> None:
+        generator = random.Random(3)
+        budgets = [RepeatBudget(RATIO, EXTRA, WINDOW_S) for _ in range(16)]
+        requests: list[float] = []
+        repeats: list[float] = []
+        now = 0.0
+        while now < 60.0:
+            now += generator.expovariate(200.0)
+            budget = generator.choice(budgets)
+            count_request(budget, "shop", now)
+            requests.append(now)
+            if 20.0 < now < 40.0 and take_repeat(budget, "shop", 16, now):
+                repeats.append(now)
+        for start in range(51):
+            end = start + WINDOW_S
+            asked = sum(start <= moment < end for moment in requests)
+            again = sum(start <= moment < end for moment in repeats)
+            self.assertLessEqual(again, RATIO * asked + EXTRA, start)
+        self.assertGreater(len(repeats), 100)
+
+    def test_services_do_not_share(self) -> None:
+        budget = RepeatBudget(RATIO, EXTRA, WINDOW_S)
+        while take_repeat(budget, "shop", 16, 1.0):
+            pass
+        self.assertTrue(take_repeat(budget, "stock", 16, 1.0))
+
+    def test_the_window_slides(self) -> None:
+        budget = RepeatBudget(RATIO, EXTRA, WINDOW_S)
+        while take_repeat(budget, "shop", 16, 1.0):
+            pass
+        self.assertFalse(take_repeat(budget, "shop", 16, 10.9))
+        self.assertTrue(take_repeat(budget, "shop", 16, 11.1))
+
+
+class ReturnTest(testtools.TestCase):
+    def refuse(self, pressure: Pressure, seconds: float, left_s: float) -> list[float]:
+        generator = random.Random(1)
+        found = []
+        for step in range(int(seconds * 100)):
+            count_offered(pressure, step / 100)
+            found.append(choose_return(pressure, left_s, generator))
+        return found
+
+    def test_wider_the_longer_it_lasts(self) -> None:
+        pressure = Pressure()
+        found = self.refuse(pressure, 6.0, 99.0)
+        self.assertLess(max(found[:20]), 2 * FIRST_S)
+        self.assertGreater(max(found[-50:]), MAX_S / 2)
+
+    def test_within_what_callers_heed(self) -> None:
+        self.assertLess(max(self.refuse(Pressure(), 6.0, 1.2)), 1.2 / 3)
+
+    def test_narrow_again_once_it_is_over(self) -> None:
+        pressure = Pressure()
+        self.refuse(pressure, 6.0, 99.0)
+        for step in range(20):
+            count_offered(pressure, 6.0 + step * INTERVAL_S)
+        self.assertEqual(FIRST_S, pressure.spread_s)
--- /dev/null
+++ b/tests/platform/test_operators.py
@@ -0,0 +1,148 @@
+"""Tests of the decoding of the operators' configuration and orders."""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections import Counter
+from typing import Any
+
+import msgspec
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from magnoliasill.errors import ConfigurationError
+from magnoliasill.mesh.routes import SplitTable, choose_destination, find_route
+from magnoliasill.mesh.takeovers import Phase
+from magnoliasill.platform.operators import (
+    decode_configuration,
+    decode_order,
+    encode_status,
+)
+
+
+def build_rule(name: str, prefix: str, **action: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "route_kind": "idempotent",
+        "target_latency_s": 0.3,
+        "priority": 2,
+        "match_criteria": {"prefix": prefix},
+        "route_action": {"service_name": "s1", "timeout_s": 1.2, "max_attempts": 3, **action},
+    }
+
+
+BODY: dict[str, Any] = {
+    "version": "r12",
+    "limits": {"max_header_bytes": 100, "max_body_bytes": 200, "header_timeout_s": 3},
+    "listener_set": [
+        {
+            "host_name": "Shop.example",
+            "rule_set": [
+                build_rule("all", "/"),
+                build_rule("deep", "/a/b/"),
+                build_rule("short", "/a/"),
+            ],
+        }
+    ],
+    "cluster_set": [{"name": "s1", "health_path": "/health"}],
+}
+
+
+def decode(**changes: Any) -> Any:
+    return decode_configuration(msgspec.json.encode({**copy.deepcopy(BODY), **changes}))
+
+
+class ConfigurationTest(testtools.TestCase):
+    def test_longest_prefix(self) -> None:
+        table = decode()
+        names = [find_route(table, "shop.example", path).name for path in ("/a/b/c", "/a/c", "/x")]
+        self.assertEqual(["deep", "short", "all"], names)
+
+    def test_host_with_port_and_case(self) -> None:
+        self.assertIsNotNone(find_route(decode(), "SHOP.example:8080", "/x"))
+        self.assertIsNone(find_route(decode(), "other.example", "/x"))
+
+    def test_fields(self) -> None:
+        table = decode()
+        route = find_route(table, "shop.example", "/a/b/")
+        self.assertEqual(
+            (12, 1.2, 0.3, 3, 2),
+            (table.version, route.timeout_s, route.target_s, route.attempts, route.priority),
+        )
+        self.assertTrue(route.idempotent)
+        self.assertEqual(
+            (100, 200, 15.0),
+            (table.limits.header_bytes, table.limits.body_bytes, table.limits.idle_timeout_s),
+        )
+
+    def test_kinds(self) -> None:
+        for kind, idempotent in (("non_idempotent", False), ("download", True)):
+            rule = {**build_rule("r", "/"), "route_kind": kind}
+            table = decode(listener_set=[{"host_name": "h", "rule_set": [rule]}])
+            self.assertEqual(idempotent, find_route(table, "h", "/").idempotent)
+
+    def test_a_version_is_used_whole_or_not_at_all(self) -> None:
+        rules = [build_rule("good", "/a/"), {"name": "bad"}]
+        for changes in (
+            {"listener_set": [{"host_name": "h", "rule_set": rules}]},
+            {"version": "12"},
+            {"version": "rx"},
+            {"version": 12},
+            {"listener_set": None},
+            {"cluster_set": 7},
+        ):
+            self.assertRaises(ConfigurationError, decode, **changes)
+
+    def test_cut_short_anywhere(self) -> None:
+        data = msgspec.json.encode(BODY)
+        for length in range(0, len(data), 7):
+            self.assertRaises(ConfigurationError, decode_configuration, data[:length])
+
+    @given(st.binary(max_size=100))
+    def test_any_bytes(self, data: bytes) -> None:
+        self.assertRaises(ConfigurationError, decode_configuration, data)
+
+
+class SplitTest(testtools.TestCase):
+    def build(self, *weights: float) -> Any:
+        parts = [{"service_name": f"s{n}", "weight": weight} for n, weight in enumerate(weights)]
+        rule = build_rule("r", "/", traffic_split=parts)
+        del rule["route_action"]["service_name"]
+        return find_route(decode(listener_set=[{"host_name": "h", "rule_set": [rule]}]), "h", "/")
+
+    def test_shares_over_many_sidecars_with_few_requests_each(self) -> None:
+        route = self.build(90, 10)
+        counts: Counter[str] = Counter()
+        for seed in range(16):
+            splits, generator = SplitTable(), random.Random(seed)
+            counts.update(choose_destination(splits, route, generator) for _ in range(20))
+        self.assertAlmostEqual(0.1, counts["s1"] / 320, delta=0.03)
+
+    def test_each_sidecar_keeps_close(self) -> None:
+        route = self.build(70, 20, 10)
+        splits, generator = SplitTable(), random.Random(1)
+        counts = Counter(choose_destination(splits, route, generator) for _ in range(100))
+        self.assertLessEqual(abs(counts["s0"] - 70), 2)
+        self.assertLessEqual(abs(counts["s2"] - 10), 2)
+
+    def test_a_part_without_weight_gets_nothing(self) -> None:
+        route = self.build(100, 0)
+        chosen = {choose_destination(SplitTable(), route, random.Random(n)) for n in range(20)}
+        self.assertEqual({"s0"}, chosen)
+
+
+class OrderTest(testtools.TestCase):
+    def test_order(self) -> None:
+        data = b'{"service_name":"s1","target_version":"v2","duration_s":12}'
+        order = decode_order(data)
+        self.assertEqual(("s1", "v2", 12.0), (order.service, order.release, order.duration_s))
+
+    def test_unreadable(self) -> None:
+        for data in (b"", b"[]", b"{}", b'{"service_name":"s","duration_s":1}', b"\xff"):
+            self.assertRaises(ConfigurationError, decode_order, data)
+
+    def test_status(self) -> None:
+        found = msgspec.json.decode(encode_status("v2", Phase.TAKEN_BACK))
+        self.assertEqual({"state": "rolled_back", "target_version": "v2"}, found)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,133 @@
+"""Tests of the store's client against a stand-in with the store's faults."""
+
+from __future__ import annotations
+
+import itertools
+import os
+
+import eventlet
+
+eventlet.monkey_patch()
+
+import eventlet.wsgi  # noqa: E402
+import testtools  # noqa: E402
+
+from fakes.platform_store import (  # noqa: E402
+    PAGE_ITEMS,
+    Tables,
+    build_application,
+    drop_history,
+    put_item,
+)
+from magnoliasill.errors import (  # noqa: E402
+    ConditionFailedError,
+    HistoryLostError,
+    LeaseEndedError,
+    StoreError,
+    StoreOutcomeUnknownError,
+)
+from magnoliasill.mesh.items import Condition, Put, Transaction  # noqa: E402
+from magnoliasill.platform.store import StoreClient  # noqa: E402
+
+_networks = itertools.count(1)
+TIMEOUT_S = 0.3
+
+
+class StoreCase(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.tables = Tables()
+        address = (f"127.{20 + os.getpid() % 200}.{200 + next(_networks)}.1", 8309)
+        listener = eventlet.listen(address)
+        self.addCleanup(listener.close)
+        application = build_application(self.tables)
+        server = eventlet.spawn(
+            eventlet.wsgi.server, listener, application, log_output=False, debug=False
+        )
+        self.addCleanup(server.kill)
+        self.store = StoreClient(f"{address[0]}:{address[1]}", TIMEOUT_S)
+
+
+class ReadTest(StoreCase):
+    def test_item(self) -> None:
+        revision = put_item(self.tables, "op/config", b"\x00any bytes\xff")
+        found = self.store.read_key("op/config")
+        self.assertEqual((b"\x00any bytes\xff", revision), (found.value, found.revision))
+        self.assertIsNone(self.store.read_key("op/none"))
+
+    def test_pages(self) -> None:
+        for number in range(PAGE_ITEMS + 5):
+            put_item(self.tables, f"k/{number:05}", b"v")
+        first = self.store.read_page("k/")
+        rest = self.store.read_page("k/", first.items[-1].key)
+        self.assertEqual((PAGE_ITEMS, True), (len(first.items), first.more))
+        self.assertEqual((5, False), (len(rest.items), rest.more))
+
+    def test_watch_tells_changes_and_removals(self) -> None:
+        start = self.tables.revision
+        put_item(self.tables, "a", b"1")
+        self.store.transact(Transaction(removals=("a",)))
+        page = self.store.watch("", start, 0.1)
+        self.assertEqual([b"1", None], [item.value for item in page.items])
+        self.assertEqual(self.tables.revision, page.revision)
+
+    def test_watch_wakes(self) -> None:
+        eventlet.spawn_after(0.05, put_item, self.tables, "a", b"1")
+        self.assertEqual(1, len(self.store.watch("", self.tables.revision, 5.0).items))
+
+    def test_watch_without_changes(self) -> None:
+        self.assertEqual((), self.store.watch("", self.tables.revision, 0.05).items)
+
+    def test_history_lost(self) -> None:
+        start = self.tables.revision
+        put_item(self.tables, "a", b"1")
+        drop_history(self.tables)
+        self.assertRaises(HistoryLostError, self.store.watch, "", start, 0.1)
+
+    def test_refused(self) -> None:
+        for status in (429, 503):
+            self.tables.faults.refuse = status
+            self.assertRaises(StoreError, self.store.read_key, "a")
+
+    def test_silent(self) -> None:
+        self.tables.faults.silent = True
+        self.assertRaises(StoreError, self.store.read_page, "")
+
+
+class WriteTest(StoreCase):
+    def put(self, value: bytes, revision: int, lease: int = 0) -> int:
+        transaction = Transaction((Put("k", value, lease),), (Condition("k", revision),))
+        return self.store.transact(transaction)
+
+    def test_condition(self) -> None:
+        revision = self.put(b"1", 0)
+        error = self.assertRaises(ConditionFailedError, self.put, b"2", 0)
+        self.assertEqual([(b"1", revision)], [(i.value, i.revision) for i in error.items])
+        self.put(b"2", revision)
+
+    def test_refused_certainly_did_nothing(self) -> None:
+        self.tables.faults.refuse = 503
+        error = self.assertRaises(StoreError, self.put, b"1", 0)
+        self.assertNotIsInstance(error, StoreOutcomeUnknownError)
+
+    def test_lost_answer_may_have_been_carried_out(self) -> None:
+        self.tables.faults.lose_answers = 1
+        self.assertRaises(StoreOutcomeUnknownError, self.put, b"1", 0)
+        self.assertEqual(b"1", self.store.read_key("k").value)
+
+    def test_late_write_with_a_stale_condition_does_nothing(self) -> None:
+        self.tables.faults.lose_answers = 1
+        self.tables.faults.late_s = 0.5
+        self.assertRaises(StoreOutcomeUnknownError, self.put, b"old", 0)
+        self.put(b"new", 0)
+        eventlet.sleep(0.4)
+        self.assertEqual(b"new", self.store.read_key("k").value)
+
+    def test_lease(self) -> None:
+        lease = self.store.grant_lease(5.0)
+        self.put(b"1", 0, lease)
+        self.store.renew_lease(lease)
+        self.store.end_lease(lease)
+        self.assertIsNone(self.store.read_key("k"))
+        self.assertRaises(LeaseEndedError, self.store.renew_lease, lease)
+        self.assertRaises(LeaseEndedError, self.put, b"1", 0, lease)
--- /dev/null
+++ b/tests/sidecar/test_store_changes.py
@@ -0,0 +1,207 @@
+"""Tests of what sidecars make of the store's items, with the store's faults."""
+
+from __future__ import annotations
+
+import eventlet
+import msgspec
+import testtools
+
+from fakes.platform_store import drop_history, end_lease, put_item, remove_item
+from magnoliasill.mesh.records import DECIDER_KEY, MEMBER_PREFIX
+
+from . import fleet as harness
+from .fleet import build_rule, open_fleet, put_configuration, send, wait_for
+
+
+class FleetCase(testtools.TestCase):
+    services = ("shop", "stock")
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = open_fleet(list(self.services))
+        self.addCleanup(harness.close_fleet, self.fleet)
+        put_configuration(self.fleet, 3, build_rule("shop"), build_rule("stock"))
+        harness.wait_ready(self.fleet)
+
+    def wait_version(self, version: int) -> None:
+        for running in self.fleet.sidecars:
+            found = running.sidecar
+            wait_for(lambda s=found: s.table.version == version, f"no version {version}")
+
+
+class ConfigurationTest(FleetCase):
+    def test_a_newer_version_is_put_in_force(self) -> None:
+        put_configuration(self.fleet, 8, build_rule("shop"))
+        self.wait_version(8)
+        self.assertEqual(404, send(self.fleet, 0, "/stock/x")[0])
+
+    def test_an_older_version_is_not(self) -> None:
+        put_configuration(self.fleet, 2, build_rule("shop"))
+        put_item(self.fleet.tables, "op/other", b"{}")
+        last = self.fleet.tables.revision
+        sidecar = self.fleet.sidecars[0].sidecar
+        wait_for(lambda: sidecar.mirror.revision >= last, "nothing was followed")
+        self.assertEqual(3, sidecar.table.version)
+
+    def test_an_unreadable_version_leaves_the_one_in_force(self) -> None:
+        put_item(self.fleet.tables, "op/config", b'{"version":"r9"')
+        put_configuration(self.fleet, 10, build_rule("shop"))
+        self.wait_version(10)
+        put_item(self.fleet.tables, "op/config", b"\xff\x00")
+        wait_for(
+            lambda: any(e["event"] == "entry_refused" for e in self.fleet.events), "not refused"
+        )
+        self.assertEqual(200, send(self.fleet, 0, "/shop/x")[0])
+
+    def test_a_storm_ends_with_the_newest(self) -> None:
+        for version in range(4, 40):
+            put_configuration(self.fleet, version, build_rule("shop"), build_rule("stock"))
+            eventlet.sleep(0.01)
+        self.wait_version(39)
+
+    def test_history_is_dropped(self) -> None:
+        put_configuration(self.fleet, 5, build_rule("shop"))
+        drop_history(self.fleet.tables)
+        self.wait_version(5)
+
+    def test_serves_on_while_the_store_is_away(self) -> None:
+        self.fleet.tables.faults.refuse = 503
+        eventlet.sleep(0.2)
+        self.assertEqual(200, send(self.fleet, 0, "/stock/x")[0])
+        put_configuration(self.fleet, 6, build_rule("shop"), build_rule("stock"))
+        self.fleet.tables.faults.refuse = 0
+        self.wait_version(6)
+
+
+class RegistrationTest(FleetCase):
+    def test_back_after_a_lapse(self) -> None:
+        for lease in list(self.fleet.tables.leases):
+            end_lease(self.fleet.tables, lease)
+        self.assertEqual(200, send(self.fleet, 0, "/stock/x", "m-1")[0])
+        keys = {MEMBER_PREFIX + "vm-1", MEMBER_PREFIX + "vm-2"}
+        wait_for(lambda: keys <= set(self.fleet.tables.items), "not registered again")
+
+    def test_lost_answers_end_with_one_right_record(self) -> None:
+        self.fleet.tables.faults.lose_answers = 2
+        self.fleet.tables.faults.late_s = 1.5
+        harness.send_heartbeat(self.fleet, 1, "draining")
+        key = MEMBER_PREFIX + "vm-2"
+
+        def is_leaving() -> bool:
+            row = self.fleet.tables.items.get(key)
+            return row is not None and b'"leaving":true' in _read(row)
+
+        wait_for(is_leaving, "the record does not tell that it leaves")
+        eventlet.sleep(1.6)
+        self.assertTrue(is_leaving())
+
+    def test_entries_of_another_writer_name_nobody(self) -> None:
+        for key, value in (
+            ("vm-9", b"{"),
+            ("vm-8", b'{"name":"vm-7"}'),
+            ("vm-7", b'{"name":"vm-7","slots":"many"}'),
+            ("vm-6", b"\xff\xfe"),
+        ):
+            put_item(self.fleet.tables, MEMBER_PREFIX + key, value)
+        sidecar = self.fleet.sidecars[0].sidecar
+        last = self.fleet.tables.revision
+        wait_for(lambda: sidecar.mirror.revision >= last, "nothing was followed")
+        self.assertEqual({"vm-1", "vm-2"}, set(sidecar.members.records))
+
+    def test_a_member_that_left_is_dropped(self) -> None:
+        harness.send_heartbeat(self.fleet, 1, "draining")
+        sidecar = self.fleet.sidecars[0].sidecar
+        wait_for(lambda: sidecar.members.records["vm-2"].leaving, "not told")
+        remove_item(self.fleet.tables, MEMBER_PREFIX + "vm-2")
+        wait_for(lambda: "vm-2" not in sidecar.members.records, "not dropped")
+
+
+class TakeoverTest(FleetCase):
+    """Whole takeovers through the store: shares, verdicts, and who decides."""
+
+    services = ("shop", "shop", "shop", "shop")
+    duration_s = 6.0
+
+    def setUp(self) -> None:
+        super().setUp()
+        for index in (2, 3):
+            self.fleet.servers[index].release = "v2"
+        self.order()
+        for index in (2, 3):
+            server = self.fleet.servers[index]
+            server.instance += "-new"
+            server.sequence = 0
+            harness.send_heartbeat(self.fleet, index, born=2)
+        self.sent = 0
+
+    def order(self) -> None:
+        body = {"service_name": "shop", "target_version": "v2", "duration_s": self.duration_s}
+        put_item(self.fleet.tables, "op/rollout/shop", msgspec.json.encode(body))
+
+    def read_status(self) -> dict[str, str]:
+        row = self.fleet.tables.items.get("status/rollout/shop")
+        return msgspec.json.decode(_read(row)) if row else {}
+
+    def press_until(self, state: str) -> int:
+        """Send requests until operators read a state; returns those that the release got."""
+
+        def is_over() -> bool:
+            for index in range(4):
+                send(self.fleet, index, "/shop/x", f"t-{self.sent}")
+                self.sent += 1
+            return self.read_status().get("state") == state
+
+        wait_for(is_over, f"not {state}: {self.read_status()}")
+        return sum(sum(server.runs.values()) for server in self.fleet.servers[2:])
+
+    def test_good(self) -> None:
+        self.press_until("completed")
+        self.assertEqual("v2", self.read_status()["target_version"])
+        before = [sum(server.runs.values()) for server in self.fleet.servers[:2]]
+        eventlet.sleep(0.5)
+        for number in range(8):
+            send(self.fleet, number % 4, "/shop/x", f"after-{number}")
+        after = [sum(server.runs.values()) for server in self.fleet.servers[:2]]
+        self.assertEqual(before, after)
+
+    def test_bad(self) -> None:
+        for server in self.fleet.servers[2:]:
+            server.behave = lambda found, i: harness.build_answer(i, b"", "500 Broken")
+        got = self.press_until("rolled_back")
+        bounds = self.fleet.sidecars[0].sidecar.settings.bounds
+        allowed = bounds.exposure_share * self.sent + bounds.exposure_calls
+        self.assertLessEqual(got, allowed)
+        eventlet.sleep(0.5)
+        for number in range(40):
+            send(self.fleet, number % 4, "/shop/x", f"after-{number}")
+        again = sum(sum(server.runs.values()) for server in self.fleet.servers[2:])
+        self.assertEqual(got, again)
+
+    def test_the_decider_is_lost(self) -> None:
+        wait_for(lambda: DECIDER_KEY in self.fleet.tables.items, "nobody decides")
+        name = _read(self.fleet.tables.items[DECIDER_KEY]).decode().split()[0]
+        running = self.fleet.sidecars[int(name.removeprefix("vm-")) - 1]
+        for loop in running.loops:
+            loop.kill()
+        lease = self.fleet.tables.items[DECIDER_KEY]["lease"]
+        end_lease(self.fleet.tables, lease)
+        for server in self.fleet.servers[2:]:
+            server.behave = lambda found, i: harness.build_answer(i, b"", "500 Broken")
+        self.press_until("rolled_back")
+        holder = _read(self.fleet.tables.items[DECIDER_KEY]).decode()
+        self.assertNotIn(name + " ", holder)
+
+    def test_a_decider_that_lost_its_duty_writes_nothing(self) -> None:
+        """A lost conditional write must not count as done: another one decides meanwhile."""
+        wait_for(lambda: "mesh/takeovers/shop" in self.fleet.tables.items, "nobody decides")
+        row = self.fleet.tables.items[DECIDER_KEY]
+        put_item(self.fleet.tables, DECIDER_KEY, b"vm-99 elsewhere", row["lease"])
+        revision = self.fleet.tables.items["mesh/takeovers/shop"]["revision"]
+        eventlet.sleep(2.0)
+        self.assertEqual(revision, self.fleet.tables.items["mesh/takeovers/shop"]["revision"])
+
+
+def _read(row: dict[str, str]) -> bytes:
+    import base64
+
+    return base64.b64decode(row["value"])
