--- a/src/magnoliasill/cli.py
+++ b/src/magnoliasill/cli.py
@@ -11,6 +11,7 @@
 from .deferred import defer, run_pending
 from .error_catalogue import ERRORS
 from .errors import MagnoliasillError
+from .explain import explain
 from .observing_commands import convergence, dump, members
 from .publishing_commands import check, history, publish_folder, pull, remove, show, status, undo
 from .rollout_commands import rollouts
@@ -28,6 +29,7 @@
     "status": status,
     "history": history,
     "dump": dump,
+    "explain": explain,
     "members": members,
     "convergence": convergence,
     "rollouts": rollouts,
--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -113,6 +113,7 @@
     ),
     LogEvent.STORE_UNAVAILABLE: EventEntry(
         "The platform's store does not answer this daemon; the configuration in force stays.",
+        fields=("reason",),
         reaction="tell the platform's operators where several daemons say so",
     ),
     LogEvent.STORE_AVAILABLE: EventEntry("The platform's store answers again."),
--- a/src/magnoliasill/mesh/gate.py
+++ b/src/magnoliasill/mesh/gate.py
@@ -104,7 +104,7 @@
     if gate.running < gate.slots and not gate.waiting:
         gate.running += 1
         return Offer(admitted=True)
-    if len(gate.waiting) >= MAX_WAITING_PER_SLOT * gate.slots:
+    if not ticket.nested and len(gate.waiting) >= MAX_WAITING_PER_SLOT * gate.slots:
         return Offer(reason="queue")
     wait_s = estimate_wait(gate, ticket, now)
     if now + wait_s + TARGET_SPREAD * service_s > ticket.target_at:
@@ -125,6 +125,8 @@
         return now + seconds <= ticket.deadline_at
     if seconds > LATE_SHARE * (ticket.deadline_at - now):
         return False
+    if sum(_is_late(gate, other, now) for other in gate.waiting) >= gate.slots:
+        return False
     if gate.late_hope >= LATE_HOPE or gate.late_refused >= LATE_TRIAL:
         gate.late_refused = 0
         return True
--- a/src/magnoliasill/sidecar/journal.py
+++ b/src/magnoliasill/sidecar/journal.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 from collections import deque
 from contextlib import suppress
 from time import monotonic
@@ -10,6 +9,7 @@
 
 import attrs
 import eventlet
+import eventlet.patcher
 import structlog
 
 from ..codes import LogEvent
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+os = eventlet.patcher.original("os")  # the patched one waits where a pipe is full
+
 MAX_BUFFERED_BYTES = 1_000_000  # what a stalled reader may cost in memory
 ORDINARY_PER_S = 30.0  # lines on requests that went well; more say nothing new
 UNUSUAL_PER_S = 300.0  # lines on requests that did not
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -82,6 +82,41 @@
         self.assertEqual("queue", offers[-1].reason)
 
 
+class LateTest(GateCase):
+    """Under overload late work must neither fill the queue nor keep out calls of running work."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fill()
+        for number in range(40):
+            self.offer(f"late-{number}", target_s=0.01, deadline_s=9.0, late=True)
+
+    def test_late_work_waits_up_to_the_slots(self) -> None:
+        self.assertEqual(self.gate.slots, len(self.gate.waiting))
+
+    def test_calls_of_running_work_always_find_room(self) -> None:
+        for number in range(40):
+            self.offer(f"in-time-{number}", target_s=9.0, deadline_s=9.0)
+        offer = self.offer("nested", nested=True, target_s=0.01, deadline_s=0.5, late=True)
+        self.assertTrue(offer.queued)
+        finish_request(self.gate, 0.0)
+        self.assertEqual([("nested", True)], self.resumed)
+
+    def test_once_none_of_it_gets_a_slot_it_is_refused_at_once(self) -> None:
+        for step in range(400):
+            now = step * 0.05
+            self.offer(f"late-{step}", now, late=True, target_s=0.01, deadline_s=1.0)
+            if len(self.gate.waiting) < 6:
+                self.offer(f"in-time-{step}", now, target_s=0.6, deadline_s=1.0)
+                self.offer(f"in-time-too-{step}", now, target_s=0.6, deadline_s=1.0)
+            finish_request(self.gate, now)
+        refused = sum(
+            not self.offer(f"x-{n}", 20.0, late=True, target_s=0.01, deadline_s=1.0).queued
+            for n in range(10)
+        )
+        self.assertGreaterEqual(refused, 9)
+
+
 class OrderTest(GateCase):
     def start_all(self, now: float = 0.0) -> list[str]:
         while self.gate.waiting:
--- /dev/null
+++ b/tests/sidecar/test_journal.py
@@ -0,0 +1,106 @@
+"""Tests of the log: its bound, a reader that stalls, and the catalogue's fields."""
+
+from __future__ import annotations
+
+import ast
+import os
+from pathlib import Path
+
+import msgspec
+import testtools
+
+from magnoliasill.codes import LogEvent
+from magnoliasill.event_catalogue import EVENTS
+from magnoliasill.sidecar.journal import (
+    MAX_BUFFERED_BYTES,
+    ORDINARY_PER_S,
+    UNUSUAL_PER_S,
+    open_journal,
+    write_pending,
+)
+
+SOURCES = Path(__file__).resolve().parents[2] / "src" / "magnoliasill" / "sidecar"
+
+
+class JournalTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+        self.left_out: list[str] = []
+        self.journal, self.write = open_journal(self.writer, "vm", "dc", self.left_out.append)
+
+    def read(self) -> list[dict[str, object]]:
+        self.assertTrue(write_pending(self.journal))
+        data = os.read(self.reader, 1 << 20)
+        return [msgspec.json.decode(line) for line in data.splitlines()]
+
+    def test_line(self) -> None:
+        self.write(LogEvent.SERVER_GONE, instance="i-1", born=5)
+        (entry,) = self.read()
+        self.assertEqual(
+            ("server_gone", 5403, "i-1", "vm", "dc"),
+            tuple(entry[n] for n in ("event", "number", "instance", "daemon", "data_centre")),
+        )
+
+    def test_ordinary_lines_are_bounded_and_counted(self) -> None:
+        for _ in range(1_000):
+            self.write(LogEvent.REQUEST_ANSWERED, id="a")
+        written = self.read()
+        self.assertLessEqual(len(written), 2 * ORDINARY_PER_S)
+        self.assertEqual(1_000 - len(written), len(self.left_out))
+
+    def test_failures_are_written_where_successes_are_left_out(self) -> None:
+        for _ in range(1_000):
+            self.write(LogEvent.REQUEST_ANSWERED, id="a")
+        for _ in range(int(UNUSUAL_PER_S)):
+            self.write(LogEvent.REQUEST_FAILED, id="f")
+        events = [entry["event"] for entry in self.read()]
+        self.assertEqual(UNUSUAL_PER_S, events.count("request_failed"))
+
+    def test_the_number_left_out_is_told(self) -> None:
+        for _ in range(200):
+            self.write(LogEvent.REQUEST_ANSWERED, id="a")
+        self.write(LogEvent.SERVER_GONE, instance="i", born=1)
+        self.assertEqual(len(self.left_out), self.read()[-1]["left_out"])
+
+    def test_a_reader_that_stalls_blocks_nothing_and_costs_no_memory(self) -> None:
+        for _ in range(60_000):
+            self.write(LogEvent.SERVER_GONE, instance="i" * 100, born=1)
+        self.assertFalse(write_pending(self.journal))
+        self.assertLess(self.journal.size, MAX_BUFFERED_BYTES + 1_000)
+        self.assertGreater(len(self.left_out), 1_000)
+
+    def test_a_reader_that_is_gone(self) -> None:
+        reader, writer = os.pipe()
+        journal, write = open_journal(writer, "vm", "dc", self.left_out.append)
+        os.close(reader)
+        write(LogEvent.SERVER_GONE, instance="i", born=1)
+        self.assertTrue(write_pending(journal))
+        os.close(writer)
+
+
+class CatalogueTest(testtools.TestCase):
+    """The fields of each event in the code are those of the catalogue."""
+
+    def test_fields(self) -> None:
+        seen = set()
+        for path in sorted(SOURCES.glob("*.py")):
+            for call in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+                if not isinstance(call, ast.Call) or not call.args:
+                    continue
+                name = call.args[0]
+                if not (isinstance(name, ast.Attribute) and _is_named(name.value, "LogEvent")):
+                    continue
+                fields = {found.arg for found in call.keywords if found.arg}
+                event = LogEvent[name.attr]
+                seen.add(event)
+                self.assertLessEqual(fields, set(EVENTS[event].fields), event.name)
+                if all(found.arg for found in call.keywords):
+                    self.assertEqual(fields, set(EVENTS[event].fields), event.name)
+        self.assertGreater(len(seen), 25)
+
+
+def _is_named(node: ast.expr, name: str) -> bool:
+    return isinstance(node, ast.Name) and node.id == name
