--- a/src/magnoliasill/sidecar/transfer.py
+++ b/src/magnoliasill/sidecar/transfer.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
+from eventlet.hubs import trampoline
 
 from ..codes import ErrorCode
 from ..connections import (
@@ -91,7 +92,11 @@
 
 
 class _Source(io.RawIOBase):
-    """Reads from a socket, or not at all while it is paused."""
+    """Reads from a socket, or not at all while it is paused.
+
+    The library's green sockets read a reset as the end of the stream, which would let an answer
+    without a length look whole.
+    """
 
     def __init__(self, sock: Any) -> None:
         self.sock = sock
@@ -101,7 +106,14 @@
         return True
 
     def readinto(self, buffer: Any) -> int | None:
-        return None if self.paused else self.sock.recv_into(buffer)
+        if self.paused:
+            return None
+        while True:
+            try:
+                return self.sock.fd.recv_into(buffer)
+            except BlockingIOError:
+                timeout_s = self.sock.gettimeout()
+                trampoline(self.sock, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
 
 
 class _Reader:
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -5,6 +5,7 @@
 import itertools
 import os
 import socket
+import struct
 import time
 from collections import Counter
 from typing import Any
@@ -287,6 +288,7 @@
     except OSError:
         return
     finally:
+        file.close()
         sock.close()
 
 
@@ -308,7 +310,11 @@
         return False
     special = server.behave(server, identifier) if server.behave else None
     if special is not None:
-        sock.sendall(special)
+        sock.sendall(special.removesuffix(b"!reset"))
+        if special.endswith(b"!reset"):
+            eventlet.sleep(0.05)  # until what was sent has been read
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            return False
         return not special.endswith(b"!close") and special != b""
     sock.sendall(build_answer(identifier, b"made by " + server.instance.encode()))
     return True
