--- a/src/magnoliasill/sidecar/following.py
+++ b/src/magnoliasill/sidecar/following.py
@@ -23,7 +23,7 @@
     from .state import Sidecar
 
 WATCH_S = 15.0  # a waiting watch counts as one call; a dead connection shows by its keepalive
-GATHER_S = 0.3  # changes that come together cost one call; far below the time to apply one
+GATHER_S = 0.6  # changes that come together cost one call; well below the time to apply one
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5  # the store's return is noticed within this
 EVERYTHING = ""
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -153,7 +153,6 @@
         status, _, body = send(self.fleet, 0, "/stock/x", "s-5")
         self.assertEqual((200, b"all!close"), (status, body))
 
-
     def test_without_a_length_and_reset_on_the_way(self) -> None:
         """Found by a hunt (ikenna-lms, hunt-e5bb-3): the reset was read as the answer's end."""
         head = b"HTTP/1.1 200 OK\r\nAttempt-Id: s-6\r\nResponse-Signature: t\r\n\r\n"
