Bound every wait at a gate, keep the store's connection alive, retire an overtaken release

The other two were found by reading: a watch on a silent connection misses changes for 15 s, and an order that overtook a running one gave the untested release full share.

--- a/src/magnoliasill/mesh/gate.py
+++ b/src/magnoliasill/mesh/gate.py
@@ -24,6 +24,7 @@
 LATE_TRIAL = 20  # one of so many late requests waits all the same, to notice the end of the load
 LAST_CHANCE_SHARE = 0.5  # of its usual time that must be left when a waiting request starts
 MAX_WAITING_PER_SLOT = 4
+MAX_WAIT_S = 2.5  # a caller that waited longer is better told to come back
 
 
 @attrs.define(eq=False)
@@ -37,6 +38,7 @@
         target_at: When an answer stops being worth most, in seconds on the monotonic clock.
         deadline_at: When nobody waits for the answer any more.
         arrived_at: When it came.
+        start_by: When it is refused if it has not started.
         resume: Called once, with whether it may run.
     """
 
@@ -46,6 +48,7 @@
     target_at: float
     deadline_at: float
     arrived_at: float
+    start_by: float
     resume: Callable[[bool], None]
 
 
@@ -107,6 +110,8 @@
     if not ticket.nested and len(gate.waiting) >= MAX_WAITING_PER_SLOT * gate.slots:
         return Offer(reason="queue")
     wait_s = estimate_wait(gate, ticket, now)
+    if now + wait_s > ticket.start_by:
+        return Offer(reason="wait")
     if now + wait_s + TARGET_SPREAD * service_s > ticket.target_at:
         if not late:
             return Offer(reason="target")
@@ -203,7 +208,7 @@
 
 def _is_hopeless(gate: Gate, ticket: Ticket, now: float) -> bool:
     service_s = gate.route_s.get(ticket.route, gate.mean_s)
-    if now + LAST_CHANCE_SHARE * service_s >= ticket.deadline_at:
+    if now + LAST_CHANCE_SHARE * service_s >= ticket.deadline_at or now >= ticket.start_by:
         return True
     if ticket.nested or gate.late_hope >= LATE_HOPE or not _is_late(gate, ticket, now):
         return False
--- a/src/magnoliasill/mesh/hop.py
+++ b/src/magnoliasill/mesh/hop.py
@@ -5,6 +5,8 @@
 import attrs
 import msgspec
 
+from .gate import MAX_WAIT_S
+
 CALL_HEADER = "Magnoliasill-Call"
 REPORT_HEADER = "Magnoliasill-Report"
 
@@ -26,6 +28,7 @@
         target_left_s: Seconds within which an answer is worth most; below 0 once they are over.
         late: Whether it may wait beyond that.
         repeat: Whether it was sent to another backend server before.
+        wait_left_s: Seconds after which it is refused if it has not started.
     """
 
     identifier: str
@@ -40,6 +43,7 @@
     target_left_s: float
     late: bool
     repeat: bool = False
+    wait_left_s: float = MAX_WAIT_S
 
 
 @attrs.frozen
--- a/src/magnoliasill/mesh/takeovers.py
+++ b/src/magnoliasill/mesh/takeovers.py
@@ -152,7 +152,7 @@
     if before is not None and before.release != order.release:
         if before.phase is Phase.COMPLETED:
             retired |= set(releases) - {before.release, order.release}
-        elif before.phase is Phase.TAKEN_BACK:
+        else:  # one that was still running is not known to be good
             retired.add(before.release)
     retired.discard(order.release)
     return Takeover(order.service, order.release, order_revision, retired=tuple(sorted(retired)))
--- a/src/magnoliasill/platform/store.py
+++ b/src/magnoliasill/platform/store.py
@@ -9,8 +9,10 @@
 
 import msgspec
 import urllib3
+from urllib3.connection import HTTPConnection
 
 from ..codes import ErrorCode
+from ..connections import SOCKET_OPTIONS
 from ..errors import (
     ConditionFailedError,
     HistoryLostError,
@@ -39,7 +41,9 @@
         """
         self._url = f"http://{address}"
         self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS, retries=False)
+        # a watch on a connection that went silent would miss every change until its time is over
+        options = [*HTTPConnection.default_socket_options, *SOCKET_OPTIONS]
+        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS, retries=False, socket_options=options)
 
     def read_key(self, key: str) -> Item | None:
         """Return one item, or None if there is none.
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -23,7 +23,7 @@
 from ..mesh.returns import Pressure, choose_return, count_offered
 from .bodies import LongBody
 from .gate_port import pass_gate
-from .state import find_takeover
+from .state import find_takeover, find_wait_left
 from .transfer import BETWEEN_VMS, BrokenError, Message, NotSentError, Reply, exchange
 
 if TYPE_CHECKING:
@@ -127,7 +127,7 @@
     pressure = sidecar.pressures.setdefault(request.service, Pressure())
     count_offered(pressure, request.arrived_at)
     candidates = None
-    while len(request.offers) < MAX_OFFERS and sidecar.clock() < request.cutoff - RETRY_LEFT_S:
+    while len(request.offers) < MAX_OFFERS and _has_time(sidecar, request):
         choice = _build_choice(sidecar, request, course)
         if candidates is None:
             candidates = choose_release_members(sidecar.members, choice, sidecar.random)
@@ -149,6 +149,10 @@
     return _conclude(sidecar, request, course, pressure)
 
 
+def _has_time(sidecar: Sidecar, request: Request) -> bool:
+    return sidecar.clock() < request.cutoff - RETRY_LEFT_S and find_wait_left(sidecar) > 0
+
+
 def _build_choice(sidecar: Sidecar, request: Request, course: _Course) -> Choice:
     takeover, ordered = find_takeover(sidecar, request.service)
     return Choice(
@@ -230,6 +234,7 @@
         target_left_s=request.arrived_at + request.route.target_s - now,
         late=course.late,
         repeat=request.repeat or course.arrivals > 0,
+        wait_left_s=find_wait_left(sidecar),
     )
     condition.in_flight += 1
     try:
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -12,6 +12,7 @@
 from ..mesh.backend import is_open
 from ..mesh.evidence import count_answer
 from ..mesh.gate import (
+    MAX_WAIT_S,
     Ticket,
     finish_request,
     leave_queue,
@@ -230,6 +231,7 @@
         target_at=now + call.target_left_s,
         deadline_at=deadline,
         arrived_at=now,
+        start_by=now + min(call.wait_left_s, MAX_WAIT_S),
         resume=event.send,
     )
     offer = offer_request(sidecar.gate, ticket, now, call.late)
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -11,7 +11,7 @@
 
 from ..connections import ConnectionTable
 from ..mesh.backend import Backend
-from ..mesh.gate import Gate
+from ..mesh.gate import MAX_WAIT_S, Gate
 from ..mesh.items import Mirror
 from ..mesh.members import Member, MemberTable
 from ..mesh.repeats import RepeatBudget
@@ -33,6 +33,7 @@
 
 LINGER_S = 2.6  # two missed readiness checks, a second apart, and a caller's last request
 GATE_LINGER_S = 1.6  # the backend server serves on until its last requests just end in time
+LAST_START_S = 4.0  # what starts later may not end before the process does
 
 
 @attrs.define
@@ -159,6 +160,13 @@
     return _is_past(sidecar, GATE_LINGER_S)
 
 
+def find_wait_left(sidecar: Sidecar) -> float:
+    """Return the seconds within which a request of this sidecar's callers has to start."""
+    if sidecar.stopping_at is None:
+        return MAX_WAIT_S
+    return sidecar.stopping_at + LAST_START_S - sidecar.clock()
+
+
 def _is_past(sidecar: Sidecar, seconds: float) -> bool:
     stopping_at = sidecar.stopping_at
     return stopping_at is not None and sidecar.clock() - stopping_at >= seconds
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -34,6 +34,7 @@
         deadline_s: float = 2.0,
         priority: int = 2,
         nested: bool = False,
+        wait_s: float = 99.0,
     ) -> Ticket:
         return Ticket(
             route="r",
@@ -42,6 +43,7 @@
             target_at=now + target_s,
             deadline_at=now + deadline_s,
             arrived_at=now,
+            start_by=now + wait_s,
             resume=lambda admitted: self.resumed.append((name, admitted)),
         )
 
@@ -156,6 +158,14 @@
         self.assertEqual([("waits", False)], self.resumed)
         self.assertEqual([], self.gate.waiting)
 
+    def test_no_wait_is_longer_than_its_bound(self) -> None:
+        """Found by a hunt (valdivieso-salon, hunt-d6f1-3): one waited out its sidecar's end."""
+        self.fill()
+        self.offer("waits", target_s=9.0, deadline_s=12.0, wait_s=2.0)
+        start_waiting(self.gate, 2.01)
+        self.assertEqual([("waits", False)], self.resumed)
+        self.assertEqual("wait", self.offer("now", 2.1, wait_s=0.01, target_s=9.0).reason)
+
     def test_a_leaving_server_refuses_all_that_waits(self) -> None:
         self.fill()
         self.offer("a")
--- a/tests/mesh/test_takeovers.py
+++ b/tests/mesh/test_takeovers.py
@@ -118,6 +118,11 @@
         self.assertEqual(0.0, find_share(again, "", "v2"))
         self.assertEqual(1.0, find_share(again, "", "v1"))
 
+    def test_an_order_that_overtakes_a_running_one(self) -> None:
+        again = start_takeover(Order("lessons", "v3", 14.0), 9, self.takeover, ["v1", "v2", "v3"])
+        self.assertEqual(0.0, find_share(again, "", "v2"))
+        self.assertEqual(1.0, find_share(again, "", "v1"))
+
     def test_a_second_takeover_starts_from_the_release_of_the_first(self) -> None:
         done = attrs.evolve(self.takeover, phase=Phase.COMPLETED, share=1.0)
         again = start_takeover(Order("lessons", "v3", 14.0), 9, done, ["v1", "v2", "v3"])
