--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -8,6 +8,7 @@
 UNREACHABLE_FIRST_S = 0.25  # longer than a round trip within a region
 UNREACHABLE_MAX_S = 2.0  # a partition that heals is noticed within this
 SILENT_S = 0.1  # a refusal comes sooner; only lost packets take so long
+FULL_S = 0.1  # about one request's time; the queue that led to a refusal lasts as long
 GONE_S = 3.0  # a gate that said its server is leaving is not asked again for so long
 
 
@@ -48,6 +49,8 @@
         in_flight: Requests of this sidecar that are on their way.
         avoid_until: Until when it gets no requests, because it was not reached.
         avoid_s: How long that lasts the next time.
+        full_until: Until when its gate is not asked to serve a request in time.
+        closed_until: Until when it is not asked to serve one late either.
         lapsed_at: When its record lapsed without its leaving, or None.
     """
 
@@ -58,6 +61,8 @@
     in_flight: int = 0
     avoid_until: float = 0.0
     avoid_s: float = UNREACHABLE_FIRST_S
+    full_until: float = 0.0
+    closed_until: float = 0.0
     lapsed_at: float | None = None
 
 
@@ -160,6 +165,22 @@
         note_unreachable(condition, now)
 
 
+def note_full(condition: Condition, late: bool, now: float) -> None:
+    """Note that a gate had no room, so that the next requests need not find out again.
+
+    The pattern: an overload that lasts. Most offers to gates would be refused, and each costs both
+    sides as much as a request that is served.
+
+    Args:
+        condition: The member's.
+        late: Whether it would not serve a request beyond its target either.
+        now: Seconds on the monotonic clock.
+    """
+    condition.full_until = now + FULL_S
+    if late:
+        condition.closed_until = now + FULL_S
+
+
 def note_closed(condition: Condition, now: float) -> None:
     """Avoid a member whose gate said that its backend server takes no work."""
     condition.avoid_until = max(condition.avoid_until, now + GONE_S)
--- a/src/magnoliasill/mesh/placement.py
+++ b/src/magnoliasill/mesh/placement.py
@@ -40,6 +40,8 @@
         ordered: The release of an order that no takeover follows yet, or empty.
         takeover: The service's latest takeover, or None.
         answer_bytes: The usual size of an answer.
+        late: Whether it may be served beyond its target.
+        insistent: Whether gates that had no room are asked again at once.
     """
 
     service: str
@@ -49,6 +51,8 @@
     ordered: str = ""
     takeover: Takeover | None = None
     answer_bytes: float = 0.0
+    late: bool = False
+    insistent: bool = False
 
 
 def choose_release_members(table: MemberTable, choice: Choice, random: Random) -> list[Member]:
@@ -92,7 +96,7 @@
         if member.name in choice.tried:
             continue
         condition = find_condition(table, member)
-        if choice.now < condition.avoid_until:
+        if choice.now < condition.avoid_until or _is_full(condition, choice):
             continue
         cost = estimate_seconds(member, condition, choice) * (1 + JITTER * random.random())
         if best is None or cost < best_cost:
@@ -100,6 +104,12 @@
     return best
 
 
+def _is_full(condition: Condition, choice: Choice) -> bool:
+    if choice.insistent:
+        return False
+    return choice.now < (condition.closed_until if choice.late else condition.full_until)
+
+
 def estimate_seconds(member: Member, condition: Condition, choice: Choice) -> float:
     """Return the seconds that a request is expected to take at a member, with penalties.
 
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -14,6 +14,7 @@
     SILENT_S,
     find_condition,
     note_closed,
+    note_full,
     note_report,
     note_silence,
     note_unreachable,
@@ -33,10 +34,11 @@
     from ..mesh.routes import Route
     from .state import Sidecar
 
-MAX_OFFERS = 6  # gates asked for one request; each costs about a millisecond
+MAX_OFFERS = 5  # gates asked for one request; each costs about a millisecond
 ANSWER_SLACK_S = 0.05  # for an answer that is on its way at the deadline
 SIZE_SMOOTHING = 0.1
 RETRY_LEFT_S = 0.02  # less time than that serves no second attempt
+_NO_ROOM = frozenset({"target", "deadline", "queue", "wait", "waited"})
 
 
 @attrs.define
@@ -133,7 +135,7 @@
             candidates = choose_release_members(sidecar.members, choice, sidecar.random)
         member = choose_member(sidecar.members, candidates, choice, sidecar.random)
         if member is None:
-            if course.late or not course.full:
+            if course.late:
                 break
             course.late = True
             course.tried -= course.full
@@ -163,6 +165,8 @@
         ordered=ordered,
         takeover=takeover,
         answer_bytes=sidecar.answer_bytes.get(request.route.name, 0.0),
+        late=course.late,
+        insistent=request.nested,
     )
 
 
@@ -299,6 +303,8 @@
     report_age_s = round(now - condition.reported_at, 3) if condition.reported_at > 0 else None
     if report is not None:
         note_report(condition, report.busy, report.mean_s, report.failing, now)
+        if report.reason in _NO_ROOM:
+            note_full(condition, report.reason != "target", now)
         if report.closed or report.reason in ("other_instance", "release_withheld"):
             note_closed(condition, now)
     elif result.end is OfferEnd.UNREACHED or "Timed" not in result.reason:
--- a/tests/mesh/test_members.py
+++ b/tests/mesh/test_members.py
@@ -9,6 +9,7 @@
 import testtools
 
 from magnoliasill.mesh.members import (
+    FULL_S,
     GONE_S,
     LAPSE_GRACE_S,
     UNREACHABLE_MAX_S,
@@ -18,6 +19,7 @@
     find_condition,
     lapse_member,
     note_closed,
+    note_full,
     note_report,
     note_silence,
     note_unreachable,
@@ -123,6 +125,29 @@
         self.assertIn("far-2", {self.choose(11.35).name for _ in range(20)})
 
 
+class FullGateTest(TableCase):
+    """An overload that lasts: gates that had no room are not asked for every request."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.add(build_member("m"))
+        self.condition = find_condition(self.table, self.table.records["m"])
+
+    def test_not_in_time_but_late(self) -> None:
+        note_full(self.condition, False, 10.0)
+        self.assertIsNone(self.choose(10.0))
+        self.assertEqual("m", self.choose(10.0, late=True).name)
+
+    def test_neither(self) -> None:
+        note_full(self.condition, True, 10.0)
+        self.assertIsNone(self.choose(10.0, late=True))
+
+    def test_asked_again_soon_and_always_for_running_work(self) -> None:
+        note_full(self.condition, True, 10.0)
+        self.assertEqual("m", self.choose(10.0, insistent=True).name)
+        self.assertEqual("m", self.choose(10.0 + FULL_S).name)
+
+
 class PlacementTest(TableCase):
     def count(self, **options: object) -> Counter[str]:
         return Counter(self.choose(**options).name for _ in range(200))
