--- a/src/magnoliasill/mesh/gate.py
+++ b/src/magnoliasill/mesh/gate.py
@@ -24,6 +24,7 @@
 LATE_TRIAL = 20  # one of so many late requests waits all the same, to notice the end of the load
 LAST_CHANCE_SHARE = 0.5  # of its usual time that must be left when a waiting request starts
 MAX_WAITING_PER_SLOT = 4
+NEW_SHARE = 1 / 3  # of the slots that calls of running work leave to new work, however many come
 MAX_WAIT_S = 2.5  # a caller that waited longer is better told to come back
 
 
@@ -59,6 +60,7 @@
     Attributes:
         slots: Requests that it runs at once.
         running: Requests that run.
+        running_new: Those of them that no other backend server waits for.
         waiting: Requests that wait.
         mean_s: Seconds that a request takes, over all routes.
         route_s: Seconds that a request takes, by route.
@@ -69,6 +71,7 @@
 
     slots: int = 1
     running: int = 0
+    running_new: int = 0
     waiting: list[Ticket] = attrs.field(factory=list)
     mean_s: float = INITIAL_SECONDS
     route_s: dict[str, float] = attrs.field(factory=dict)
@@ -105,9 +108,10 @@
     if now + LAST_CHANCE_SHARE * service_s >= ticket.deadline_at:
         return Offer(reason="deadline")
     if gate.running < gate.slots and not gate.waiting:
-        gate.running += 1
+        _start(gate, ticket)
         return Offer(admitted=True)
-    if not ticket.nested and len(gate.waiting) >= MAX_WAITING_PER_SLOT * gate.slots:
+    waiting_new = sum(not other.nested for other in gate.waiting)
+    if not ticket.nested and waiting_new >= MAX_WAITING_PER_SLOT * gate.slots:
         return Offer(reason="queue")
     wait_s = estimate_wait(gate, ticket, now)
     if now + wait_s > ticket.start_by:
@@ -143,12 +147,22 @@
     """Return the seconds until a request would start, by those that go before it."""
     own = _order(gate, ticket, now)
     ahead = sum(_order(gate, other, now) < own for other in gate.waiting)
+    if not ticket.nested:  # calls of running work take only their part of the slots from it
+        nested = sum(other.nested for other in gate.waiting)
+        ahead = ahead - nested + min(nested, int((ahead - nested + 1) / NEW_SHARE))
     return (ahead + 1) * gate.mean_s / gate.slots
 
 
-def finish_request(gate: Gate, now: float) -> None:
-    """Take back the place of a request that has ended, and start those that wait."""
+def finish_request(gate: Gate, nested: bool, now: float) -> None:
+    """Take back the place of a request that has ended, and start those that wait.
+
+    Args:
+        gate: The gate.
+        nested: Whether another backend server waited for it.
+        now: Seconds on the monotonic clock.
+    """
     gate.running -= 1
+    gate.running_new -= not nested
     start_waiting(gate, now)
 
 
@@ -159,14 +173,28 @@
         _note_late(gate, False)
         ticket.resume(False)
     while gate.waiting and gate.running < gate.slots:
-        ticket = min(gate.waiting, key=lambda found: _order(gate, found, now))
+        ticket = _choose_next(gate, now)
         gate.waiting.remove(ticket)
         if _is_late(gate, ticket, now):
             _note_late(gate, True)
-        gate.running += 1
+        _start(gate, ticket)
         ticket.resume(True)
 
 
+def _choose_next(gate: Gate, now: float) -> Ticket:
+    """Return what starts next: calls of running work first, but new work keeps some slots."""
+    waiting = gate.waiting
+    if gate.running_new < NEW_SHARE * gate.slots:
+        new = [found for found in waiting if not found.nested and not _is_late(gate, found, now)]
+        waiting = new or waiting
+    return min(waiting, key=lambda found: _order(gate, found, now))
+
+
+def _start(gate: Gate, ticket: Ticket) -> None:
+    gate.running += 1
+    gate.running_new += not ticket.nested
+
+
 def close_gate(gate: Gate) -> None:
     """Refuse everything that waits, because the backend server is going away."""
     waiting, gate.waiting = gate.waiting, []
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -143,7 +143,7 @@
         for loop in (
             lambda: follow_store(sidecar),
             lambda: keep_registered(sidecar, registration),
-            lambda: keep_deciding(sidecar, registration),
+            lambda: keep_deciding(sidecar),
             lambda: _step(sidecar),
         )
     ]
--- a/src/magnoliasill/sidecar/deciding.py
+++ b/src/magnoliasill/sidecar/deciding.py
@@ -20,11 +20,11 @@
 
 if TYPE_CHECKING:
     from ..mesh.members import Member
-    from .registration import Registration
     from .state import OpenOrder, Sidecar
 
 STEP_S = 0.4  # between two looks at the answers of a release
 ASK_TIMEOUT_S = 0.5
+LEASE_S = 1.5  # the duty of a sidecar that died passes on within this; renewed with each step
 COUNTS_PATH = "/mesh/counts"
 RANK_PAUSE_S = (
     0.15  # per place in the order of names, so that few sidecars ask for the duty at once
@@ -53,25 +53,28 @@
 
     Attributes:
         revision: The revision of the item by which it has the duty, or 0.
+        lease: The lease of that item, or 0.
         counts: The latest counts by service, then by member and process.
         statuses: By service, the revision of the order and the phase that operators can read.
     """
 
     revision: int = 0
+    lease: int = 0
     counts: dict[str, dict[tuple[str, str], GateCounts]] = attrs.field(factory=dict)
     statuses: dict[str, tuple[int, Phase]] = attrs.field(factory=dict)
 
 
-def keep_deciding(sidecar: Sidecar, registration: Registration) -> None:
+def keep_deciding(sidecar: Sidecar) -> None:
     """Decide on open takeovers whenever this sidecar has the duty, until the process ends."""
     duty = Duty()
     while True:
         eventlet.sleep(STEP_S)
         opened = list_open(sidecar)
-        if not opened or sidecar.stopping_at is not None:
-            continue
         try:
-            if not _has_duty(sidecar, registration, duty):
+            if not opened or sidecar.stopping_at is not None:
+                _give_up(sidecar, duty)
+                continue
+            if not _has_duty(sidecar, duty):
                 continue
             for order in opened:
                 _decide(sidecar, duty, order)
@@ -96,33 +99,50 @@
     return opened
 
 
-def _has_duty(sidecar: Sidecar, registration: Registration, duty: Duty) -> bool:
+def _has_duty(sidecar: Sidecar, duty: Duty) -> bool:
     item = sidecar.mirror.items.get(DECIDER_KEY)
-    holder = item.value.decode("utf-8", "replace") if item and item.value is not None else ""
-    if holder:
-        mine = holder == f"{sidecar.settings.name} {sidecar.start_id}"
-        duty.revision = item.revision if mine else 0
-        return mine
-    if not registration.lease:
-        return False
-    names = sorted(sidecar.members.records)
-    rank = names.index(sidecar.settings.name) if sidecar.settings.name in names else MAX_RANK
-    eventlet.sleep(min(rank, MAX_RANK) * RANK_PAUSE_S)
+    own = f"{sidecar.settings.name} {sidecar.start_id}".encode()
+    if item is not None and item.value is not None and item.revision >= duty.revision:
+        if item.value != own or not duty.lease:
+            duty.revision = 0
+            return False
+        duty.revision = item.revision
+    if duty.revision:
+        sidecar.store.renew_lease(duty.lease)
+        sidecar.meters.count("store", "renewal")
+        return True
+    _wait_turn(sidecar)
     item = sidecar.mirror.items.get(DECIDER_KEY)
     if item is not None and item.value is not None:
         return False
-    value = f"{sidecar.settings.name} {sidecar.start_id}".encode()
-    put = Put(DECIDER_KEY, value, registration.lease)
+    duty.lease = sidecar.store.grant_lease(LEASE_S)
+    put = Put(DECIDER_KEY, own, duty.lease)
     duty.revision = sidecar.store.transact(Transaction((put,), (Condition(DECIDER_KEY, 0),)))
-    sidecar.meters.count("store", "write")
+    sidecar.meters.count("store", "write", 2)
     sidecar.log(LogEvent.CONTROL_ACQUIRED, service="", generation=duty.revision)
     return True
 
 
+def _wait_turn(sidecar: Sidecar) -> None:
+    names = sorted(sidecar.members.records)
+    rank = names.index(sidecar.settings.name) if sidecar.settings.name in names else MAX_RANK
+    eventlet.sleep(min(rank, MAX_RANK) * RANK_PAUSE_S)
+
+
+def _give_up(sidecar: Sidecar, duty: Duty) -> None:
+    """Let another sidecar have the duty at once, rather than when the lease runs out."""
+    if not duty.revision:
+        return
+    lease, duty.revision, duty.lease = duty.lease, 0, 0
+    sidecar.log(LogEvent.CONTROL_LOST, service="")
+    sidecar.store.end_lease(lease)
+    sidecar.meters.count("store", "lease")
+
+
 def _lose(sidecar: Sidecar, duty: Duty, error: StoreError) -> None:
     if duty.revision:
         sidecar.log(LogEvent.CONTROL_LOST, service="")
-    duty.revision = 0
+    duty.revision = duty.lease = 0
     sidecar.meters.count("store", type(error).__name__)
 
 
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -152,18 +152,18 @@
         passage = _run(sidecar, call, message, arrived_at, deadline)
         if passage.reply is not None and passage.reply.rest is not None:
             held = False
-            rest = _hold_slot(sidecar, passage.reply.rest)
+            rest = _hold_slot(sidecar, call, passage.reply.rest)
             passage = attrs.evolve(passage, reply=attrs.evolve(passage.reply, rest=rest))
         return passage
     finally:
         sidecar.running.pop(call.identifier, None)
         if held:
-            finish_request(sidecar.gate, sidecar.clock())
+            finish_request(sidecar.gate, call.nested, sidecar.clock())
 
 
-def _hold_slot(sidecar: Sidecar, rest: Iterator[bytes]) -> Iterator[bytes]:
+def _hold_slot(sidecar: Sidecar, call: HopCall, rest: Iterator[bytes]) -> Iterator[bytes]:
     """Yield the pieces of an answer and give its place back afterwards."""
-    done = _Once(lambda: finish_request(sidecar.gate, sidecar.clock()))
+    done = _Once(lambda: finish_request(sidecar.gate, call.nested, sidecar.clock()))
     return _Pieces(rest, done)
 
 
@@ -243,7 +243,7 @@
         admitted = event.wait()
     except BaseException:
         if event.ready() and event.wait():
-            finish_request(sidecar.gate, sidecar.clock())
+            finish_request(sidecar.gate, call.nested, sidecar.clock())
         else:
             leave_queue(sidecar.gate, ticket)
         raise
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import testtools
 
 from magnoliasill.mesh.gate import (
@@ -101,7 +103,7 @@
             self.offer(f"in-time-{number}", target_s=9.0, deadline_s=9.0)
         offer = self.offer("nested", nested=True, target_s=0.01, deadline_s=0.5, late=True)
         self.assertTrue(offer.queued)
-        finish_request(self.gate, 0.0)
+        finish_request(self.gate, False, 0.0)
         self.assertEqual([("nested", True)], self.resumed)
 
     def test_once_none_of_it_gets_a_slot_it_is_refused_at_once(self) -> None:
@@ -111,7 +113,7 @@
             if len(self.gate.waiting) < 6:
                 self.offer(f"in-time-{step}", now, target_s=0.6, deadline_s=1.0)
                 self.offer(f"in-time-too-{step}", now, target_s=0.6, deadline_s=1.0)
-            finish_request(self.gate, now)
+            finish_request(self.gate, False, now)
         refused = sum(
             not self.offer(f"x-{n}", 20.0, late=True, target_s=0.01, deadline_s=1.0).queued
             for n in range(10)
@@ -122,7 +124,7 @@
 class OrderTest(GateCase):
     def start_all(self, now: float = 0.0) -> list[str]:
         while self.gate.waiting:
-            finish_request(self.gate, now)
+            finish_request(self.gate, False, now)
         return [name for name, admitted in self.resumed if admitted]
 
     def test_calls_of_running_work_go_first(self) -> None:
@@ -131,6 +133,34 @@
         self.offer("nested", priority=5, nested=True)
         self.assertEqual(["nested", "new"], self.start_all())
 
+    def test_new_work_keeps_some_slots_from_a_flood_of_calls(self) -> None:
+        """valdivieso-salon scale-2: calls of other work kept a more urgent kind from running."""
+        self.gate = Gate(slots=9, mean_s=0.04)
+        generator = random.Random(5)
+        running: list[tuple[float, bool]] = []
+        served = {True: 0, False: 0}
+        waiting: dict[str, bool] = {}
+        for step in range(4_000):
+            now = step * 0.005
+            for end in [found for found in running if found[0] <= now]:
+                running.remove(end)
+                served[end[1]] += 1
+                finish_request(self.gate, end[1], now)
+            for kind in (True, True, False):
+                name = f"{step}-{kind}-{generator.random()}"
+                options = {"nested": kind, "deadline_s": 0.5 if kind else 2.0, "target_s": 0.4}
+                ticket = self.build(name, now, **options)
+                waiting[name] = kind
+                if offer_request(self.gate, ticket, now, kind).admitted:
+                    self.resumed.append((name, True))
+            for name, admitted in self.resumed:
+                if admitted:
+                    work_s = 0.04 if waiting[name] else 0.2
+                    running.append((now + work_s, waiting[name]))
+            self.resumed.clear()
+        self.assertGreater(served[False], 0.8 * 3 / 0.2 * 20)  # a third of the slots
+        self.assertGreater(served[True], 0.8 * 6 / 0.04 * 20 * 0.8)
+
     def test_urgent_before_less_urgent(self) -> None:
         self.fill()
         self.offer("less", priority=2)
@@ -178,7 +208,7 @@
         ticket = self.build("left")
         offer_request(self.gate, ticket, 0.0, False)
         leave_queue(self.gate, ticket)
-        finish_request(self.gate, 0.1)
+        finish_request(self.gate, False, 0.1)
         self.assertEqual([], self.resumed)
         self.assertEqual(1, self.gate.running)
 
