--- a/src/magnoliasill/sidecar/transfer.py
+++ b/src/magnoliasill/sidecar/transfer.py
@@ -36,6 +36,7 @@
 WHOLE_BYTES = 262_144  # a longer answer is passed on in pieces
 PIECE_BYTES = 65_536
 MIN_TIMEOUT_S = 0.001
+EARLY_S = 0.02  # a timer of ours never fires so much early
 SURE_IDLE_S = 1.0  # a connection used within this is still open at the other end
 MAX_IDLE_CONNECTIONS = 64
 KEPT_SHARE = 0.7  # of the time after which the other end closes an idle connection
@@ -220,6 +221,8 @@
         return _read_reply(table, address, link, response, deadline, whole)
     except TimeoutError as error:
         link.http.close()
+        if monotonic() < deadline - EARLY_S:  # the system gave the connection up, not we
+            raise BrokenError(ErrorCode.OUTCOME_UNKNOWN, "the connection is silent") from error
         raise TimedOutError(ErrorCode.OUTCOME_UNKNOWN, "no answer in time") from error
     except _BREAKS as error:
         link.http.close()
--- /dev/null
+++ b/tests/sidecar/test_transfer.py
@@ -0,0 +1,73 @@
+"""Tests of one exchange, with connections that fail in ways a loopback network does not show."""
+
+from __future__ import annotations
+
+import errno
+from time import monotonic
+from unittest import mock
+
+import testtools
+
+from magnoliasill.connections import ConnectionTable
+from magnoliasill.sidecar import transfer
+from magnoliasill.sidecar.transfer import (
+    BrokenError,
+    Message,
+    NotSentError,
+    TimedOutError,
+    exchange,
+)
+
+from .fleet import close_fleet, open_fleet
+
+MESSAGE = Message("GET", "/x", [("Host", "x"), ("Attempt-Id", "a")], None)
+
+
+class SilenceTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        fleet = open_fleet(["shop"])
+        self.addCleanup(close_fleet, fleet)
+        self.address = fleet.servers[0].address
+        self.server = fleet.servers[0]
+
+    def fail_with(self, error: Exception, seconds: float) -> Exception:
+        with mock.patch.object(transfer, "_receive", side_effect=error):
+            return self.assertRaises(
+                BrokenError,
+                exchange,
+                ConnectionTable(),
+                self.address,
+                MESSAGE,
+                monotonic() + seconds,
+                True,
+            )
+
+    def test_a_connection_that_the_system_gave_up(self) -> None:
+        """Valdivieso trouble-2: a cut data centre looked like slow servers and was asked on."""
+        error = self.fail_with(TimeoutError(errno.ETIMEDOUT, "timed out"), 5.0)
+        self.assertNotIsInstance(error, TimedOutError)
+
+    def test_no_answer_by_the_deadline(self) -> None:
+        self.server.work_s = 0.5
+        self.assertRaises(
+            TimedOutError,
+            exchange,
+            ConnectionTable(),
+            self.address,
+            MESSAGE,
+            monotonic() + 0.1,
+            True,
+        )
+
+    def test_refused_connections_are_certainly_not_sent(self) -> None:
+        host = self.address.rpartition(":")[0]
+        self.assertRaises(
+            NotSentError,
+            exchange,
+            ConnectionTable(),
+            f"{host}:9",
+            MESSAGE,
+            monotonic() + 1.0,
+            True,
+        )
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -7,6 +7,7 @@
 
 import os
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -134,13 +135,20 @@
         path.write_text(source.replace(guard.text, guard.without, 1), encoding="utf-8")
         environment = {**os.environ, "PYTHONPATH": f"{folder}/src"}
         command = [sys.executable, "-W", "ignore", "-m", "tools.run_tests", *guard.tests]
+        running = subprocess.Popen(
+            command,
+            cwd=folder,
+            env=environment,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+            start_new_session=True,
+        )
         try:
-            done = subprocess.run(
-                command, cwd=folder, env=environment, capture_output=True, timeout=TIMEOUT_S
-            )
-        except subprocess.TimeoutExpired:
+            return running.wait(TIMEOUT_S) != 0
+        except subprocess.TimeoutExpired:  # a loop that the guard would have ended
+            os.killpg(running.pid, signal.SIGKILL)
+            running.wait()
             return True
-    return done.returncode != 0
 
 
 def main() -> None:
