Callers that come back go behind those who can still be in time; takeover's revision is the last

Found by the guard table: after a publish the decider remembered the status item's revision, so its next write was refused and the duty changed hands.

--- /dev/null
+++ b/src/magnoliasill/mesh/waited.py
@@ -0,0 +1,38 @@
+"""How long a caller has waited before this attempt.
+
+The pattern: callers that come back after a refusal. Their targets count from their first
+attempts, so most of them can't be served in time any more, and should not keep those from it who
+can. A caller that comes back has less time left than callers of its route usually have at first.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+import attrs
+
+SAMPLES = 64
+MIN_SAMPLES = 16
+HIGH_SHARE = 0.9  # of the samples; first attempts have the most time left
+PATIENCE_SHARE = 0.85  # callers of one route differ in their patience by about a seventh
+
+
+@attrs.define
+class Patience:
+    """The time that callers of one route had left lately, in seconds."""
+
+    left_s: deque[float] = attrs.field(factory=lambda: deque(maxlen=SAMPLES))
+
+
+def estimate_waited(patience: Patience, left_s: float) -> float:
+    """Note an attempt, and return the seconds that its caller has surely waited before.
+
+    Args:
+        patience: The route's.
+        left_s: Seconds that the caller still waits.
+    """
+    patience.left_s.append(left_s)
+    if len(patience.left_s) < MIN_SAMPLES:
+        return 0.0
+    usual_s = sorted(patience.left_s)[int(HIGH_SHARE * (len(patience.left_s) - 1))]
+    return max(PATIENCE_SHARE * usual_s - left_s, 0.0)
--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -12,6 +12,7 @@
 from ..errors import CallError
 from ..mesh.repeats import count_repeat, count_request
 from ..mesh.routes import choose_destination, find_route
+from ..mesh.waited import Patience, estimate_waited
 from ..platform.headers import read_request, strip_request
 from .bodies import read_body
 from .forwarding import Request, forward_request
@@ -84,6 +85,7 @@
     _check_head(table, headers)
     now = progress.started_at
     parent = find_parent(sidecar, marks.identifier)
+    patience = sidecar.patience.setdefault(route.name, Patience())
     time_left_s = route.timeout_s if marks.time_left_s is None else marks.time_left_s
     request = Request(
         identifier=marks.identifier,
@@ -93,6 +95,7 @@
         nested=parent is not None,
         repeat=bool(parent),
         arrived_at=now,
+        target_at=now + route.target_s - estimate_waited(patience, time_left_s),
         cutoff=now + min(time_left_s, route.timeout_s),
         caller_deadline=now + time_left_s,
     )
--- a/src/magnoliasill/sidecar/deciding.py
+++ b/src/magnoliasill/sidecar/deciding.py
@@ -170,7 +170,8 @@
     known = sidecar.takeovers.get(service)
     status = encode_status(takeover.release, takeover.phase)
     transaction = Transaction(
-        puts=(Put(key, encode_record(takeover)), Put(STATUS_PREFIX + service, status)),
+        # the revision that comes back is that of the last change
+        puts=(Put(STATUS_PREFIX + service, status), Put(key, encode_record(takeover))),
         conditions=(
             Condition(DECIDER_KEY, duty.revision),
             Condition(key, known[1] if known else 0),
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -53,6 +53,7 @@
         nested: Whether the VM's backend server made it while it ran another one.
         repeat: Whether that other one is itself a repeat.
         arrived_at: Seconds on the monotonic clock.
+        target_at: By when an answer is worth most to its caller.
         cutoff: By when it gets its final answer.
         caller_deadline: When its caller stops waiting.
         on_start: Called before it runs at the own backend server.
@@ -66,6 +67,7 @@
     nested: bool
     repeat: bool
     arrived_at: float
+    target_at: float
     cutoff: float
     caller_deadline: float
     on_start: Callable[[], None] | None = None
@@ -235,7 +237,7 @@
         nested=request.nested,
         priority=request.route.priority,
         time_left_s=request.cutoff - now,
-        target_left_s=request.arrived_at + request.route.target_s - now,
+        target_left_s=request.target_at - now,
         late=course.late,
         repeat=request.repeat or course.arrivals > 0,
         wait_left_s=find_wait_left(sidecar),
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -27,6 +27,7 @@
     from ..mesh.routes import RouteTable
     from ..mesh.settings import SidecarSettings
     from ..mesh.takeovers import Order, Takeover
+    from ..mesh.waited import Patience
     from ..platform.store import StoreClient
     from .meters import Meters
 
@@ -77,6 +78,7 @@
         server_links: Connections to it.
         peer_links: Connections to other sidecars.
         answer_bytes: The usual size of an answer, by route.
+        patience: The time that callers have left, by route.
         budget: Repeats of each service.
         pressures: Refusals of each service.
         watched: Requests that end when their callers go away.
@@ -108,6 +110,7 @@
     server_links: ConnectionTable = attrs.field(factory=ConnectionTable)
     peer_links: ConnectionTable = attrs.field(factory=ConnectionTable)
     answer_bytes: dict[str, float] = attrs.field(factory=dict)
+    patience: dict[str, Patience] = attrs.field(factory=dict)
     budget: RepeatBudget = attrs.field(factory=lambda: RepeatBudget(0.2, 50.0, 10.0))
     pressures: dict[str, Pressure] = attrs.field(factory=dict)
     watched: set[OpenCall] = attrs.field(factory=set)
--- a/tests/sidecar/test_store_changes.py
+++ b/tests/sidecar/test_store_changes.py
@@ -212,7 +212,7 @@
         name = _read(row).decode().split()[0]
         running = self.fleet.sidecars[int(name.removeprefix("vm-")) - 1]
         running.loops[0].kill()  # it does not hear that it lost the duty
-        put_item(self.fleet.tables, DECIDER_KEY, b"vm-99 elsewhere", row["lease"])
+        put_item(self.fleet.tables, DECIDER_KEY, b"vm-99 elsewhere")
         revision = self.fleet.tables.items["mesh/takeovers/shop"]["revision"]
         eventlet.sleep(4.5)
         self.assertEqual(revision, self.fleet.tables.items["mesh/takeovers/shop"]["revision"])
