--- a/src/magnoliasill/mesh/placement.py
+++ b/src/magnoliasill/mesh/placement.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import TYPE_CHECKING
 
 import attrs
@@ -42,6 +43,7 @@
         answer_bytes: The usual size of an answer.
         late: Whether it may be served beyond its target.
         insistent: Whether gates that had no room are asked again at once.
+        tries_limited: Whether the request may be drawn for a release with a limited share.
     """
 
     service: str
@@ -53,11 +55,15 @@
     answer_bytes: float = 0.0
     late: bool = False
     insistent: bool = False
+    tries_limited: bool = True
 
 
 def choose_release_members(table: MemberTable, choice: Choice, random: Random) -> list[Member]:
     """Return the members of the releases that this request may go to.
 
+    The pattern: a release whose fault shows only under load. Its share goes to as few of its
+    servers as will carry it in the end, so that they are loaded while the share is still small.
+
     Args:
         table: The members.
         choice: What else the choice depends on.
@@ -75,8 +81,9 @@
         elif allowed > 0.0:
             limited.append(member)
             share = allowed
-    if limited and (not others or random.random() < share):
-        return limited
+    if limited and (not others or (choice.tries_limited and random.random() < share)):
+        count = ceil(share * len(limited)) if others else len(limited)
+        return sorted(limited, key=lambda member: member.name)[:count]
     return others
 
 
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -101,6 +101,7 @@
         tried: Members that are not asked again.
         full: Members that would serve it only beyond its target.
         late: Whether it may wait beyond its target.
+        tries_limited: Whether a release with a limited share may still be drawn for it.
         arrivals: Backend servers that it has reached.
         unknown: Why it may have run without an answer, or an empty string.
         refused: Why the last gate did not let it run.
@@ -110,6 +111,7 @@
     tried: set[str] = attrs.field(factory=set)
     full: set[str] = attrs.field(factory=set)
     late: bool = False
+    tries_limited: bool = True
     arrivals: int = 0
     unknown: str = ""
     refused: str = ""
@@ -137,6 +139,9 @@
             candidates = choose_release_members(sidecar.members, choice, sidecar.random)
         member = choose_member(sidecar.members, candidates, choice, sidecar.random)
         if member is None:
+            if course.tries_limited:
+                course.tries_limited, candidates = False, None
+                continue
             if course.late:
                 break
             course.late = True
@@ -169,6 +174,7 @@
         answer_bytes=sidecar.answer_bytes.get(request.route.name, 0.0),
         late=course.late,
         insistent=request.nested,
+        tries_limited=course.tries_limited,
     )
 
 
--- a/tests/mesh/test_members.py
+++ b/tests/mesh/test_members.py
@@ -204,6 +204,20 @@
         found = Counter(self.choose(takeover=takeover).name for _ in range(2_000))
         self.assertAlmostEqual(0.06, found["new"] / 2_000, delta=0.02)
 
+    def test_a_small_share_loads_one_server_as_it_will_be_loaded(self) -> None:
+        """ikenna-lms hunt-009a-3: a fault under load showed only at the whole traffic."""
+        self.add(build_member("old"), *(build_member(f"n-{i}", release="v2") for i in range(4)))
+        for share, count in ((0.06, 1), (0.25, 1), (0.5, 2)):
+            takeover = Takeover("shop", "v2", 1, share=share)
+            found = {self.choose(takeover=takeover).name for _ in range(500)} - {"old"}
+            self.assertEqual(count, len(found), share)
+
+    def test_a_request_that_its_server_can_not_take_goes_to_the_others(self) -> None:
+        self.add(build_member("old"), build_member("new", release="v2"))
+        takeover = Takeover("shop", "v2", 1, share=0.6)
+        found = {self.choose(takeover=takeover, tries_limited=False).name for _ in range(50)}
+        self.assertEqual({"old"}, found)
+
     def test_nothing_for_one_that_was_taken_back_even_where_it_is_alone(self) -> None:
         self.add(build_member("new", release="v2"))
         takeover = Takeover("shop", "v2", 1, Phase.TAKEN_BACK)
