--- a/src/magnoliasill/mesh/takeovers.py
+++ b/src/magnoliasill/mesh/takeovers.py
@@ -13,7 +13,7 @@
     from collections.abc import Iterable
 
 HOLD_SHARE = 0.06  # leaves room for the ramp within a tenth of the service's requests
-RAMP = ((0.25, 1.0), (0.5, 1.0), (1.0, 0.8))  # share, and seconds at it
+RAMP = ((0.2, 1.0), (0.6, 0.9), (1.0, 0.8))  # share, and seconds at it
 RAMP_S = sum(seconds for _, seconds in RAMP)
 MARGIN_S = 0.9  # before the deadline: a slow store's write, and the operator's reading of it
 MARGIN_SHARE = 0.1  # of the duration, where that is less
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -32,7 +32,7 @@
     strip_answer,
 )
 from .state import is_gate_closing
-from .transfer import BrokenError, Message, NotSentError, Reply, exchange
+from .transfer import BrokenError, Message, NotSentError, Reply, TimedOutError, exchange
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -357,7 +357,10 @@
     sidecar: Sidecar, call: HopCall, kind: str, reason: str, arrived_at: float, started_at: float
 ) -> Passage:
     now = sidecar.clock()
-    _observe(sidecar, call, True, now - started_at)
+    if kind == TimedOutError.__name__:
+        _observe(sidecar, call, True, now - started_at)
+    else:  # a connection that broke tells nothing of the release
+        observe_answer(sidecar.gate, call.route, now - started_at, True)
     sidecar.meters.count("gate", "failed")
     latest = sidecar.backend.latest
     sidecar.log(
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -286,6 +286,17 @@
         sidecar.counts["r-stock"] = RouteCounts(30, 20)
         self.assertEqual("release_withheld", self.ask().reason)
 
+    def test_a_connection_that_broke_is_no_evidence_against_a_release(self) -> None:
+        """ikenna-lms hunt-009a-3: lost answers had a good release taken back."""
+        sidecar = self.fleet.sidecars[1].sidecar
+        self.stock.behave = lambda server, identifier: b"!close"
+        self.assertEqual("unknown", self.ask().ran)
+        self.assertEqual({}, sidecar.counts)
+        self.assertGreater(sidecar.gate.failing, 0)
+        self.stock.behave = lambda server, i: build_answer(i, b"", "500 Broken")
+        self.ask()
+        self.assertEqual(1, sidecar.counts["r-stock"].failures)
+
     def test_a_second_time(self) -> None:
         self.assertEqual("yes", self.ask(idempotent=False).ran)
         self.assertEqual("unknown", self.ask(idempotent=False).ran)
