--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -16,27 +16,19 @@
 from ..platform.headers import read_request, strip_request
 from .bodies import read_body
 from .forwarding import Request, forward_request
-from .protocol import (
-    count_open,
-    end_connection,
-    find_length,
-    list_headers,
-    read_target,
-    strip_answer,
-)
+from .protocol import answer_reply, count_open, end_connection, list_headers, read_target
 from .state import find_parent, is_closing
 from .transfer import Message, Reply
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Iterator
+    from collections.abc import Callable, Iterable
 
-RETURN_S = 0.2  # until a new connection finds another daemon, or this one's successor
-CANCELLED_STATUS = "499 Client Closed Request"
-
-if TYPE_CHECKING:
     from ..mesh.routes import Route, RouteTable
     from .state import Sidecar
 
+RETURN_S = 0.2  # until a new connection finds another daemon, or this one's successor
+CANCELLED_STATUS = "499 Client Closed Request"
+
 
 def build_caller_application(sidecar: Sidecar) -> Callable[..., Iterable[bytes]]:
     """Return the WSGI application of the callers' port."""
@@ -56,7 +48,7 @@
             return []
         end_connection(sidecar, environ)
         _log_answer(sidecar, progress, reply)
-        return _answer(reply, start_response)
+        return answer_reply(reply, start_response)
 
     return application
 
@@ -125,23 +117,6 @@
         raise CallError(ErrorCode.HEADERS_TOO_LARGE, f"{size} bytes of headers")
 
 
-def _answer(reply: Reply, start_response: Any) -> Iterable[bytes]:
-    headers = strip_answer(reply.headers)
-    length = find_length(reply.headers) if reply.rest is not None else str(len(reply.body))
-    if length:
-        headers.append(("Content-Length", length))
-    start_response(f"{reply.status} {reply.reason}", headers)
-    return [reply.body] if reply.rest is None else _chain(reply)
-
-
-def _chain(reply: Reply) -> Iterator[bytes]:
-    try:
-        yield reply.body
-        yield from reply.rest
-    finally:
-        reply.rest.close()
-
-
 def _describe(sidecar: Sidecar, progress: _Progress) -> dict[str, Any]:
     request = progress.request
     seconds = round(sidecar.clock() - progress.started_at, 4)
--- a/src/magnoliasill/sidecar/deciding.py
+++ b/src/magnoliasill/sidecar/deciding.py
@@ -15,11 +15,12 @@
 from ..mesh.records import DECIDER_KEY, TAKEOVER_PREFIX, encode_record
 from ..mesh.takeovers import Moment, Phase, decide_takeover, start_takeover
 from ..platform.operators import STATUS_PREFIX, encode_status
-from .state import find_takeover
+from .state import find_takeover, log_takeover
 from .transfer import Message, exchange
 
 if TYPE_CHECKING:
     from ..mesh.members import Member
+    from ..mesh.takeovers import Takeover
     from .state import OpenOrder, Sidecar
 
 STEP_S = 0.4  # between two looks at the answers of a release
@@ -164,7 +165,7 @@
         _publish(sidecar, duty, opened, attrs.evolve(decided, elapsed_s=elapsed_s))
 
 
-def _publish(sidecar: Sidecar, duty: Duty, opened: OpenOrder, takeover: object) -> None:
+def _publish(sidecar: Sidecar, duty: Duty, opened: OpenOrder, takeover: Takeover) -> None:
     service = opened.order.service
     key = TAKEOVER_PREFIX + service
     known = sidecar.takeovers.get(service)
@@ -181,16 +182,7 @@
     sidecar.meters.count("store", "write")
     duty.statuses[service] = (opened.revision, takeover.phase)
     sidecar.takeovers[service] = (takeover, revision)
-    sidecar.log(
-        LogEvent.TAKEOVER_CHANGED,
-        service=service,
-        release=takeover.release,
-        phase=takeover.phase.value,
-        share=takeover.share,
-        elapsed_s=round(takeover.elapsed_s, 2),
-        reason=takeover.reason,
-        revision=revision,
-    )
+    log_takeover(sidecar, takeover, revision)
 
 
 def _judge(duty: Duty, service: str, release: str) -> tuple[Verdict, str]:
--- a/src/magnoliasill/sidecar/following.py
+++ b/src/magnoliasill/sidecar/following.py
@@ -17,7 +17,7 @@
     decode_configuration,
     decode_order,
 )
-from .state import OpenOrder, find_takeover
+from .state import OpenOrder, find_takeover, log_takeover
 
 if TYPE_CHECKING:
     from .state import Sidecar
@@ -192,16 +192,7 @@
     before, _ = find_takeover(sidecar, service)
     sidecar.takeovers[service] = (takeover, item.revision)
     if before is None or (before.phase, before.share) != (takeover.phase, takeover.share):
-        sidecar.log(
-            LogEvent.TAKEOVER_CHANGED,
-            service=service,
-            release=takeover.release,
-            phase=takeover.phase.value,
-            share=takeover.share,
-            elapsed_s=round(takeover.elapsed_s, 2),
-            reason=takeover.reason,
-            revision=item.revision,
-        )
+        log_takeover(sidecar, takeover, item.revision)
 
 
 def _note_store(sidecar: Sidecar, reachable: bool, reason: str = "") -> None:
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -23,14 +23,7 @@
 from ..platform.headers import mark_request, read_answer
 from .bodies import read_body
 from .exposure import is_withheld
-from .protocol import (
-    count_open,
-    end_connection,
-    find_length,
-    list_headers,
-    read_target,
-    strip_answer,
-)
+from .protocol import answer_reply, count_open, end_connection, list_headers, read_target
 from .state import is_gate_closing
 from .transfer import BrokenError, Message, NotSentError, Reply, TimedOutError, exchange
 
@@ -100,20 +93,7 @@
         status = "503 Not Run" if passage.report.ran == "no" else "502 Outcome Unknown"
         start_response(status, [note, ("Content-Length", "0")])
         return []
-    headers = [*strip_answer(reply.headers), note]
-    length = find_length(reply.headers) if reply.rest is not None else str(len(reply.body))
-    if length:
-        headers.append(("Content-Length", length))
-    start_response(f"{reply.status} {reply.reason}", headers)
-    return [reply.body] if reply.rest is None else _chain(reply)
-
-
-def _chain(reply: Reply) -> Iterator[bytes]:
-    try:
-        yield reply.body
-        yield from reply.rest
-    finally:
-        reply.rest.close()
+    return answer_reply(reply, start_response, note)
 
 
 def pass_gate(
--- a/src/magnoliasill/sidecar/protocol.py
+++ b/src/magnoliasill/sidecar/protocol.py
@@ -9,9 +9,10 @@
 from ..callers import CallerProtocol
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable, Iterator
 
     from .state import Sidecar
+    from .transfer import Reply
 
 PROTOCOL_KEY = "magnoliasill.protocol"
 MAX_CONNECTIONS = 4_000  # within the descriptors of a VM
@@ -107,15 +108,35 @@
         environ[PROTOCOL_KEY].close_connection = True
 
 
+def answer_reply(reply: Reply, start_response: Any, *notes: tuple[str, str]) -> Iterable[bytes]:
+    """Answer with what a backend server answered.
+
+    Args:
+        reply: The answer.
+        start_response: The WSGI function that starts the answer.
+        *notes: Further headers.
+    """
+    headers = [*strip_answer(reply.headers), *notes]
+    length = _find_length(reply.headers) if reply.rest is not None else str(len(reply.body))
+    if length:
+        headers.append(("Content-Length", length))
+    start_response(f"{reply.status} {reply.reason}", headers)
+    return [reply.body] if reply.rest is None else _chain(reply)
+
+
+def _chain(reply: Reply) -> Iterator[bytes]:
+    try:
+        yield reply.body
+        yield from reply.rest
+    finally:
+        reply.rest.close()
+
+
 def strip_answer(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
     """Leave out the headers of an answer that concern only one connection."""
-    return [
-        (name, value)
-        for name, value in headers
-        if name.lower() not in HOP_HEADERS and name.lower() != "date"
-    ] + [(name, value) for name, value in headers if name.lower() == "date"]
+    return [(name, value) for name, value in headers if name.lower() not in HOP_HEADERS]
 
 
-def find_length(headers: list[tuple[str, str]]) -> str:
+def _find_length(headers: list[tuple[str, str]]) -> str:
     """Return the length that an answer states, or an empty string."""
     return next((value for name, value in headers if name.lower() == "content-length"), "")
--- a/src/magnoliasill/sidecar/registration.py
+++ b/src/magnoliasill/sidecar/registration.py
@@ -30,14 +30,12 @@
 
     Attributes:
         lease: The lease, or 0 for none.
-        lease_at: When the lease was granted or renewed last.
         written: The record, or None.
         revision: The revision of its item, as far as known.
         changed: Ends the wait for the next renewal.
     """
 
     lease: int = 0
-    lease_at: float = 0.0
     written: Member | None = None
     revision: int = 0
     changed: Event = attrs.field(factory=Event)
@@ -78,11 +76,9 @@
     if not registration.lease:
         registration.lease = sidecar.store.grant_lease(LEASE_S)
         sidecar.meters.count("store", "lease")
-        registration.lease_at = sidecar.clock()
     if wanted == registration.written:
         sidecar.store.renew_lease(registration.lease)
         sidecar.meters.count("store", "renewal")
-        registration.lease_at = sidecar.clock()
         return
     _find_revision(sidecar, registration, key)
     put = Put(key, encode_record(wanted), registration.lease)
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from ..codes import LogEvent
 from ..connections import ConnectionTable
 from ..mesh.backend import Backend
 from ..mesh.gate import MAX_WAIT_S, Gate
@@ -20,7 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..codes import LogEvent
     from ..disconnects import OpenCall
     from ..mesh.evidence import RouteCounts
     from ..mesh.returns import Pressure
@@ -136,6 +136,20 @@
     return takeover, opened.order.release
 
 
+def log_takeover(sidecar: Sidecar, takeover: Takeover, revision: int) -> None:
+    """Log a takeover whose share or phase changed."""
+    sidecar.log(
+        LogEvent.TAKEOVER_CHANGED,
+        service=takeover.service,
+        release=takeover.release,
+        phase=takeover.phase.value,
+        share=takeover.share,
+        elapsed_s=round(takeover.elapsed_s, 2),
+        reason=takeover.reason,
+        revision=revision,
+    )
+
+
 def describe_self(sidecar: Sidecar) -> Member | None:
     """Return this sidecar's record as it should stand in the store, or None for none."""
     latest = sidecar.backend.latest
