--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -42,15 +42,19 @@
     """Each test that a page names exists."""
 
     def test_promises_and_faults(self) -> None:
-        pages = [ROOT / "docs" / name for name in ("PROMISES.md", "FAULTS.md")]
+        names = ("PROMISES.md", "FAULTS.md", "OVERLOAD.md", "INCIDENTS.md", "PLATFORM.md")
+        pages = [ROOT / "docs" / name for name in names]
         text = "\n".join(page.read_text(encoding="utf-8") for page in pages)
-        named = set(re.findall(r"\b(test_[a-z_]+)(?:\.([A-Z]\w+))?", text))
+        named = set(re.findall(r"(?<!\.)\b(test_[a-z_]+)(?:\.([A-Z]\w+)(?:\.(\w+))?)?", text))
         self.assertGreater(len(named), 20)
-        for module, case in sorted(named):
-            path = ROOT / "tests" / f"{module}.py"
-            self.assertTrue(path.exists(), module)
+        for module, case, method in sorted(named):
+            paths = list((ROOT / "tests").rglob(f"{module}.py"))
+            self.assertNotEqual([], paths, module)
+            sources = "\n".join(path.read_text(encoding="utf-8") for path in paths)
             if case:
-                self.assertIn(f"class {case}(", path.read_text(encoding="utf-8"))
+                self.assertIn(f"class {case}(", sources)
+            if method:
+                self.assertIn(f"def {method}(", sources)
 
     def test_module_map_matches_the_tree(self) -> None:
         text = (ROOT / "docs" / "DEVELOPERS.md").read_text(encoding="utf-8")
