--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -155,6 +155,8 @@
             return result.reply
         if not _continue_after(sidecar, request, member, course, result):
             break
+        if course.arrivals and course.tries_limited:  # a new release fails a request once at most
+            course.tries_limited, candidates = False, None
     return _conclude(sidecar, request, course, pressure)
 
 
