--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -74,7 +74,6 @@
         records: By name.
         conditions: By name and incarnation of the backend server.
         by_service: Names by service.
-        seen_releases: By service and release, when it was first seen.
     """
 
     records: dict[str, Member] = attrs.field(factory=dict)
--- a/src/magnoliasill/sidecar/following.py
+++ b/src/magnoliasill/sidecar/following.py
@@ -71,7 +71,6 @@
         after = page.items[-1].key
     for item in apply_snapshot(sidecar.mirror, items, revision):
         _apply(sidecar, item)
-    sidecar.mirror_changed()
 
 
 def take_in(sidecar: Sidecar, page: Page) -> None:
@@ -85,8 +84,6 @@
     newest = {item.key: item for item in changed}
     for item in newest.values():
         _apply(sidecar, item)
-    if changed:
-        sidecar.mirror_changed()
 
 
 def expire_members(sidecar: Sidecar) -> None:
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -86,7 +86,6 @@
         store_reachable: Whether the store answered last.
         stopping_at: When the signal to stop came, or None.
         registration: Called when this sidecar's record may have changed.
-        mirror_changed: Called after changes to the mirror.
     """
 
     settings: SidecarSettings
@@ -118,7 +117,6 @@
     store_reachable: bool = True
     stopping_at: float | None = None
     registration: Callable[[], None] = lambda: None
-    mirror_changed: Callable[[], None] = lambda: None
 
     def log(self, event: LogEvent, **fields: Any) -> None:
         """Write one event and count it."""
