--- a/src/magnoliasill/mesh/slowness.py
+++ b/src/magnoliasill/mesh/slowness.py
@@ -1,9 +1,9 @@
 """Slowness of a release: how likely its answers' durations are if it is as good as the one before.
 
 The pattern: backend servers that differ in speed. A good release on a slow server answers later
-than the release before does on fast ones, so each server's durations are compared with the shape that
-those of the established release have, moved to the server's own speed. A bad release either moves
-further than servers differ, or has a part of its answers far behind the rest.
+than the release before does on fast ones, so each server's durations are compared with the shape
+that those of the established release have, moved to the server's own speed. A bad release either
+moves further than servers differ, or has a part of its answers far behind the rest.
 """
 
 from __future__ import annotations
--- a/tests/mesh/test_slowness.py
+++ b/tests/mesh/test_slowness.py
@@ -66,6 +66,12 @@
             new = [play_server(seed * 7 + place, 0.09, 16, 0.6) for place in range(4)]
             self.assertIs(Verdict.BAD, judge_release(play_established(seed), new)[0], seed)
 
+    def test_a_server_with_few_answers_does_not_tell_how_far_speeds_differ(self) -> None:
+        for seed in range(20):
+            old = [*play_established(seed), play_server(seed, 3.0, 4)]
+            new = [play_server(1_000 + seed, 0.09, 48, 1.0)]
+            self.assertIs(Verdict.BAD, judge_release(old, new)[0], seed)
+
     def test_strays_alone_are_no_slowness(self) -> None:
         new = play_server(1, 0.09, 60)
         for _ in range(2):
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -42,6 +42,7 @@
 _CHANGES = ("tests.sidecar.test_store_changes",)
 _GATE = ("tests.mesh.test_gate",)
 _MEMBERS = ("tests.mesh.test_members",)
+_SLOWNESS = ("tests.mesh.test_slowness",)
 _TAKEOVERS = ("tests.mesh.test_takeovers",)
 
 GUARDS = (
@@ -52,6 +53,10 @@
         "False",
         ("tests.mesh.test_backend",),
     ),
+    Guard("mesh/slowness.py", "if sum(server) >= MIN_ANSWERS", "", _SLOWNESS),
+    Guard(
+        "mesh/slowness.py", "- SPEED_SLACK, max(medians) + SPEED_SLACK", ", max(medians)", _SLOWNESS
+    ),
     Guard("mesh/gate.py", "if gate.running < gate.slots and not gate.waiting:", "if True:", _GATE),
     Guard("mesh/gate.py", "if not late:", "if False:", _GATE),
     Guard(
