--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -59,7 +59,7 @@
             for thread in threads:
                 thread.join()
             stop_fleet(fleet)
-    reads = sum(counts["counts"].get(kind, 0) for kind in ("StoreRead", "StoreWatch"))
+    reads = sum(counts["counts"].get(kind, 0) for kind in ("read", "page", "watch"))
     return {
         "baseline_watch_reads_per_second_mean": round(reads / WATCH_S, 1),
         "baseline_watch_reads_per_second_max": counts["peak"]["reads"],
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -192,13 +192,13 @@
 def _stop_platform(run: Run) -> list[float]:
     accepted, head = _publish(run, {run.random.choice(_names())})
     time.sleep(run.random.uniform(0.0, 0.05))
-    post_json(_store(run), "/control/faults", {"outage": True})
+    post_json(_store(run), "/control/faults", {"refuse": 503})
     ended = time.monotonic() + OUTAGE_S
     while time.monotonic() < ended and not _all_at(run.daemons, head.version):
         time.sleep(POLL_S)
     if not any(read_version(daemon) >= head.version for daemon in run.daemons):
         accepted = time.time()  # no relay had read it: the path begins with the store's return
-    post_json(_store(run), "/control/faults", {"outage": False})
+    post_json(_store(run), "/control/faults", {"refuse": 0})
     times = _await(run, accepted, head, run.daemons, CONVERGENCE_LIMIT_S * 3)
     _note(f"platform down: {max(times):.2f} s")
     return times
@@ -314,7 +314,7 @@
 
 def _count_reads(run: Run) -> int:
     counts = read_json(_store(run), "/control/counts")["counts"]
-    return counts.get("StoreRead", 0) + counts.get("StoreWatch", 0)
+    return sum(counts.get(kind, 0) for kind in ("read", "page", "watch"))
 
 
 def _store(run: Run) -> str:
--- a/bench/once.py
+++ b/bench/once.py
@@ -13,7 +13,7 @@
 import attrs
 import fire
 
-from fakes.store import StoreTables, apply_request
+from fakes.store import Tables, apply_request
 from magnoliasill.actions import (
     LeaseGrant,
     LeaseKeepAlive,
@@ -68,7 +68,7 @@
 
     random: random.Random
     holders: dict[str, Node] = attrs.field(factory=dict)
-    tables: StoreTables = attrs.field(factory=StoreTables)
+    tables: Tables = attrs.field(factory=Tables)
     events: list[Any] = attrs.field(factory=list)
     writes: Counter[int] = attrs.field(factory=Counter)
     asked: dict[bytes, float] = attrs.field(factory=dict)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -21,7 +21,7 @@
 import fire
 
 from fakes.processes import HOST, read_version, start_daemon, start_fleet, stop_fleet, wait_until
-from fakes.store import StoreTables, build_local_store
+from fakes.store import Tables, build_local_store
 from magnoliasill.configuration import apply_staged, stage_head
 from magnoliasill.engine import step
 from magnoliasill.events import MessageReceived, Tick
@@ -203,7 +203,7 @@
 
 def measure_publisher(services: int) -> dict[str, Any]:
     """Measure one publish of one service into a configuration of some size."""
-    tables = StoreTables()
+    tables = Tables()
     local = build_local_store(tables, lambda: 0.0)
     now = datetime.now(UTC)
     files = {f"s{i}": build_large_service(i) for i in range(services)}
@@ -265,7 +265,7 @@
     }
     asked = Counter(network.store.counts)
     asked.subtract(counts)
-    reads = asked["StoreRead"] + asked["StoreWatch"]
+    reads = sum(asked[kind] for kind in ("read", "page", "watch", "renew"))
     totals = {
         "sent_all": sum(network.sent.values()) - sum(sent.values()),
         "received_all": sum(network.received.values()) - sum(received.values()),
--- a/fakes/store_server.py
+++ b/fakes/store_server.py
@@ -1,91 +1,100 @@
-"""The store stand-in as a process: HTTP in front of the tables."""
+"""The store stand-in as a process: HTTP in front of the tables, and control of its faults."""
 
 from __future__ import annotations
 
 import time
 from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qsl
 
-import attrs
 import eventlet
 import eventlet.wsgi
 import fire
 import msgspec
 
-from magnoliasill.actions import StoreWatch
-from magnoliasill.errors import StoreError, StoreOutcomeUnknownError
-from magnoliasill.store import STORE_PATHS
-
-from .store import StoreFaults, StoreTables, apply_request, expire_leases, read_entry
+from .store import UNANSWERED, Faults, Tables, admit_call, expire_leases, read, write
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from magnoliasill.events import StoreAnswered
-
-WATCH_POLL_S = 0.01
-LOST_ANSWER_HANG_S = 30.0
+WATCH_POLL_S = 0.005
+HANG_S = 30.0
 LISTEN_BACKLOG = 512
 MAX_CONCURRENT = 10_000
-_KINDS = {path: kind for kind, path in STORE_PATHS.items()}
 _JSON = [("Content-Type", "application/json")]
-
-
-def build_application(tables: StoreTables) -> Callable[..., Iterable[bytes]]:
+_STATUSES = {
+    200: "200 OK",
+    403: "403 Forbidden",
+    404: "404 Not Found",
+    410: "410 Gone",
+    412: "412 Precondition Failed",
+    413: "413 Content Too Large",
+    429: "429 Too Many Requests",
+    503: "503 Service Unavailable",
+}
+
+
+def build_application(tables: Tables) -> Callable[..., Iterable[bytes]]:
     """Return the WSGI application of the store and of its fault control."""
 
     def application(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
-        length = int(environ.get("CONTENT_LENGTH") or 0)
-        body = environ["wsgi.input"].read(length)
         path = environ["PATH_INFO"]
+        query = dict(parse_qsl(environ.get("QUERY_STRING", ""), keep_blank_values=True))
+        body = environ["wsgi.input"].read()
         if path == "/control/faults":
-            tables.faults = msgspec.json.decode(body, type=StoreFaults)
-            start_response("200 OK", _JSON)
-            return [b"{}"]
-        if path == "/control/counts":
-            start_response("200 OK", _JSON)
-            return [msgspec.json.encode({"counts": tables.counts, "peak": tables.peak})]
-        try:
-            answer = _answer(tables, path, body)
-        except StoreOutcomeUnknownError:
-            eventlet.sleep(LOST_ANSWER_HANG_S)
-            start_response("503 Service Unavailable", _JSON)
-            return [b"{}"]
-        except StoreError as error:
-            start_response("503 Service Unavailable", _JSON)
-            return [msgspec.json.encode({"error": str(error)})]
-        start_response("200 OK", _JSON)
+            tables.faults = msgspec.json.decode(body, type=Faults)
+            status, answer = 200, {}
+        elif path == "/control/counts":
+            status, answer = 200, {"counts": tables.counts, "peak": tables.peak}
+        else:
+            status, answer = _handle(tables, environ["REQUEST_METHOD"], path, query, body)
+        if status == UNANSWERED:
+            eventlet.sleep(HANG_S)
+            status, answer = 503, {}
+        start_response(_STATUSES[status], _JSON)
         return [msgspec.json.encode(answer)]
 
     return application
 
 
-def _answer(tables: StoreTables, path: str, body: bytes) -> StoreAnswered:
-    action = msgspec.json.decode(body, type=_KINDS[path])
-    answer = apply_request(tables, time.monotonic(), action)
-    if tables.faults.delay_ms:
-        eventlet.sleep(tables.faults.delay_ms / 1000)
-    if isinstance(action, StoreWatch):
-        return _wait_for_change(tables, action, answer)
-    return answer
-
-
-def _wait_for_change(
-    tables: StoreTables, action: StoreWatch, answer: StoreAnswered
-) -> StoreAnswered:
-    until = time.monotonic() + action.wait_ms / 1000
-    while time.monotonic() < until and not tables.faults.outage:
+def _handle(
+    tables: Tables, method: str, path: str, query: dict[str, str], body: bytes
+) -> tuple[int, dict[str, Any]]:
+    refusal = admit_call(tables, time.monotonic(), path)
+    if refusal is not None:
+        return refusal, {}
+    faults = tables.faults
+    eventlet.sleep(faults.delay_s)
+    expire_leases(tables, time.monotonic())
+    if method == "GET":
+        return _watch(tables, path, query) if "wait_ms" in query else read(tables, path, query)
+    fields = msgspec.json.decode(body) if body else {}
+    if faults.lose_answers:
+        faults.lose_answers -= 1
+        eventlet.spawn_after(faults.late_s, _write, tables, path, fields)
+        return UNANSWERED, {}
+    return _write(tables, path, fields)
+
+
+def _write(tables: Tables, path: str, fields: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    return write(tables, time.monotonic(), path, fields)
+
+
+def _watch(tables: Tables, path: str, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
+    until = time.monotonic() + int(query["wait_ms"]) / 1000
+    while True:
+        if tables.faults.refuse or tables.faults.silent:
+            return 503, {}
         expire_leases(tables, time.monotonic())
-        entry = read_entry(tables, action.key)
-        if entry.revision > action.after_revision:
-            return attrs.evolve(answer, entries=(entry,), revision=tables.revision)
+        status, answer = read(tables, path, query)
+        if status != 200 or answer["events"] or time.monotonic() >= until:
+            return status, answer
         eventlet.sleep(WATCH_POLL_S)
-    return attrs.evolve(answer, entries=(read_entry(tables, action.key),))
 
 
 def serve(port: int, host: str = "127.0.0.1") -> None:
     """Serve until a signal ends the process."""
     listener = eventlet.listen((host, port), backlog=LISTEN_BACKLOG)
-    application = build_application(StoreTables())
+    application = build_application(Tables())
     eventlet.wsgi.server(
         listener, application, log_output=False, max_size=MAX_CONCURRENT, debug=False
     )
--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/connections.py
@@ -13,6 +13,7 @@
 from urllib3.connection import HTTPConnection
 
 from .idle_bounds import KEPT_S, IdleBound
+from .sockets import SOCKET_OPTIONS
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -20,17 +21,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 UNBOUNDED = IdleBound(16, KEPT_S)  # until the forwarder has set a bound
-KEEPALIVE_S = 1  # before the first probe of an idle connection, and between probes
-KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED_MS = 2_000
-SOCKET_OPTIONS = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
-]
 
 
 @attrs.define
--- a/src/magnoliasill/platform/store.py
+++ b/src/magnoliasill/platform/store.py
@@ -4,15 +4,16 @@
 
 import base64
 import binascii
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeAlias
 from urllib.parse import urlencode
 
+import attrs
 import msgspec
 import urllib3
 from urllib3.connection import HTTPConnection
 
 from ..codes import ErrorCode
-from ..connections import SOCKET_OPTIONS
 from ..errors import (
     ConditionFailedError,
     HistoryLostError,
@@ -21,6 +22,7 @@
     StoreOutcomeUnknownError,
 )
 from ..mesh.items import Item, Page, Transaction
+from ..sockets import SOCKET_OPTIONS
 
 CONNECTIONS = 4  # a watch, and a few short requests beside it
 CONNECT_TIMEOUT_S = 1.0  # a store within the region answers in milliseconds
@@ -29,21 +31,74 @@
 _NOTHING_DONE = frozenset({400, 403, 413, 429, 503})
 
 
+@attrs.frozen
+class Call:
+    """One call of the store.
+
+    Attributes:
+        method: The HTTP method.
+        path: The path with its query.
+        body: What is sent as JSON, or None.
+        wait_s: Seconds that the store itself may wait before it answers.
+    """
+
+    method: str
+    path: str
+    body: Any = None
+    wait_s: float = 0.0
+
+
+Ask: TypeAlias = Callable[[Call], tuple[int, Any]]
+
+
+def connect_client(address: str, timeout_s: float) -> StoreClient:
+    """Return a client that keeps its connections; nothing is sent yet.
+
+    Args:
+        address: The store's `ip:port`.
+        timeout_s: Seconds to wait for an answer; a watch waits longer by its own time.
+    """
+    # a watch on a connection that went silent would miss every change until its time is over
+    options = [*HTTPConnection.default_socket_options, *SOCKET_OPTIONS]
+    pool = urllib3.PoolManager(maxsize=CONNECTIONS, retries=False, socket_options=options)
+
+    def ask(call: Call) -> tuple[int, Any]:
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s + call.wait_s)
+        data = msgspec.json.encode(call.body) if call.body is not None else None
+        headers = {"Content-Type": "application/json"} if data else {}
+        try:
+            response = pool.request(
+                call.method,
+                f"http://{address}{call.path}",
+                body=data,
+                headers=headers,
+                timeout=timeout,
+            )
+        except urllib3.exceptions.NewConnectionError as error:
+            raise StoreError(ErrorCode.STORE_UNAVAILABLE, str(error)) from error
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise _classify_silence(call, str(error)) from error
+        return response.status, _decode_body(response)
+
+    return StoreClient(ask)
+
+
+def _classify_silence(call: Call, reason: str) -> StoreError:
+    if call.method == "GET":
+        return StoreError(ErrorCode.STORE_UNAVAILABLE, reason)
+    return StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, reason)
+
+
 class StoreClient:
-    """Requests to the store, over kept connections."""
+    """Requests to the store."""
 
-    def __init__(self, address: str, timeout_s: float) -> None:
-        """Prepare the client; nothing is sent yet.
+    def __init__(self, ask: Ask) -> None:
+        """Take the function that carries a call to the store.
 
         Args:
-            address: The store's `ip:port`.
-            timeout_s: Seconds to wait for an answer; a watch waits longer by its own time.
+            ask: Returns the status and the decoded body, or raises `StoreError`.
         """
-        self._url = f"http://{address}"
-        self._timeout_s = timeout_s
-        # a watch on a connection that went silent would miss every change until its time is over
-        options = [*HTTPConnection.default_socket_options, *SOCKET_OPTIONS]
-        self._pool = urllib3.PoolManager(maxsize=CONNECTIONS, retries=False, socket_options=options)
+        self._ask = ask
 
     def read_key(self, key: str) -> Item | None:
         """Return one item, or None if there is none.
@@ -134,35 +189,20 @@
         _expect(status, fields)
 
     def end_lease(self, lease: int) -> None:
-        """End a lease and so remove its items.
+        """End a lease and so remove its items; one that has ended already is left alone.
 
         Raises:
-            StoreError: If there was no answer.
+            StoreError: If there was no answer, or the store refused the call.
         """
-        self._send("DELETE", f"/-/kv-lease-end/{lease}", None)
+        status, fields = self._send("DELETE", f"/-/kv-lease-end/{lease}", None)
+        if status != _NOT_FOUND:
+            _expect(status, fields)
 
     def _get(self, path: str, query: dict[str, Any], wait_s: float = 0.0) -> tuple[int, Any]:
-        url = f"{self._url}{path}?{urlencode(query)}"
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=self._timeout_s + wait_s)
-        try:
-            response = self._pool.request("GET", url, timeout=timeout)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise StoreError(ErrorCode.STORE_UNAVAILABLE, str(error)) from error
-        return response.status, _decode_body(response)
+        return self._ask(Call("GET", f"{path}?{urlencode(query)}", wait_s=wait_s))
 
     def _send(self, method: str, path: str, body: Any) -> tuple[int, Any]:
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=self._timeout_s)
-        data = msgspec.json.encode(body) if body is not None else None
-        headers = {"Content-Type": "application/json"} if data else {}
-        try:
-            response = self._pool.request(
-                method, self._url + path, body=data, headers=headers, timeout=timeout
-            )
-        except urllib3.exceptions.NewConnectionError as error:
-            raise StoreError(ErrorCode.STORE_UNAVAILABLE, str(error)) from error
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, str(error)) from error
-        return response.status, _decode_body(response)
+        return self._ask(Call(method, path, body))
 
 
 def _decode_body(response: Any) -> Any:
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -19,7 +19,7 @@
 from ..mesh.gate import start_waiting
 from ..mesh.repeats import RepeatBudget
 from ..platform.settings import read_settings
-from ..platform.store import StoreClient
+from ..platform.store import connect_client
 from .caller_port import build_caller_application
 from .control_port import (
     build_control_application,
@@ -132,7 +132,7 @@
         SettingsError: If an address can't be listened on.
     """
     install_head_parser()
-    store = StoreClient(settings.store, STORE_TIMEOUT_S)
+    store = connect_client(settings.store, STORE_TIMEOUT_S)
     sidecar = Sidecar(settings, store, meters, write, start_id=f"{time_ns():x}")
     _apply_bounds(sidecar)
     sockets, servers = _open_ports(sidecar)
@@ -245,7 +245,7 @@
     if settings == sidecar.settings:
         return
     if settings.store != sidecar.settings.store:
-        sidecar.store = StoreClient(settings.store, STORE_TIMEOUT_S)
+        sidecar.store = connect_client(settings.store, STORE_TIMEOUT_S)
     sidecar.settings = settings
     _apply_bounds(sidecar)
     sidecar.registration()
--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -9,7 +9,7 @@
 import attrs
 import eventlet
 
-from fakes.store import StoreTables, apply_request
+from fakes.store import Tables, apply_request
 from magnoliasill.actions import Log, ResetPeer, ResolveWait, SendMessage, StoreWrite
 from magnoliasill.answers import is_not_run
 from magnoliasill.call import Call
@@ -49,7 +49,7 @@
 
     nodes: dict[str, Node] = attrs.field(factory=dict)
     peers: dict[str, Peers] = attrs.field(factory=dict)
-    tables: StoreTables = attrs.field(factory=StoreTables)
+    tables: Tables = attrs.field(factory=Tables)
     skew: float = 0.0
     dead: set[str] = attrs.field(factory=set)
     frozen: dict[str, list[Callable[[], None]]] = attrs.field(factory=dict)
@@ -206,8 +206,8 @@
 
 
 def _perform(cluster: Cluster, action: Any) -> Any:
-    if cluster.tables.faults.delay_ms:
-        eventlet.sleep(cluster.tables.faults.delay_ms / 1000)
+    if cluster.tables.faults.delay_s:
+        eventlet.sleep(cluster.tables.faults.delay_s)
     try:
         return apply_request(cluster.tables, cluster.now(), action)
     except StoreOutcomeUnknownError:
--- a/tests/network.py
+++ b/tests/network.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from fakes.store import StoreTables, apply_request, read_entry
+from fakes.store import Tables, apply_request, read_entry
 from magnoliasill.actions import Log, ResetPeer, SendMessage, StoreWatch, StoreWrite
 from magnoliasill.engine import step
 from magnoliasill.errors import StoreError, StoreOutcomeUnknownError
@@ -53,7 +53,7 @@
     random: Random
     delay_s: float = 0.01
     loss: float = 0.0
-    store: StoreTables = attrs.field(factory=StoreTables)
+    store: Tables = attrs.field(factory=Tables)
     now: float = 1_000.0
     nodes: dict[str, Node] = attrs.field(factory=dict)
     names: dict[str, str] = attrs.field(factory=dict)
@@ -150,11 +150,12 @@
         self.at(self.now + self._delay(), lambda: self.deliver(receiver, life, event))
 
     def _request(self, name: str, life: int, action: Any, waited: float) -> None:
-        slow = self.store.faults.delay_ms / 1000
+        slow = self.store.faults.delay_s
         failed = StoreFailed(action.purpose)
         if name in self.storeless or slow > STORE_TIMEOUT_S:
             self.at(self.now + STORE_TIMEOUT_S, lambda: self.deliver(name, life, failed))
             return
+        before = self.store.counts.copy()
         try:
             answer: Event = apply_request(self.store, self.now, action)
         except StoreOutcomeUnknownError:
@@ -164,8 +165,8 @@
         if isinstance(action, StoreWatch) and isinstance(answer, StoreAnswered):
             entry = read_entry(self.store, action.key)
             if entry.revision <= action.after_revision and waited < action.wait_ms / 1000:
-                self.store.counts["StoreWatch"] -= 1
-                self.store.window_counts["reads"] -= 1
+                self.store.second_counts["reads"] -= (self.store.counts - before).total()
+                self.store.counts = before  # one watch, looked at again
                 again = waited + POLL_S
                 self.at(self.now + POLL_S, lambda: self._request(name, life, action, again))
                 return
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,13 +12,8 @@
 import eventlet.wsgi  # noqa: E402
 import testtools  # noqa: E402
 
-from fakes.platform_store import (  # noqa: E402
-    PAGE_ITEMS,
-    Tables,
-    build_application,
-    drop_history,
-    put_item,
-)
+from fakes.store import PAGE_ITEMS, Tables, drop_history, put_item  # noqa: E402
+from fakes.store_server import build_application  # noqa: E402
 from magnoliasill.errors import (  # noqa: E402
     ConditionFailedError,
     HistoryLostError,
@@ -27,7 +22,7 @@
     StoreOutcomeUnknownError,
 )
 from magnoliasill.mesh.items import Condition, Put, Transaction  # noqa: E402
-from magnoliasill.platform.store import StoreClient  # noqa: E402
+from magnoliasill.platform.store import connect_client  # noqa: E402
 
 _networks = itertools.count(1)
 TIMEOUT_S = 0.3
@@ -45,7 +40,7 @@
             eventlet.wsgi.server, listener, application, log_output=False, debug=False
         )
         self.addCleanup(server.kill)
-        self.store = StoreClient(f"{address[0]}:{address[1]}", TIMEOUT_S)
+        self.store = connect_client(f"{address[0]}:{address[1]}", TIMEOUT_S)
 
 
 class ReadTest(StoreCase):
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -15,7 +15,8 @@
 import eventlet.wsgi
 import msgspec
 
-from fakes.platform_store import Tables, build_application, put_item
+from fakes.store import Tables, put_item
+from fakes.store_server import build_application
 from magnoliasill.mesh.settings import Bounds, SidecarSettings
 from magnoliasill.sidecar.daemon import RunningSidecar, start_sidecar
 from magnoliasill.sidecar.meters import Meters
--- a/tests/sidecar/test_store_changes.py
+++ b/tests/sidecar/test_store_changes.py
@@ -6,7 +6,7 @@
 import msgspec
 import testtools
 
-from fakes.platform_store import drop_history, end_lease, put_item, remove_item
+from fakes.store import drop_history, end_lease, put_item, remove_item
 from magnoliasill.mesh.records import DECIDER_KEY, MEMBER_PREFIX
 
 from . import fleet as harness
--- a/tests/takeover_faults.py
+++ b/tests/takeover_faults.py
@@ -47,8 +47,8 @@
 
 def lapse_lease(scene: Scene) -> None:
     faults = scene.network.store.faults
-    faults.outage = True
-    scene.network.at(scene.network.now + 4.0, lambda: setattr(faults, "outage", False))
+    faults.refuse = 503
+    scene.network.at(scene.network.now + 4.0, lambda: setattr(faults, "refuse", 0))
 
 
 def lose_answers(scene: Scene) -> None:
@@ -56,7 +56,7 @@
 
 
 def slow_store(scene: Scene) -> None:
-    scene.network.store.faults.delay_ms = 600
+    scene.network.store.faults.delay_s = 0.6
 
 
 def lose_messages(scene: Scene) -> None:
--- a/tests/takeover_network.py
+++ b/tests/takeover_network.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from fakes.store import read_entry
 from magnoliasill.manifest import BLOB_PREFIX, HEAD_KEY, encode_head
 from magnoliasill.outcomes import Outcome, OutcomeKind
 from magnoliasill.records import decode_record, name_record_key
@@ -49,8 +50,8 @@
     @property
     def record(self) -> Record | None:
         """The takeover's record in the store."""
-        entry = self.network.store.entries.get(name_record_key(SERVICE))
-        return decode_record(entry.value) if entry is not None else None
+        entry = read_entry(self.network.store, name_record_key(SERVICE))
+        return decode_record(entry.value) if entry.revision else None
 
     def phases(self) -> set[Phase]:
         """Return the phases that the running nodes know."""
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -10,7 +10,7 @@
 import testtools
 from testscenarios import WithScenarios
 
-from fakes.store import StoreTables, build_local_store
+from fakes.store import Tables, build_local_store, read_entry
 from magnoliasill.administration import CALLS, Administration, build_administration
 from magnoliasill.changes import MAX_CHANGE_BYTES, MAX_CHANGES_IN_PROGRESS, ChangeContext
 from magnoliasill.codes import ErrorCode
@@ -35,7 +35,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.tables = StoreTables()
+        self.tables = Tables()
         self.store = build_local_store(self.tables, lambda: 0.0)
         node = Node(MemberRecord("a-1", "a", "127.0.0.1:1", 1), random.Random(1))
         proxy = Proxy(node, self.store, build_metrics())
@@ -170,11 +170,11 @@
         self.assertEqual(1, read_accepted(self.store)[0].version)
 
     def test_store_faults(self) -> None:
-        self.tables.faults.outage = True
+        self.tables.faults.refuse = 503
         status, headers, content = self._publish("p1")
         self.assertEqual(("503 Service Unavailable", "MS-302"), (status, content["code"]))
         self.assertIn("Retry-After", headers)
-        self.tables.faults.outage = False
+        self.tables.faults.refuse = 0
         self.tables.faults.lose_answers = 1_000
         status, _, content = self._publish("p1")
         self.assertEqual(("502 Bad Gateway", "MS-303"), (status, content["code"]))
@@ -196,7 +196,7 @@
         self.assertEqual(
             ErrorCode.TOKEN_REFUSED, self.assertRaises(AdministrationError, *refused).code
         )
-        stored = b"".join(entry.value for entry in self.tables.entries.values())
+        stored = b"".join(read_entry(self.tables, key).value for key in self.tables.items)
         self.assertNotIn(b"newer", stored)
 
     def test_reports(self) -> None:
--- a/tests/test_claim_ranges.py
+++ b/tests/test_claim_ranges.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from testscenarios import WithScenarios
 
-from fakes.store import StoreTables, apply_request
+from fakes.store import Tables, apply_request
 from magnoliasill.actions import LeaseGrant, Log, SendMessage, StoreWrite
 from magnoliasill.claim_holder import (
     BUCKET_RECORDS,
@@ -55,7 +55,7 @@
     """
 
     now: float = 1_000.0
-    tables: StoreTables = attrs.field(factory=StoreTables)
+    tables: Tables = attrs.field(factory=Tables)
     nodes: list[Node] = attrs.field(factory=list)
     replies: dict[bytes, ClaimReply] = attrs.field(factory=dict)
     writes: int = 0
@@ -170,7 +170,7 @@
         holders.carry_out(first, release_ranges(first, holders.now))
         self.assertEqual("used", holders.ask(second, renew(late)))
         holders.advance(RETENTION_S + 3 * RETENTION_LEASE_S)
-        buckets = [key for key in holders.tables.entries if "/bucket/" in key]
+        buckets = [key for key in holders.tables.items if "/bucket/" in key]
         self.assertEqual([], buckets)
 
     def test_idle_range_writes_only_its_lease(self) -> None:
--- a/tests/test_collecting.py
+++ b/tests/test_collecting.py
@@ -50,12 +50,12 @@
     def test_stops_while_the_platform_is_down(self) -> None:
         scene, _ = start_takeover()
         reach_stage(scene, 4)
-        scene.network.store.faults.outage = True
+        scene.network.store.faults.refuse = 503
         bad_from = scene.network.now
         scene.is_bad = lambda now: now >= bad_from
         scene.network.run(6.0)
         self.assertEqual({Phase.REVERSED}, scene.phases())
-        scene.network.store.faults.outage = False
+        scene.network.store.faults.refuse = 0
         scene.network.run(SETTLE_S)
         self.assertEqual(Phase.REVERSED, scene.record.progress.phase)
 
@@ -87,11 +87,11 @@
         scene, _ = start_takeover()
         scene.network.run(1.0)
         reach_stage(scene, 1)
-        scene.network.store.faults.outage = True
+        scene.network.store.faults.refuse = 503
         scene.network.run(LENGTH_S + 5.0)
         calls = len(scene.new_calls)
         scene.network.run(10.0)
         self.assertEqual(calls, len(scene.new_calls))
-        scene.network.store.faults.outage = False
+        scene.network.store.faults.refuse = 0
         scene.network.run(SETTLE_S)
         self.assertEqual(Phase.REVERSED, scene.record.progress.phase)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -75,7 +75,7 @@
         publish_version(network, 2)
         reader = network.nodes["d0-1"].configuration
         self.assertLess(network.run_until(lambda: reader.version == 2, LIMIT_S), LIMIT_S)
-        network.store.faults.outage = True
+        network.store.faults.refuse = 503
         kill_node(network, "d0-1")
         start_node(network, "d0-1")
         network.run(LIMIT_S)
@@ -92,7 +92,7 @@
         publish_version(network, 2)
         network.run_until(lambda: sorted(network.versions()) == [1, 2], LIMIT_S)
         network.run(0.5)
-        network.store.faults.outage = True
+        network.store.faults.refuse = 503
         kill_node(network, "d0-3")
         network.cuts[:] = [
             lambda a, b: "d0-3" in (a.name, b.name) and "d0-6" not in (a.name, b.name)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -169,14 +169,14 @@
 
 def fault_platform_down(network: Network, victim: str) -> Heal:
     """The store answers nobody."""
-    network.store.faults.outage = True
-    return lambda: setattr(network.store.faults, "outage", False)
+    network.store.faults.refuse = 503
+    return lambda: setattr(network.store.faults, "refuse", 0)
 
 
 def fault_platform_slow(network: Network, victim: str) -> Heal:
     """Each answer of the store comes late, within the timeout."""
-    network.store.faults.delay_ms = 500
-    return lambda: setattr(network.store.faults, "delay_ms", 0)
+    network.store.faults.delay_s = 0.5
+    return lambda: setattr(network.store.faults, "delay_s", 0)
 
 
 def fault_answer_lost(network: Network, victim: str) -> Heal:
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -9,7 +9,7 @@
 import testtools
 from testscenarios import WithScenarios
 
-from fakes.store import StoreFaults
+from fakes.store import Faults
 from magnoliasill import idempotency
 from magnoliasill.claim_ranges import list_candidates
 from magnoliasill.claim_records import digest_key, find_range
@@ -55,15 +55,15 @@
 
 
 def stop_store(cluster: Cluster, address: str, asker: str) -> None:
-    cluster.tables.faults = StoreFaults(outage=True)
+    cluster.tables.faults = Faults(refuse=503)
 
 
 def slow_store(cluster: Cluster, address: str, asker: str) -> None:
-    cluster.tables.faults = StoreFaults(delay_ms=400)
+    cluster.tables.faults = Faults(delay_s=0.4)
 
 
 def lose_store_answers(cluster: Cluster, address: str, asker: str) -> None:
-    cluster.tables.faults = StoreFaults(lose_answers=2)
+    cluster.tables.faults = Faults(lose_answers=2)
 
 
 def cut_peers(cluster: Cluster, address: str, asker: str) -> None:
@@ -98,7 +98,7 @@
     """End every fault, after the leases; a process that was killed stays gone."""
     cluster.skew += LEASE_OVER_S
     cluster.cut.clear()
-    cluster.tables.faults = StoreFaults()
+    cluster.tables.faults = Faults()
     for address in list(cluster.frozen):
         thaw(cluster, address)
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -7,7 +7,7 @@
 import testtools
 from prometheus_client.parser import text_string_to_metric_families
 
-from fakes.store import StoreTables, build_local_store
+from fakes.store import Tables, build_local_store
 from magnoliasill.actions import StoreRead, StoreWatch, StoreWrite
 from magnoliasill.errors import StoreError
 from magnoliasill.messages import MemberRecord
@@ -31,7 +31,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.tables = StoreTables()
+        self.tables = Tables()
         metrics = build_metrics()
         local = build_local_store(self.tables, lambda: 0.0)
         self.store = count_store_requests(local, metrics)
@@ -51,7 +51,7 @@
         self.store(StoreWrite("x", "a", b"1", 0))
         self.tables.faults.lose_answers = 1
         self.assertRaises(StoreError, self.store, StoreWrite("x", "b", b"1", 0))
-        self.tables.faults.outage = True
+        self.tables.faults.refuse = 503
         self.assertRaises(StoreError, self.store, StoreRead("r", keys=("a",)))
         found = self._read()
         for name, outcome, count in (
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -100,7 +100,7 @@
 
     @rule(down=st.booleans())
     def set_platform(self, down: bool) -> None:
-        self.network.store.faults.outage = down
+        self.network.store.faults.refuse = 503 if down else 0
 
     @rule(answers=st.integers(1, 4))
     def lose_answers(self, answers: int) -> None:
--- a/tests/test_processes_administration.py
+++ b/tests/test_processes_administration.py
@@ -257,7 +257,7 @@
         with tempfile.TemporaryDirectory() as folder:
             fleet = start_fleet(Path(folder))
             self.addCleanup(stop_fleet, fleet)
-            post_json(fleet.store_url.removeprefix("http://"), "/control/faults", {"outage": True})
+            post_json(fleet.store_url.removeprefix("http://"), "/control/faults", {"refuse": 503})
             daemon = start_daemon(fleet, "a-1", "a")
             wait_for_event(daemon, 4001)
             self.assertEqual("ok", read_json(daemon.admin, "/healthz")["status"])
--- a/tests/test_processes_once.py
+++ b/tests/test_processes_once.py
@@ -28,7 +28,7 @@
     stop_fleet,
     wait_until,
 )
-from fakes.store import StoreFaults
+from fakes.store import Faults
 
 WAIT_S = 60.0
 RETRY_PAUSE_S = 0.05
@@ -179,7 +179,7 @@
         wait_until(lambda: self._is_ready(victim), WAIT_S, "thaw")
 
     def _lose_answers(self, codes: list[str]) -> None:
-        post_json(self._store(), "/control/faults", StoreFaults(lose_answers=6))
+        post_json(self._store(), "/control/faults", Faults(lose_answers=6))
 
     def _stop_store(self, codes: list[str]) -> None:
         self._set_outage(True)
@@ -187,7 +187,7 @@
         self._set_outage(False)
 
     def _set_outage(self, outage: bool) -> None:
-        post_json(self._store(), "/control/faults", StoreFaults(outage=outage))
+        post_json(self._store(), "/control/faults", Faults(refuse=503 if outage else 0))
 
     def _store(self) -> str:
         return f"127.0.0.1:{self.fleet.store_port}"
--- a/tests/test_processes_spread.py
+++ b/tests/test_processes_spread.py
@@ -120,7 +120,11 @@
         return publish(self.store, request, moment, lambda attempt: time.sleep(0.1))
 
     def set_outage(self, outage: bool) -> None:
-        post_json(f"127.0.0.1:{self.fleet.store_port}", "/control/faults", {"outage": outage})
+        post_json(
+            f"127.0.0.1:{self.fleet.store_port}",
+            "/control/faults",
+            {"refuse": 503 if outage else 0},
+        )
 
     def wait(self, condition: Callable[[], bool], what: str) -> None:
         wait_until(condition, WAIT_S, what)
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -8,7 +8,7 @@
 import testtools
 from testscenarios import WithScenarios
 
-from fakes.store import StoreTables, build_local_store
+from fakes.store import Tables, build_local_store, put_item
 from magnoliasill.actions import StoreWrite
 from magnoliasill.codes import ErrorCode
 from magnoliasill.errors import (
@@ -18,7 +18,6 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
-from magnoliasill.events import StoreEntry
 from magnoliasill.history import read_base, read_changes
 from magnoliasill.manifest import BLOB_PREFIX, HEAD_KEY
 from magnoliasill.publisher import Publish, plan_undo, publish, read_accepted, read_head
@@ -37,7 +36,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.tables = StoreTables()
+        self.tables = Tables()
         self.store = build_local_store(self.tables, lambda: 0.0)
 
     def _publish(self, publish_id: str, base: object, *files: object) -> object:
@@ -121,7 +120,7 @@
     def test_damaged_blob_is_named_and_healed(self) -> None:
         head = self._publish("a", None, build_service("certs"))
         key = BLOB_PREFIX + head.services["certs"]
-        self.tables.entries[key] = StoreEntry(key, b"junk", 99)
+        put_item(self.tables, key, b"junk")
         error = self.assertRaises(
             ConfigurationError, self._publish, "b", None, build_service("media")
         )
@@ -131,7 +130,7 @@
         self.assertEqual({"certs"}, set(read_accepted(self.store)[1]))
 
     def test_outage_reports_failure(self) -> None:
-        self.tables.faults.outage = True
+        self.tables.faults.refuse = 503
         error = self.assertRaises(StoreError, self._publish, "a", None, build_service("certs"))
         self.assertEqual(ErrorCode.STORE_UNAVAILABLE, error.code)
         self.assertNotIsInstance(error, StoreOutcomeUnknownError)
@@ -171,7 +170,7 @@
 
     def setUp(self) -> None:
         super().setUp()
-        self.tables = StoreTables()
+        self.tables = Tables()
         self.perform = build_local_store(self.tables, lambda: 0.0)
         self.seen: list[str] = []
         if self.operation != "first":
@@ -237,7 +236,7 @@
     ]
 
     def test_published_once(self) -> None:
-        tables = StoreTables()
+        tables = Tables()
         perform = build_local_store(tables, lambda: 0.0)
         rival = Publish("rival", {"media": build_service("media")}, None)
 
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -101,9 +101,9 @@
         network = build_network(1, self.count, 1)
         publish_version(network, 1)
         network.run(20.0)
-        before = sum(network.store.counts[kind] for kind in ("StoreRead", "StoreWatch"))
+        before = sum(network.store.counts[kind] for kind in ("read", "page", "watch"))
         network.run(20.0)
-        after = sum(network.store.counts[kind] for kind in ("StoreRead", "StoreWatch"))
+        after = sum(network.store.counts[kind] for kind in ("read", "page", "watch"))
         self.assertLess((after - before) / 20.0, 8.0)
         relays = [node for node in network.nodes.values() if node.relay.slot is not None]
         self.assertEqual(RELAYS_PER_DATA_CENTRE, len(relays))
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,148 @@
+"""The store as the product's own systems use it, through the client's codec."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import testtools
+
+from fakes.store import PAGE_ITEMS, Tables, build_local_store, drop_history, put_item
+from magnoliasill.actions import (
+    LeaseGrant,
+    LeaseKeepAlive,
+    LeaseRevoke,
+    StoreDelete,
+    StoreRead,
+    StoreWatch,
+    StoreWrite,
+)
+from magnoliasill.errors import StoreError, StoreOutcomeUnknownError
+from magnoliasill.store import PAGED_KEYS
+
+if TYPE_CHECKING:
+    from magnoliasill.events import StoreEntry
+
+
+class StoreCase(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.tables = Tables()
+        self.now = 0.0
+        self.store = build_local_store(self.tables, lambda: self.now)
+
+    def write(self, key: str, value: bytes, revision: int = 0, lease: str = "") -> StoreEntry:
+        answer = self.store(StoreWrite("w", key, value, revision, lease))
+        self.assertTrue(answer.succeeded)
+        return answer.entries[0]
+
+
+class ReadTest(StoreCase):
+    def test_few_keys_and_many(self) -> None:
+        names = [f"blob/{number}" for number in range(PAGED_KEYS)]
+        for name in names[1:]:
+            put_item(self.tables, name, name.encode())
+        for keys in (names[:2], names):
+            entries = self.store(StoreRead("r", keys=tuple(keys))).entries
+            self.assertEqual(keys, [entry.key for entry in entries])
+            self.assertEqual(0, entries[0].revision)
+            self.assertEqual(b"blob/1", entries[1].value)
+
+    def test_many_keys_cost_one_page(self) -> None:
+        names = tuple(f"blob/{number:03}" for number in range(96))
+        for name in names:
+            put_item(self.tables, name, b"v")
+        self.store(StoreRead("r", keys=names))
+        self.assertEqual({"page": 1}, dict(self.tables.counts))
+
+    def test_prefix_over_several_pages(self) -> None:
+        for number in range(PAGE_ITEMS + 3):
+            put_item(self.tables, f"k/{number:05}", b"v")
+        entries = self.store(StoreRead("r", prefix="k/")).entries
+        self.assertEqual(PAGE_ITEMS + 3, len(entries))
+        self.assertEqual(f"k/{PAGE_ITEMS + 2:05}", entries[-1].key)
+
+    def test_keys_far_apart_over_several_pages(self) -> None:
+        for number in range(PAGE_ITEMS + 3):
+            put_item(self.tables, f"k/{number:05}", b"v")
+        keys = ("k/00000", "k/00001", f"k/{PAGE_ITEMS + 2:05}")
+        entries = self.store(StoreRead("r", keys=keys)).entries
+        self.assertTrue(all(entry.revision for entry in entries))
+
+
+class WriteTest(StoreCase):
+    def test_compare_and_swap(self) -> None:
+        written = self.write("a", b"1")
+        again = self.write("a", b"2", written.revision)
+        refused = self.store(StoreWrite("w", "a", b"3", written.revision))
+        self.assertFalse(refused.succeeded)
+        self.assertEqual(again, refused.entries[0])
+        absent = self.store(StoreWrite("w", "b", b"3", 7))
+        self.assertEqual((False, 0), (absent.succeeded, absent.entries[0].revision))
+
+    def test_delete(self) -> None:
+        written = self.write("a", b"1")
+        self.assertFalse(self.store(StoreDelete("d", "a", written.revision + 1)).succeeded)
+        self.assertTrue(self.store(StoreDelete("d", "a", written.revision)).succeeded)
+        self.assertFalse(self.store(StoreDelete("d", "a", 0)).succeeded)
+        self.assertNotIn("a", self.tables.items)
+
+    def test_leases(self) -> None:
+        lease = self.store(LeaseGrant("g", 2_000)).lease
+        self.write("a", b"1", lease=lease)
+        self.now = 1.5
+        self.assertTrue(self.store(LeaseKeepAlive("k", lease)).succeeded)
+        self.now = 3.0
+        self.assertEqual(1, len(self.store(StoreRead("r", prefix="a")).entries))
+        self.now = 3.6
+        self.assertFalse(self.store(LeaseKeepAlive("k", lease)).succeeded)
+        refused = self.store(StoreWrite("w", "a", b"1", 0, lease))
+        self.assertEqual((False, 0), (refused.succeeded, refused.entries[0].revision))
+
+    def test_a_lease_that_is_ended_takes_its_keys_along(self) -> None:
+        lease = self.store(LeaseGrant("g", 2_000)).lease
+        self.write("a", b"1", lease=lease)
+        self.store(LeaseRevoke("v", lease))
+        self.assertNotIn("a", self.tables.items)
+        self.store(LeaseRevoke("v", lease))
+
+    def test_refusals_and_lost_answers(self) -> None:
+        lease = self.store(LeaseGrant("g", 2_000)).lease
+        for status in (429, 503):
+            self.tables.faults.refuse = status
+            for action in (StoreRead("r", ("a",)), StoreWrite("w", "a", b"1", 0)):
+                error = self.assertRaises(StoreError, self.store, action)
+                self.assertNotIsInstance(error, StoreOutcomeUnknownError)
+            self.assertRaises(StoreError, self.store, LeaseRevoke("v", lease))
+        self.tables.faults.refuse = 0
+        self.tables.faults.lose_answers = 1
+        write = StoreWrite("w", "a", b"1", 0)
+        self.assertRaises(StoreOutcomeUnknownError, self.store, write)
+        self.assertIn("a", self.tables.items)
+
+
+class WatchTest(StoreCase):
+    def watch(self, key: str, after: int) -> StoreEntry:
+        return self.store(StoreWatch("w", key, after, 0)).entries[0]
+
+    def test_change_and_none(self) -> None:
+        first = self.write("head", b"1")
+        self.write("header", b"other")
+        self.assertEqual(first.revision, self.watch("head", first.revision).revision)
+        second = self.write("head", b"2", first.revision)
+        self.assertEqual(second, self.watch("head", first.revision))
+
+    def test_absent_key(self) -> None:
+        self.write("header", b"other")
+        self.assertEqual(0, self.watch("head", 0).revision)
+
+    def test_removal(self) -> None:
+        first = self.write("head", b"1")
+        self.store(StoreDelete("d", "head", first.revision))
+        self.assertEqual(0, self.watch("head", first.revision).revision)
+
+    def test_history_that_is_gone(self) -> None:
+        first = self.write("head", b"1")
+        self.write("other", b"1")
+        drop_history(self.tables)
+        self.assertEqual(first.revision, self.watch("head", first.revision).revision)
+        self.assertEqual(first, self.watch("head", first.revision - 1))
--- a/tests/test_takeover_input.py
+++ b/tests/test_takeover_input.py
@@ -9,7 +9,7 @@
 import testtools
 from testscenarios import WithScenarios
 
-from fakes.store import StoreTables, build_local_store
+from fakes.store import Tables, build_local_store
 from magnoliasill.errors import ServiceFileError
 from magnoliasill.manifest import HEAD_KEY, check_deadlines
 from magnoliasill.publisher import Publish, collect_services, publish
@@ -68,15 +68,15 @@
         self.assertEqual(self.code, error.code.value, error.message)
 
     def test_publish(self) -> None:
-        tables = StoreTables()
+        tables = Tables()
         error = self.assertRaises(ServiceFileError, self._publish, tables)
         self.assertEqual(self.code, error.code.value, error.message)
-        self.assertNotIn(HEAD_KEY, tables.entries)
+        self.assertNotIn(HEAD_KEY, tables.items)
 
     def _check(self) -> None:
         check_deadlines(collect_services(self.folder), NOW)
 
-    def _publish(self, tables: StoreTables) -> None:
+    def _publish(self, tables: Tables) -> None:
         store = build_local_store(tables, lambda: 0.0)
         services = collect_services(self.folder)
         publish(store, Publish("p1", services, None), NOW, lambda attempt: None)
