A decider takes an order's age from the member that saw it first

Ruled out: refused writes, a verdict against the release, a lost duty. Now the gates' counts tell how long ago each saw the order. The test fails without it.

--- a/src/magnoliasill/sidecar/deciding.py
+++ b/src/magnoliasill/sidecar/deciding.py
@@ -41,11 +41,13 @@
         start_id: The process that counted.
         release: The release that they are of.
         counts: By route.
+        order_ages: By service, the revision of its newest order and the seconds since it was seen.
     """
 
     start_id: str
     release: str
     counts: dict[str, RouteCounts]
+    order_ages: dict[str, tuple[int, float]] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -155,7 +157,7 @@
     takeover = start_takeover(order, opened.revision, before, releases) if waiting else before
     _ask_members(sidecar, duty, order.service, members)
     verdict, reason = _judge(duty, order.service, order.release)
-    elapsed_s = max(sidecar.clock() - opened.seen_at, takeover.elapsed_s)
+    elapsed_s = max(_find_age(sidecar, duty, opened), takeover.elapsed_s)
     servers = sum(m.release == order.release and not m.leaving for m in members)
     moment = Moment(elapsed_s, servers, verdict, reason)
     decided = decide_takeover(takeover, order, moment)
@@ -165,6 +167,17 @@
         _publish(sidecar, duty, opened, attrs.evolve(decided, elapsed_s=elapsed_s))
 
 
+def _find_age(sidecar: Sidecar, duty: Duty, opened: OpenOrder) -> float:
+    """Return the seconds since the order came, as the member knows that saw it first.
+
+    The process that has the duty may have started after the order.
+    """
+    service = opened.order.service
+    ages = [found.order_ages.get(service) for found in duty.counts.get(service, {}).values()]
+    told = [age[1] for age in ages if age is not None and age[0] == opened.revision]
+    return max([sidecar.clock() - opened.seen_at, *told])
+
+
 def _publish(sidecar: Sidecar, duty: Duty, opened: OpenOrder, takeover: Takeover) -> None:
     service = opened.order.service
     key = TAKEOVER_PREFIX + service
@@ -216,4 +229,8 @@
     """Return what this sidecar's gate has counted."""
     latest = sidecar.backend.latest
     release = latest.release if latest else ""
-    return GateCounts(sidecar.start_id, release, sidecar.counts)
+    now = sidecar.clock()
+    ages = {
+        service: (order.revision, now - order.seen_at) for service, order in sidecar.orders.items()
+    }
+    return GateCounts(sidecar.start_id, release, sidecar.counts, ages)
--- a/tests/sidecar/test_store_changes.py
+++ b/tests/sidecar/test_store_changes.py
@@ -193,6 +193,13 @@
         again = sum(sum(server.runs.values()) for server in self.fleet.servers[2:])
         self.assertEqual(got, again)
 
+    def test_the_decider_saw_the_order_long_after_others(self) -> None:
+        wait_for(lambda: DECIDER_KEY in self.fleet.tables.items, "nobody decides")
+        name = _read(self.fleet.tables.items[DECIDER_KEY]).decode().split()[0]
+        sidecar = self.fleet.sidecars[int(name.removeprefix("vm-")) - 1].sidecar
+        sidecar.orders["shop"].seen_at = sidecar.clock() + 60.0
+        self.press_until("completed")
+
     def test_the_decider_is_lost(self) -> None:
         wait_for(lambda: DECIDER_KEY in self.fleet.tables.items, "nobody decides")
         name = _read(self.fleet.tables.items[DECIDER_KEY]).decode().split()[0]
