--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -25,12 +25,10 @@
 )
 from bench.rollout_result import Meter, Result
 from magnoliasill.evidence import Tester, reset_levels, update_tester
+from magnoliasill.plans import Phase, Plan, Progress
 from magnoliasill.ramp import STAGES, compute_boosts
 from magnoliasill.rollout import (
     Decision,
-    Phase,
-    Plan,
-    Progress,
     Verdict,
     apply_decision,
     compute_share,
--- a/bench/rollout_result.py
+++ b/bench/rollout_result.py
@@ -8,7 +8,7 @@
 import attrs
 
 from bench.rollout_model import WINDOW_S
-from magnoliasill.rollout import Phase
+from magnoliasill.plans import Phase
 
 if TYPE_CHECKING:
     from bench.rollout_model import Case
--- a/src/magnoliasill/administration.py
+++ b/src/magnoliasill/administration.py
@@ -12,7 +12,7 @@
 from .error_catalogue import ERRORS
 from .errors import AdministrationError, MagnoliasillError
 from .events import ServerAnnounced
-from .metrics import format_metrics
+from .exposition import format_metrics
 from .progress import report_version
 from .records import list_rollouts
 from .reports import dump_state, list_members, list_services
@@ -22,7 +22,7 @@
 
     from .changes import ChangeContext
     from .events import Event
-    from .proxy import Proxy
+    from .serving import Proxy
 
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; version=0.0.4"
--- a/src/magnoliasill/collecting.py
+++ b/src/magnoliasill/collecting.py
@@ -17,7 +17,8 @@
 from .evidence import Cell, Counts, Finding, reset_levels, seed_tester, update_tester
 from .messages import EvidenceReport, EvidenceSummary
 from .node import list_alive
-from .rollout import Phase, Verdict, apply_decision, is_adjusting, judge
+from .plans import Phase
+from .rollout import Verdict, apply_decision, is_adjusting, judge
 from .spread_progress import adopt_progress, find_takeover
 from .takeovers import WINDOW_S, Collection, Counted, Takeover
 from .tally import FIELDS, NEW_OFFSET
--- a/src/magnoliasill/controller.py
+++ b/src/magnoliasill/controller.py
@@ -25,9 +25,10 @@
 from .collecting import build_cells, judge_locally, take_untested, tick_collecting
 from .duties import rank_daemons
 from .evidence import Tester, find_worst, update_tester
+from .plans import Phase
 from .ramp import compute_boosts
 from .records import Record, build_record, decode_record, name_lease_key, name_record_key
-from .rollout import Phase, Verdict, apply_decision, decide, raise_share
+from .rollout import Verdict, apply_decision, decide, raise_share
 from .shares import update_takeovers
 from .spread_progress import adopt_progress, build_news, compare_progress, find_takeover
 from .takeovers import WINDOW_S, Collection
@@ -36,7 +37,8 @@
     from .actions import Action
     from .events import StoreAnswered, StoreFailed
     from .node import Node
-    from .rollout import Decision, Progress
+    from .plans import Progress
+    from .rollout import Decision
     from .takeovers import Takeover
 
 LEASE_TTL_MS = 3_000
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/daemon.py
@@ -51,8 +51,9 @@
     reset_peer,
     send_to_peer,
 )
-from .proxy import Proxy, build_application
+from .proxy import build_application
 from .relays import resign
+from .serving import Proxy
 from .settings import Settings, format_help, load_settings
 from .store import connect_store
 
--- a/src/magnoliasill/forwarder.py
+++ b/src/magnoliasill/forwarder.py
@@ -26,8 +26,8 @@
     from .balancer import Pick
     from .call import Call
     from .exchange import Answer, Exchange
-    from .proxy import Proxy
     from .routing import RouteTarget
+    from .serving import Proxy
     from .upstreams import Upstream
 
 _ANSWERED = frozenset({OutcomeKind.SUCCEEDED, OutcomeKind.FAILED})
--- a/src/magnoliasill/idle_bounds.py
+++ b/src/magnoliasill/idle_bounds.py
@@ -13,7 +13,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from .servers import ServerGroup
+    from .servers import Position, ServerGroup
     from .service_file import Limits
 
 KEPT_S = 5.0
@@ -37,14 +37,6 @@
 BRIEF = IdleBound(1, BRIEF_S)
 
 
-@attrs.frozen
-class Position:
-    """The place of a daemon among those of its data centre, in the order of their names."""
-
-    number: int = 0
-    count: int = 1
-
-
 def count_keepable(limits: Limits) -> int:
     """Return the idle connections that all daemons together may keep to a backend server.
 
--- a/src/magnoliasill/messages.py
+++ b/src/magnoliasill/messages.py
@@ -10,7 +10,7 @@
 from .codes import ErrorCode
 from .errors import MessageError
 from .manifest import Head, HeadDelta
-from .rollout import Progress
+from .plans import Progress
 
 WIRE_VERSION = 2
 MAX_MESSAGE_BYTES = 4_000_000
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/proxy.py
@@ -2,84 +2,30 @@
 
 from __future__ import annotations
 
-from time import monotonic, perf_counter
+from time import perf_counter
 from typing import TYPE_CHECKING, Any
 
-import attrs
-
 from .answers import answer_refusal
 from .call import HOP_HEADERS, read_call, read_path
 from .codes import ErrorCode
-from .connections import ConnectionTable
 from .disconnects import CallerDisconnectedError, watch_caller
-from .dispatch import Dispatcher
 from .errors import CallError
-from .exchange import exchange_call
 from .forwarder import forward_call
 from .guard import refuse_crashing
-from .idempotency import Peers, run_once
+from .idempotency import run_once
 from .routing import find_route
-from .tally import count_attempt
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
-    from .actions import Log
     from .call import Call
-    from .disconnects import OpenCall
-    from .exchange import Answer, ExchangeFunction
-    from .metrics import Metrics
-    from .node import Node
-    from .outcomes import Outcome
+    from .exchange import Answer
     from .routing import RouteTarget
-    from .store import StoreFunction
+    from .serving import Proxy
 
 CALLER_DISCONNECTED_STATUS = "499 Client Closed Request"
 
 
-@attrs.define
-class Proxy:
-    """What serving calls needs.
-
-    Attributes:
-        node: The node's tables.
-        store: Performs requests to the platform's store.
-        metrics: The daemon's metrics.
-        clock_offset: Added to the monotonic clock, it gives the node's clock.
-        connections: Idle connections to backend servers.
-        dispatcher: Finds room at backend servers.
-        notify: Writes a log event.
-        exchange: Sends a call to one backend server.
-        clock: The monotonic clock, in seconds.
-        peers: Reaches other daemons for calls that must not be repeated.
-        watched: Calls that end when their callers go away.
-        open_calls: Calls that are being served.
-        stopping: Whether the daemon takes no more calls.
-    """
-
-    node: Node
-    store: StoreFunction
-    metrics: Metrics
-    clock_offset: float = 0.0
-    connections: ConnectionTable = attrs.field(factory=ConnectionTable)
-    dispatcher: Dispatcher = attrs.field(factory=Dispatcher)
-    notify: Callable[[Log], None] = lambda entry: None
-    exchange: ExchangeFunction = exchange_call
-    clock: Callable[[], float] = monotonic
-    peers: Peers = attrs.field(factory=lambda: Peers(lambda address, message: None))
-    watched: set[OpenCall] = attrs.field(factory=set)
-    open_calls: int = 0
-    stopping: bool = False
-
-    def record(self, outcome: Outcome) -> None:
-        """Count the end of one attempt, for balancing and for the evidence on releases."""
-        self.metrics.count("attempts", outcome.kind.value)
-        self.metrics.observe("attempt_seconds", outcome.seconds)
-        takeover = self.node.takeovers.active.get(outcome.service)
-        if takeover is not None:
-            count_attempt(takeover.tally, outcome)
-
-
 def build_application(proxy: Proxy) -> Callable[..., Iterable[bytes]]:
     """Return the WSGI application of the caller port."""
 
--- a/src/magnoliasill/ramp.py
+++ b/src/magnoliasill/ramp.py
@@ -11,7 +11,7 @@
     from collections.abc import Mapping
 
     from .evidence import RouteEvidence
-    from .rollout import Plan, Progress
+    from .plans import Plan, Progress
 
 MAX_BOOST = 0.5  # share of a route with few calls
 BOOST_BUDGET = 0.02  # of the service's calls, for all greater shares together
--- a/src/magnoliasill/records.py
+++ b/src/magnoliasill/records.py
@@ -7,8 +7,9 @@
 import attrs
 import msgspec
 
+from .plans import Phase, Progress
 from .ramp import STAGES, list_untested_routes
-from .rollout import LOWERED_SHARE, Phase, Progress, is_lowered
+from .rollout import LOWERED_SHARE, is_lowered
 
 if TYPE_CHECKING:
     from .evidence import RouteEvidence
--- a/src/magnoliasill/reports.py
+++ b/src/magnoliasill/reports.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from .node import Node
-    from .proxy import Proxy
+    from .serving import Proxy
 
 
 def dump_state(proxy: Proxy) -> dict[str, Any]:
--- a/src/magnoliasill/rollout_commands.py
+++ b/src/magnoliasill/rollout_commands.py
@@ -11,9 +11,9 @@
 from .actions import StoreRead
 from .codes import ErrorCode
 from .errors import AdministrationError
+from .plans import Phase
 from .publishing_commands import format_output
 from .records import RECORD_PREFIX, Record, decode_record, name_record_key
-from .rollout import Phase
 from .targets import connect_platform
 
 if TYPE_CHECKING:
--- a/src/magnoliasill/servers.py
+++ b/src/magnoliasill/servers.py
@@ -6,8 +6,6 @@
 
 import attrs
 
-from .idle_bounds import Position
-
 if TYPE_CHECKING:
     from .messages import MemberRecord
     from .node import Node
@@ -15,6 +13,14 @@
 MAX_AGE_S = 0.5
 
 
+@attrs.frozen
+class Position:
+    """The place of a daemon among those of its data centre, in the order of their names."""
+
+    number: int = 0
+    count: int = 1
+
+
 @attrs.frozen
 class ServerGroup:
     """The backend servers of one release that take new work, by daemon name.
--- a/src/magnoliasill/shares.py
+++ b/src/magnoliasill/shares.py
@@ -7,15 +7,16 @@
 
 from .evidence import Tester
 from .node import list_alive
+from .plans import Phase, Progress
 from .ramp import LAST_STAGE
-from .rollout import Phase, Progress, build_plan, compute_share, is_overdue
+from .rollout import build_plan, compute_share, is_overdue
 from .servers import ServerGroup
 from .takeovers import WINDOW_S, Collection, Control, Takeover
 from .tally import ServerFacts, build_tally
 
 if TYPE_CHECKING:
     from .node import Node
-    from .rollout import Plan
+    from .plans import Plan
     from .service_file import ServiceFile
 
 REFRESH_INTERVAL_S = 0.5
--- a/src/magnoliasill/spread_progress.py
+++ b/src/magnoliasill/spread_progress.py
@@ -8,7 +8,8 @@
 from .codes import LogEvent
 from .messages import TakeoverNews
 from .node import list_alive
-from .rollout import Phase, is_lowered, merge_progress
+from .plans import Phase
+from .rollout import is_lowered, merge_progress
 from .shares import update_shares
 from .spreading import spread_message
 from .takeovers import MAX_ENDED
@@ -18,7 +19,7 @@
 
     from .actions import Action
     from .node import Node
-    from .rollout import Progress
+    from .plans import Progress
     from .takeovers import Takeover
 
 COMPARE_INTERVAL_S = 2.0
--- a/src/magnoliasill/takeovers.py
+++ b/src/magnoliasill/takeovers.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from .evidence import Tester
-    from .rollout import Plan, Progress
+    from .plans import Plan, Progress
     from .tally import Tally
 
 MAX_ENDED = 64
--- a/src/magnoliasill/tally.py
+++ b/src/magnoliasill/tally.py
@@ -10,7 +10,7 @@
 
 if TYPE_CHECKING:
     from .outcomes import Outcome
-    from .rollout import Plan
+    from .plans import Plan
     from .service_file import ServiceFile
 
 FIELDS = 6  # calls, failures and slow calls of the old release, then of the new one
--- a/src/magnoliasill/validation.py
+++ b/src/magnoliasill/validation.py
@@ -28,7 +28,7 @@
     from collections.abc import Sized
 
     from .messages import MemberRecord, Message
-    from .rollout import Progress
+    from .plans import Progress
 
 STATUSES = ("alive", "suspect", "failed", "left")
 MAX_TEXT = 128
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -14,8 +14,8 @@
 from magnoliasill.messages import MemberRecord
 from magnoliasill.metrics import build_metrics
 from magnoliasill.node import Node
-from magnoliasill.proxy import Proxy
 from magnoliasill.service_file import Limits, Release, Route, ServiceFile
+from magnoliasill.serving import Proxy
 
 from .builders import build_head
 
--- a/tests/takeover_network.py
+++ b/tests/takeover_network.py
@@ -22,8 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from magnoliasill.plans import Phase
     from magnoliasill.records import Record
-    from magnoliasill.rollout import Phase
 
 CALLS_PER_TICK = 6  # of each daemon, every TRAFFIC_S
 TRAFFIC_S = 0.1
--- a/tests/test_administration.py
+++ b/tests/test_administration.py
@@ -19,9 +19,9 @@
 from magnoliasill.messages import MemberRecord
 from magnoliasill.metrics import build_metrics
 from magnoliasill.node import Node
-from magnoliasill.proxy import Proxy
 from magnoliasill.publisher import read_accepted
 from magnoliasill.service_file import encode_service_file
+from magnoliasill.serving import Proxy
 from magnoliasill.teams import check_token, set_token
 from tools.docs import ROOT
 
--- a/tests/test_collecting.py
+++ b/tests/test_collecting.py
@@ -7,7 +7,8 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.rollout import Phase, is_lowered
+from magnoliasill.plans import Phase
+from magnoliasill.rollout import is_lowered
 
 from .takeover_faults import FAULTS, LENGTH_S, SETTLE_S, STEPS, reach_stage, start_takeover
 from .takeover_network import SERVICE
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -11,7 +11,7 @@
 from magnoliasill.controller import WRITE
 from magnoliasill.engine import step
 from magnoliasill.events import StoreAnswered, StoreEntry
-from magnoliasill.rollout import Phase
+from magnoliasill.plans import Phase
 
 from .network import start_node
 from .takeover_faults import FAULTS, LENGTH_S, SETTLE_S, STEPS, reach_stage, start_takeover
--- a/tests/test_forwarder.py
+++ b/tests/test_forwarder.py
@@ -19,10 +19,10 @@
 from magnoliasill.metrics import build_metrics
 from magnoliasill.node import Node
 from magnoliasill.outcomes import OutcomeKind
-from magnoliasill.proxy import Proxy
 from magnoliasill.retries import BUDGET_CAP, BUDGET_SHARE, MAX_ATTEMPTS
 from magnoliasill.routing import RouteTarget
 from magnoliasill.service_file import Limits, Release, Route, ServiceFile
+from magnoliasill.serving import Proxy
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Sequence
--- a/tests/test_idle_bounds.py
+++ b/tests/test_idle_bounds.py
@@ -9,11 +9,11 @@
 from testscenarios import WithScenarios
 
 from magnoliasill.connections import ConnectionTable, Link, close_expired
-from magnoliasill.idle_bounds import BRIEF_S, KEPT_S, IdleBound, Position, bound_idle
+from magnoliasill.idle_bounds import BRIEF_S, KEPT_S, IdleBound, bound_idle
 from magnoliasill.membership import merge_records
 from magnoliasill.messages import MemberRecord
 from magnoliasill.node import Node
-from magnoliasill.servers import ServerGroup, ServerIndex, find_group
+from magnoliasill.servers import Position, ServerGroup, ServerIndex, find_group
 from magnoliasill.service_file import Limits
 
 DAEMONS = 170
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -10,6 +10,7 @@
 from fakes.store import Tables, build_local_store
 from magnoliasill.actions import StoreRead, StoreWatch, StoreWrite
 from magnoliasill.errors import StoreError
+from magnoliasill.exposition import format_metrics
 from magnoliasill.messages import MemberRecord
 from magnoliasill.metrics import (
     COUNTERS,
@@ -18,11 +19,11 @@
     LABELLED_COUNTERS,
     build_metrics,
     count_store_requests,
-    format_metrics,
 )
 from magnoliasill.node import Node
 from magnoliasill.outcomes import Outcome, OutcomeKind
-from magnoliasill.proxy import Proxy, build_application
+from magnoliasill.proxy import build_application
+from magnoliasill.serving import Proxy
 from tools.docs import ROOT
 
 
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -9,18 +9,9 @@
 from testscenarios import WithScenarios
 
 from magnoliasill.evidence import LEVEL_ALARM, Finding, RouteEvidence
+from magnoliasill.plans import Phase, Plan, Progress
 from magnoliasill.ramp import LAST_STAGE, STAGES, compute_boosts
-from magnoliasill.rollout import (
-    AGREEMENT,
-    LOWERED_SHARE,
-    Phase,
-    Plan,
-    Progress,
-    Verdict,
-    compute_share,
-    decide,
-    judge,
-)
+from magnoliasill.rollout import AGREEMENT, LOWERED_SHARE, Verdict, compute_share, decide, judge
 
 PLAN = Plan("id", "lessons", "r1", "r2", 1_000.0, 1_100.0, ("view",))
 RUNNING = Progress("id", number=3, stage=2, changed_at=1_020.0, trial="a")
--- a/tests/test_rollout_commands.py
+++ b/tests/test_rollout_commands.py
@@ -7,8 +7,8 @@
 
 from fakes.store import Tables, build_local_store
 from magnoliasill.actions import StoreWrite
+from magnoliasill.plans import Phase, Progress
 from magnoliasill.records import Record, RouteReport, list_rollouts, name_record_key
-from magnoliasill.rollout import Phase, Progress
 from magnoliasill.rollout_commands import describe_record, read_records
 
 from .takeover_faults import LENGTH_S, reach_stage, start_takeover
