--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -10,15 +10,15 @@
 from typing import Any
 
 from fakes.processes import HOST, read_json, start_fleet, stop_fleet
-from magnoliasill.actions import StoreRead, StoreWatch, StoreWrite
-from magnoliasill.distribution import offer_configuration, receive_request
+from magnoliasill.core.actions import StoreRead, StoreWatch, StoreWrite
+from magnoliasill.core.messages import ConfigurationRequest, MemberRecord, encode_message
+from magnoliasill.core.node import Node
 from magnoliasill.errors import StoreError
-from magnoliasill.manifest import Head, hash_blob, hash_manifest
-from magnoliasill.messages import ConfigurationRequest, MemberRecord, encode_message
-from magnoliasill.node import Node
-from magnoliasill.relays import WATCH_WAIT_MS
-from magnoliasill.service_file import Release, Route, ServiceFile, encode_service_file
+from magnoliasill.spreading.distribution import offer_configuration, receive_request
+from magnoliasill.spreading.relays import WATCH_WAIT_MS
 from magnoliasill.store import connect_store
+from magnoliasill.versions.manifest import Head, hash_blob, hash_manifest
+from magnoliasill.versions.service_file import Release, Route, ServiceFile, encode_service_file
 
 SERVICES = 96
 ROUTES = 12
--- a/bench/convergence.py
+++ b/bench/convergence.py
@@ -30,13 +30,13 @@
     wait_until,
 )
 from magnoliasill.codes import LogEvent
-from magnoliasill.invariants import CONVERGENCE_LIMIT_S, Observation, check_versions
-from magnoliasill.publisher import Publish, publish, read_head
+from magnoliasill.publishing.publisher import Publish, publish, read_head
+from magnoliasill.spreading.invariants import CONVERGENCE_LIMIT_S, Observation, check_versions
 from magnoliasill.store import connect_store
 
 if TYPE_CHECKING:
     from fakes.processes import DaemonProcess, Fleet
-    from magnoliasill.manifest import Head
+    from magnoliasill.versions.manifest import Head
 
 DAEMONS = 36
 FULL_DAEMONS = 60
--- a/bench/members.py
+++ b/bench/members.py
@@ -16,12 +16,10 @@
 
 import fire
 
-from magnoliasill.actions import SendMessage
-from magnoliasill.distribution import build_digest
-from magnoliasill.engine import step
-from magnoliasill.events import MessageReceived, Tick
-from magnoliasill.membership import set_record
-from magnoliasill.messages import (
+from magnoliasill.core.actions import SendMessage
+from magnoliasill.core.engine import step
+from magnoliasill.core.events import MessageReceived, Tick
+from magnoliasill.core.messages import (
     MemberNews,
     MemberRecord,
     MemberSummary,
@@ -30,8 +28,10 @@
     decode_message,
     encode_message,
 )
-from magnoliasill.node import Node
-from magnoliasill.syncing import list_buckets
+from magnoliasill.core.node import Node
+from magnoliasill.membership.membership import set_record
+from magnoliasill.membership.syncing import list_buckets
+from magnoliasill.spreading.distribution import build_digest
 
 SIZES = (150, 300, 600, 1_200)
 DATA_CENTRES = 7
--- a/bench/once.py
+++ b/bench/once.py
@@ -14,7 +14,21 @@
 import fire
 
 from fakes.store import Tables, apply_request
-from magnoliasill.actions import (
+from magnoliasill.claims.claim_holder import WRITE_INTERVAL_S, count_records
+from magnoliasill.claims.claim_ranges import (
+    list_candidates,
+    receive_claim_answer,
+    receive_claim_request,
+    tick_claims,
+)
+from magnoliasill.claims.claim_records import (
+    RANGES,
+    RECORD_BYTES,
+    digest_key,
+    digest_request,
+    find_range,
+)
+from magnoliasill.core.actions import (
     LeaseGrant,
     LeaseKeepAlive,
     LeaseRevoke,
@@ -23,21 +37,13 @@
     StoreDelete,
     StoreWrite,
 )
-from magnoliasill.claim_holder import WRITE_INTERVAL_S, count_records
-from magnoliasill.claim_ranges import (
-    list_candidates,
-    receive_claim_answer,
-    receive_claim_request,
-    tick_claims,
-)
-from magnoliasill.claim_records import RANGES, RECORD_BYTES, digest_key, digest_request, find_range
-from magnoliasill.events import MessageReceived, StoreAnswered, Tick
-from magnoliasill.messages import ClaimReply, ClaimRequest, MemberRecord, encode_message
-from magnoliasill.node import Member, Node
+from magnoliasill.core.events import MessageReceived, StoreAnswered, Tick
+from magnoliasill.core.messages import ClaimReply, ClaimRequest, MemberRecord, encode_message
+from magnoliasill.core.node import Member, Node
 
 if TYPE_CHECKING:
-    from magnoliasill.actions import Action
-    from magnoliasill.events import Event
+    from magnoliasill.core.actions import Action
+    from magnoliasill.core.events import Event
 
 CALLS_PER_SECOND = 120_000
 SHARES = (0.005, 0.01, 0.02)
--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -24,10 +24,10 @@
     draw_window,
 )
 from bench.rollout_result import Meter, Result
-from magnoliasill.evidence import Tester, reset_levels, update_tester
-from magnoliasill.plans import Phase, Plan, Progress
-from magnoliasill.ramp import STAGES, compute_boosts
-from magnoliasill.rollout import (
+from magnoliasill.takeovers.evidence import Tester, reset_levels, update_tester
+from magnoliasill.takeovers.plans import Phase, Plan, Progress
+from magnoliasill.takeovers.ramp import STAGES, compute_boosts
+from magnoliasill.takeovers.rollout import (
     Decision,
     Verdict,
     apply_decision,
--- a/bench/rollout_baseline.py
+++ b/bench/rollout_baseline.py
@@ -7,7 +7,7 @@
 
 from bench.rollout_model import WINDOW_S, draw_window
 from bench.rollout_result import Meter, Result
-from magnoliasill.plans import Phase
+from magnoliasill.takeovers.plans import Phase
 
 if TYPE_CHECKING:
     from bench.rollout_model import Case
--- a/bench/rollout_model.py
+++ b/bench/rollout_model.py
@@ -14,8 +14,8 @@
 import attrs
 
 from fakes.processes import ROOT
-from magnoliasill.evidence import Cell, Counts
-from magnoliasill.publisher import collect_services
+from magnoliasill.publishing.publisher import collect_services
+from magnoliasill.takeovers.evidence import Cell, Counts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/bench/rollout_result.py
+++ b/bench/rollout_result.py
@@ -8,11 +8,11 @@
 import attrs
 
 from bench.rollout_model import WINDOW_S
-from magnoliasill.plans import Phase
+from magnoliasill.takeovers.plans import Phase
 
 if TYPE_CHECKING:
     from bench.rollout_model import Case
-    from magnoliasill.evidence import Cell
+    from magnoliasill.takeovers.evidence import Cell
 
 
 @attrs.frozen
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,14 +22,14 @@
 
 from fakes.processes import HOST, read_version, start_daemon, start_fleet, stop_fleet, wait_until
 from fakes.store import Tables, build_local_store
-from magnoliasill.configuration import apply_staged, stage_head
-from magnoliasill.engine import step
-from magnoliasill.events import MessageReceived, Tick
-from magnoliasill.membership import merge_records
-from magnoliasill.messages import Digest, MemberRecord, Probe, decode_message, encode_message
-from magnoliasill.node import Node
-from magnoliasill.publisher import Publish, publish
-from magnoliasill.service_file import Limits, Release, Route, ServiceFile
+from magnoliasill.core.engine import step
+from magnoliasill.core.events import MessageReceived, Tick
+from magnoliasill.core.messages import Digest, MemberRecord, Probe, decode_message, encode_message
+from magnoliasill.core.node import Node
+from magnoliasill.membership.membership import merge_records
+from magnoliasill.publishing.publisher import Publish, publish
+from magnoliasill.versions.configuration import apply_staged, stage_head
+from magnoliasill.versions.service_file import Limits, Release, Route, ServiceFile
 from tests import network as virtual
 from tests.builders import build_head
 
--- a/fakes/store.py
+++ b/fakes/store.py
@@ -10,15 +10,15 @@
 import attrs
 
 from magnoliasill.codes import ErrorCode
+from magnoliasill.core.events import StoreAnswered, StoreEntry
 from magnoliasill.errors import StoreError, StoreOutcomeUnknownError
-from magnoliasill.events import StoreAnswered, StoreEntry
 from magnoliasill.platform.store import Call, StoreClient
 from magnoliasill.store import build_store
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliasill.actions import StoreAction
+    from magnoliasill.core.actions import StoreAction
 
 PAGE_ITEMS = 500
 HISTORY_EVENTS = 10_000
--- a/src/magnoliasill/balancer.py
+++ b/src/magnoliasill/balancing/balancer.py
@@ -13,8 +13,8 @@
     from collections.abc import Collection, Sequence
     from random import Random
 
-    from .messages import MemberRecord
-    from .servers import ServerGroup
+    from ..core.messages import MemberRecord
+    from ..membership.servers import ServerGroup
     from .upstreams import Upstream
 
 REMOTE_SHARE = 0.5
--- a/src/magnoliasill/deadlines.py
+++ b/src/magnoliasill/balancing/deadlines.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from .codes import ErrorCode
-from .errors import CallError
+from ..codes import ErrorCode
+from ..errors import CallError
 
 DEADLINE_HEADER = "X-Deadline-Ms"
 MAX_DIGITS = 9
--- a/src/magnoliasill/idle_bounds.py
+++ b/src/magnoliasill/balancing/idle_bounds.py
@@ -13,8 +13,8 @@
 import attrs
 
 if TYPE_CHECKING:
-    from .servers import Position, ServerGroup
-    from .service_file import Limits
+    from ..membership.servers import Position, ServerGroup
+    from ..versions.service_file import Limits
 
 KEPT_S = 5.0
 BRIEF_S = 0.2
--- a/src/magnoliasill/outliers.py
+++ b/src/magnoliasill/balancing/outliers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from .outcomes import OutcomeKind
+from ..core.outcomes import OutcomeKind
 
 if TYPE_CHECKING:
     from collections.abc import Collection
--- a/src/magnoliasill/retries.py
+++ b/src/magnoliasill/balancing/retries.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from .outcomes import DID_NOT_RUN, OutcomeKind
+from ..core.outcomes import DID_NOT_RUN, OutcomeKind
 
 MAX_ATTEMPTS = 3
 BUDGET_SHARE = 0.1
--- a/src/magnoliasill/upstreams.py
+++ b/src/magnoliasill/balancing/upstreams.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from .messages import MemberRecord
+    from ..core.messages import MemberRecord
 
 INITIAL_SHARE = 0.5
 MIN_SLOW_START_WEIGHT = 0.1
--- /dev/null
+++ b/src/magnoliasill/calls/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a call from its caller to a backend server."""
--- a/src/magnoliasill/answers.py
+++ b/src/magnoliasill/calls/answers.py
@@ -7,7 +7,7 @@
 import attrs
 import msgspec
 
-from .codes import ErrorCode
+from ..codes import ErrorCode
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/src/magnoliasill/call.py
+++ b/src/magnoliasill/calls/call.py
@@ -7,13 +7,13 @@
 
 import attrs
 
-from .codes import ErrorCode
-from .deadlines import read_deadline
-from .errors import CallError
+from ..balancing.deadlines import read_deadline
+from ..codes import ErrorCode
+from ..errors import CallError
 from .uploads import HEAD_BYTES, Upload
 
 if TYPE_CHECKING:
-    from .routing import RouteTarget
+    from ..versions.routing import RouteTarget
 
 MAX_CHUNKED_BYTES = 4_000_000  # the end of a longer body in chunks can't be told beforehand
 _DOT_SEGMENT = re.compile(r"/(?:\.|%2e){1,2}(?:/|$)", re.IGNORECASE)
--- a/src/magnoliasill/callers.py
+++ b/src/magnoliasill/calls/callers.py
@@ -7,8 +7,8 @@
 
 from eventlet.wsgi import HeaderLineTooLong, HeadersTooLarge, HttpProtocol
 
+from ..codes import ErrorCode
 from .answers import encode_refusal
-from .codes import ErrorCode
 
 CHUNKED = "chunked"
 
--- a/src/magnoliasill/connections.py
+++ b/src/magnoliasill/calls/connections.py
@@ -12,7 +12,7 @@
 import eventlet.hubs
 from urllib3.connection import HTTPConnection
 
-from .idle_bounds import KEPT_S, IdleBound
+from ..balancing.idle_bounds import KEPT_S, IdleBound
 from .sockets import SOCKET_OPTIONS
 
 if TYPE_CHECKING:
--- a/src/magnoliasill/crashes.py
+++ b/src/magnoliasill/calls/crashes.py
@@ -5,14 +5,14 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-from .actions import Action, Log, SendMessage
-from .codes import LogEvent
+from ..codes import LogEvent
+from ..core.actions import Action, Log, SendMessage
+from ..core.messages import CrashNotice
+from ..spreading.spreading import choose_peers
 from .crash_table import CrashTable, Suspect
-from .messages import CrashNotice
-from .spreading import choose_peers
 
 if TYPE_CHECKING:
-    from .node import Node
+    from ..core.node import Node
 
 MAX_SERVERS = 2
 MAX_ENTRIES = 1_000
--- a/src/magnoliasill/dispatch.py
+++ b/src/magnoliasill/calls/dispatch.py
@@ -6,22 +6,22 @@
 
 import attrs
 
-from .admission import ServiceLoad, choose_retry_after, count_admitted, may_wait
-from .balancer import LoadTable, Pick, Question, list_upstreams, pick_server
-from .codes import ErrorCode
-from .errors import CallError
-from .servers import ServerIndex, find_group, list_addresses
-from .shares import focus_servers
-from .upstreams import forget_upstreams
+from ..balancing.admission import ServiceLoad, choose_retry_after, count_admitted, may_wait
+from ..balancing.balancer import LoadTable, Pick, Question, list_upstreams, pick_server
+from ..balancing.upstreams import forget_upstreams
+from ..codes import ErrorCode
+from ..errors import CallError
+from ..membership.servers import ServerIndex, find_group, list_addresses
+from ..takeovers.shares import focus_servers
 from .waiting import WaitingTable, wait_for_room, wake_next
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .node import Node
-    from .servers import ServerGroup
-    from .service_file import ServiceFile
-    from .upstreams import Upstream
+    from ..balancing.upstreams import Upstream
+    from ..core.node import Node
+    from ..membership.servers import ServerGroup
+    from ..versions.service_file import ServiceFile
 
 WAIT_STEP_S = 0.05
 FORGET_INTERVAL_S = 60.0
--- a/src/magnoliasill/exchange.py
+++ b/src/magnoliasill/calls/exchange.py
@@ -10,6 +10,7 @@
 import attrs
 import urllib3
 
+from ..core.outcomes import OutcomeKind
 from .connections import (
     connect,
     drop_older_connections,
@@ -21,7 +22,6 @@
     take_older_connection,
     wait_readable,
 )
-from .outcomes import OutcomeKind
 from .uploads import Upload, check_sendable, read_pieces
 
 if TYPE_CHECKING:
--- a/src/magnoliasill/forwarder.py
+++ b/src/magnoliasill/calls/forwarder.py
@@ -5,30 +5,30 @@
 from typing import TYPE_CHECKING
 from weakref import finalize
 
-from .actions import Log
-from .admission import observe_seconds
-from .balancer import list_upstreams
-from .codes import ErrorCode, LogEvent
-from .deadlines import DEADLINE_HEADER
+from ..balancing.admission import observe_seconds
+from ..balancing.balancer import list_upstreams
+from ..balancing.deadlines import DEADLINE_HEADER
+from ..balancing.idle_bounds import BRIEF_S, bound_idle
+from ..balancing.limits import adapt_limit, apply_report
+from ..balancing.load import read_report
+from ..balancing.outliers import count_outcome, eject_outlier, is_early
+from ..balancing.retries import ATTEMPT_HEADER, earn_retry, may_retry
+from ..codes import ErrorCode, LogEvent
+from ..core.actions import Log
+from ..core.outcomes import DID_NOT_RUN, Outcome, OutcomeKind
+from ..errors import CallError
+from ..membership.servers import EMPTY_GROUP
+from ..takeovers.releases import choose_release
 from .dispatch import Request, acquire_server, delay_return, find_servers, find_service_load
-from .errors import CallError
-from .idle_bounds import BRIEF_S, bound_idle
-from .limits import adapt_limit, apply_report
-from .load import read_report
-from .outcomes import DID_NOT_RUN, Outcome, OutcomeKind
-from .outliers import count_outcome, eject_outlier, is_early
-from .releases import choose_release
-from .retries import ATTEMPT_HEADER, earn_retry, may_retry
-from .servers import EMPTY_GROUP
 from .waiting import wake_next
 
 if TYPE_CHECKING:
-    from .balancer import Pick
+    from ..balancing.balancer import Pick
+    from ..balancing.upstreams import Upstream
+    from ..versions.routing import RouteTarget
     from .call import Call
     from .exchange import Answer, Exchange
-    from .routing import RouteTarget
     from .serving import Proxy
-    from .upstreams import Upstream
 
 _ANSWERED = frozenset({OutcomeKind.SUCCEEDED, OutcomeKind.FAILED})
 
--- a/src/magnoliasill/guard.py
+++ b/src/magnoliasill/calls/guard.py
@@ -4,21 +4,21 @@
 
 from typing import TYPE_CHECKING
 
-from .codes import ErrorCode
+from ..codes import ErrorCode
+from ..core.outcomes import OutcomeKind
+from ..errors import CallError
 from .crashes import clear_suspect, digest_fingerprint, is_blocked, record_crash
-from .errors import CallError
 from .exchange import probe_server
-from .outcomes import OutcomeKind
 from .uploads import sample_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .actions import Action
+    from ..core.actions import Action
+    from ..core.node import Node
     from .call import Call
     from .connections import ConnectionTable
     from .exchange import Exchange, ExchangeFunction
-    from .node import Node
 
 
 def guard_exchange(
--- a/src/magnoliasill/proxy.py
+++ b/src/magnoliasill/calls/proxy.py
@@ -5,22 +5,22 @@
 from time import perf_counter
 from typing import TYPE_CHECKING, Any
 
+from ..claims.idempotency import run_once
+from ..codes import ErrorCode
+from ..errors import CallError
+from ..versions.routing import find_route
 from .answers import answer_refusal
 from .call import HOP_HEADERS, read_call, read_path
-from .codes import ErrorCode
 from .disconnects import CallerDisconnectedError, watch_caller
-from .errors import CallError
 from .forwarder import forward_call
 from .guard import refuse_crashing
-from .idempotency import run_once
-from .routing import find_route
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
+    from ..versions.routing import RouteTarget
     from .call import Call
     from .exchange import Answer
-    from .routing import RouteTarget
     from .serving import Proxy
 
 CALLER_DISCONNECTED_STATUS = "499 Client Closed Request"
--- a/src/magnoliasill/serving.py
+++ b/src/magnoliasill/calls/serving.py
@@ -7,22 +7,22 @@
 
 import attrs
 
+from ..claims.idempotency import Peers
+from ..takeovers.tally import count_attempt
 from .connections import ConnectionTable
 from .dispatch import Dispatcher
 from .exchange import exchange_call
-from .idempotency import Peers
-from .tally import count_attempt
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .actions import Log
+    from ..core.actions import Log
+    from ..core.node import Node
+    from ..core.outcomes import Outcome
+    from ..process.metrics import Metrics
+    from ..store import StoreFunction
     from .disconnects import OpenCall
     from .exchange import ExchangeFunction
-    from .metrics import Metrics
-    from .node import Node
-    from .outcomes import Outcome
-    from .store import StoreFunction
 
 
 @attrs.define
--- a/src/magnoliasill/uploads.py
+++ b/src/magnoliasill/calls/uploads.py
@@ -6,14 +6,14 @@
 
 import attrs
 
-from .codes import ErrorCode
-from .errors import CallError
-from .outcomes import DID_NOT_RUN
+from ..codes import ErrorCode
+from ..core.outcomes import DID_NOT_RUN
+from ..errors import CallError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from .outcomes import OutcomeKind
+    from ..core.outcomes import OutcomeKind
 
 HEAD_BYTES = 262_144  # a longer body is not held whole
 PIECE_BYTES = 65_536
--- /dev/null
+++ b/src/magnoliasill/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that run at most once."""
--- a/src/magnoliasill/claim_holder.py
+++ b/src/magnoliasill/claims/claim_holder.py
@@ -7,7 +7,9 @@
 import attrs
 import msgspec
 
-from .actions import Action, LeaseGrant, Log, SendMessage, StoreWrite
+from ..codes import LogEvent
+from ..core.actions import Action, LeaseGrant, Log, SendMessage, StoreWrite
+from ..core.messages import ClaimReply, ClaimRequest
 from .claim_records import (
     RELEASED,
     ClaimRecord,
@@ -19,15 +21,13 @@
     unpack_records,
 )
 from .claim_table import RangePhase
-from .codes import LogEvent
-from .messages import ClaimReply, ClaimRequest
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..core.events import StoreAnswered
+    from ..core.node import Node
     from .claim_table import HeldRange
-    from .events import StoreAnswered
-    from .node import Node
 
 PURPOSE = "claims"
 RETENTION_S = 5_400
--- a/src/magnoliasill/claim_ranges.py
+++ b/src/magnoliasill/claims/claim_ranges.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from .actions import (
+from ..codes import LogEvent
+from ..core.actions import (
     Action,
     LeaseGrant,
     LeaseKeepAlive,
@@ -18,6 +19,8 @@
     StoreRead,
     StoreWrite,
 )
+from ..core.messages import ClaimReply, ClaimReport, ClaimRequest
+from ..core.node import list_alive
 from .claim_holder import (
     RETENTION_LEASE_S,
     RETENTION_S,
@@ -39,16 +42,13 @@
 )
 from .claim_records import add_run, build_run, find_range, is_well_formed
 from .claim_table import ClaimStatus, HeldRange, RangePhase
-from .codes import LogEvent
-from .messages import ClaimReply, ClaimReport, ClaimRequest
-from .node import list_alive
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .events import StoreAnswered, StoreFailed
-    from .messages import ClaimQuery
-    from .node import Node
+    from ..core.events import StoreAnswered, StoreFailed
+    from ..core.messages import ClaimQuery
+    from ..core.node import Node
 
 LEASE_TTL_MS = 3_000
 RENEW_INTERVAL_S = 1.0
--- a/src/magnoliasill/claim_records.py
+++ b/src/magnoliasill/claims/claim_records.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from .messages import ClaimRequest
+    from ..core.messages import ClaimRequest
 
 KEY_BYTES = 12
 BODY_BYTES = 4
--- a/src/magnoliasill/claim_table.py
+++ b/src/magnoliasill/claims/claim_table.py
@@ -7,8 +7,8 @@
 
 import attrs
 
+from ..core.messages import ClaimRequest
 from .claim_records import ClaimRecord, Run
-from .messages import ClaimRequest
 
 MAX_OWN_CLAIMS = 5_000
 MAX_KEPT_ANSWERS_BYTES = 2_000_000
--- a/src/magnoliasill/idempotency.py
+++ b/src/magnoliasill/claims/idempotency.py
@@ -9,7 +9,13 @@
 import attrs
 import eventlet
 
-from .answers import is_not_run
+from ..calls.answers import is_not_run
+from ..calls.exchange import Answer
+from ..calls.uploads import sample_body
+from ..codes import ErrorCode
+from ..core.messages import ClaimQuery, ClaimReply, ClaimReport, ClaimRequest
+from ..core.node import list_alive
+from ..errors import CallError
 from .claim_holder import RETENTION_S
 from .claim_ranges import list_candidates
 from .claim_records import digest_address, digest_key, digest_request, find_range
@@ -20,20 +26,14 @@
     finish_claim,
     start_claim,
 )
-from .codes import ErrorCode
-from .errors import CallError
-from .exchange import Answer
-from .messages import ClaimQuery, ClaimReply, ClaimReport, ClaimRequest
-from .node import list_alive
-from .uploads import sample_body
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .call import Call
+    from ..calls.call import Call
+    from ..core.messages import Message
+    from ..core.node import Node
     from .claim_table import OwnClaim
-    from .messages import Message
-    from .node import Node
 
 CLAIM_WAIT_S = 1.0
 REPLY_WAIT_S = 0.3
--- /dev/null
+++ b/src/magnoliasill/core/__init__.py
@@ -0,0 +1,1 @@
+"""Tables, events, actions and messages, and the engine that runs the systems over them."""
--- a/src/magnoliasill/actions.py
+++ b/src/magnoliasill/core/actions.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from .codes import LogEvent
+    from ..codes import LogEvent
     from .messages import Message
 
 
--- a/src/magnoliasill/engine.py
+++ b/src/magnoliasill/core/engine.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from .actions import Log
-from .claim_holder import PURPOSE as CLAIMS
-from .claim_ranges import (
+from ..calls.crashes import receive_crash_notice
+from ..claims.claim_holder import PURPOSE as CLAIMS
+from ..claims.claim_ranges import (
     receive_claim_answer,
     receive_claim_failure,
     receive_claim_query,
@@ -15,14 +15,24 @@
     receive_claim_request,
     tick_claims,
 )
-from .codes import LogEvent
-from .collecting import receive_evidence, receive_report
-from .controller import receive_control_answer, receive_control_failure, tick_takeovers
-from .crashes import receive_crash_notice
-from .distribution import receive_digest, receive_reply, receive_request, tick_distribution
+from ..codes import LogEvent
+from ..membership.membership import announce_server, merge_records, watch_server
+from ..membership.probing import receive_ack, receive_probe, receive_probe_request, tick_probes
+from ..membership.syncing import continue_sync, receive_summary
+from ..spreading.distribution import (
+    receive_digest,
+    receive_reply,
+    receive_request,
+    tick_distribution,
+)
+from ..spreading.joining import tick_joining
+from ..spreading.relays import receive_store_answer, receive_store_failure, tick_relay
+from ..spreading.spreading import send_news
+from ..takeovers.collecting import receive_evidence, receive_report
+from ..takeovers.controller import receive_control_answer, receive_control_failure, tick_takeovers
+from ..takeovers.spread_progress import receive_news
+from .actions import Log
 from .events import Event, MessageReceived, ServerAnnounced, StoreAnswered, StoreFailed, Tick
-from .joining import tick_joining
-from .membership import announce_server, merge_records, watch_server
 from .messages import (
     ClaimQuery,
     ClaimReply,
@@ -43,11 +53,6 @@
     ProbeRequest,
     TakeoverNews,
 )
-from .probing import receive_ack, receive_probe, receive_probe_request, tick_probes
-from .relays import receive_store_answer, receive_store_failure, tick_relay
-from .spread_progress import receive_news
-from .spreading import send_news
-from .syncing import continue_sync, receive_summary
 from .validation import find_problem
 
 if TYPE_CHECKING:
--- a/src/magnoliasill/messages.py
+++ b/src/magnoliasill/core/messages.py
@@ -7,10 +7,10 @@
 import attrs
 import msgspec
 
-from .codes import ErrorCode
-from .errors import MessageError
-from .manifest import Head, HeadDelta
-from .plans import Progress
+from ..codes import ErrorCode
+from ..errors import MessageError
+from ..takeovers.plans import Progress
+from ..versions.manifest import Head, HeadDelta
 
 WIRE_VERSION = 2
 MAX_MESSAGE_BYTES = 4_000_000
--- a/src/magnoliasill/node.py
+++ b/src/magnoliasill/core/node.py
@@ -6,16 +6,16 @@
 
 import attrs
 
-from .claim_table import ClaimTable
-from .configuration import ConfigurationTable
-from .crash_table import CrashTable
+from ..calls.crash_table import CrashTable
+from ..claims.claim_table import ClaimTable
+from ..takeovers.takeovers import TakeoverTable
+from ..versions.configuration import ConfigurationTable
 from .messages import MemberRecord
-from .takeovers import TakeoverTable
 
 if TYPE_CHECKING:
     from random import Random
 
-    from .manifest import Head
+    from ..versions.manifest import Head
 
 
 MEMBER_BUCKETS = 64
--- a/src/magnoliasill/validation.py
+++ b/src/magnoliasill/core/validation.py
@@ -5,6 +5,7 @@
 import re
 from typing import TYPE_CHECKING
 
+from ..takeovers.ramp import LAST_STAGE
 from .messages import (
     ClaimQuery,
     ClaimRequest,
@@ -22,13 +23,12 @@
     TakeoverNews,
 )
 from .node import MEMBER_BUCKETS
-from .ramp import LAST_STAGE
 
 if TYPE_CHECKING:
     from collections.abc import Sized
 
+    from ..takeovers.plans import Progress
     from .messages import MemberRecord, Message
-    from .plans import Progress
 
 STATUSES = ("alive", "suspect", "failed", "left")
 MAX_TEXT = 128
--- /dev/null
+++ b/src/magnoliasill/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: records, probes and suspicion."""
--- a/src/magnoliasill/membership.py
+++ b/src/magnoliasill/membership/membership.py
@@ -6,20 +6,20 @@
 
 import attrs
 
-from .actions import Action, Log, SendMessage
-from .codes import LogEvent
-from .messages import MemberNews
-from .node import Member
-from .spreading import choose_peers, mark_news
+from ..codes import LogEvent
+from ..core.actions import Action, Log, SendMessage
+from ..core.messages import MemberNews
+from ..core.node import Member
+from ..core.validation import MAX_COUNTER, find_record_problem
+from ..spreading.spreading import choose_peers, mark_news
 from .syncing import replace_member
-from .validation import MAX_COUNTER, find_record_problem
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from .events import ServerAnnounced
-    from .messages import MemberRecord
-    from .node import Node
+    from ..core.events import ServerAnnounced
+    from ..core.messages import MemberRecord
+    from ..core.node import Node
 
 SERVER_SILENT_S = 2.0
 LEAVE_NOTICES_LOCAL = 8
--- a/src/magnoliasill/probing.py
+++ b/src/magnoliasill/membership/probing.py
@@ -10,19 +10,19 @@
 
 import attrs
 
-from .actions import Log, ResetPeer, SendMessage
-from .codes import LogEvent
-from .distribution import build_digest, receive_digest
+from ..codes import LogEvent
+from ..core.actions import Log, ResetPeer, SendMessage
+from ..core.messages import Probe, ProbeAck, ProbeRequest
+from ..core.node import ForwardedProbe, PendingProbe, list_alive
+from ..spreading.distribution import build_digest, receive_digest
+from ..spreading.spreading import choose_peers
 from .membership import set_record
-from .messages import Probe, ProbeAck, ProbeRequest
-from .node import ForwardedProbe, PendingProbe, list_alive
-from .spreading import choose_peers
 from .syncing import remove_member
 
 if TYPE_CHECKING:
-    from .actions import Action
-    from .messages import MemberRecord
-    from .node import Node
+    from ..core.actions import Action
+    from ..core.messages import MemberRecord
+    from ..core.node import Node
 
 PROBE_INTERVAL_S = 1.0
 PROBE_TIMEOUT_S = 0.4
--- a/src/magnoliasill/servers.py
+++ b/src/magnoliasill/membership/servers.py
@@ -7,8 +7,8 @@
 import attrs
 
 if TYPE_CHECKING:
-    from .messages import MemberRecord
-    from .node import Node
+    from ..core.messages import MemberRecord
+    from ..core.node import Node
 
 MAX_AGE_S = 0.5
 
--- a/src/magnoliasill/syncing.py
+++ b/src/magnoliasill/membership/syncing.py
@@ -8,15 +8,15 @@
 from operator import xor
 from typing import TYPE_CHECKING
 
-from .actions import SendMessage
-from .messages import MemberPage, MemberSummary
-from .node import MEMBER_BUCKETS
-from .spreading import choose_peers
+from ..core.actions import SendMessage
+from ..core.messages import MemberPage, MemberSummary
+from ..core.node import MEMBER_BUCKETS
+from ..spreading.spreading import choose_peers
 
 if TYPE_CHECKING:
-    from .actions import Action
-    from .messages import Digest, MemberRecord
-    from .node import Member, Node
+    from ..core.actions import Action
+    from ..core.messages import Digest, MemberRecord
+    from ..core.node import Member, Node
 
 PAGE_RECORDS = 40
 SYNC_INTERVAL_S = 5.0
--- a/src/magnoliasill/platform/store.py
+++ b/src/magnoliasill/platform/store.py
@@ -14,6 +14,7 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from ..calls.sockets import SOCKET_OPTIONS
 from ..codes import ErrorCode
 from ..errors import (
     ConditionFailedError,
@@ -23,7 +24,6 @@
     StoreOutcomeUnknownError,
 )
 from ..mesh.items import Item, Page, Transaction
-from ..sockets import SOCKET_OPTIONS
 
 CONNECTIONS = 4  # a watch, and a few short requests beside it
 CONNECT_TIMEOUT_S = 1.0  # a store within the region answers in milliseconds
--- /dev/null
+++ b/src/magnoliasill/process/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon process: settings, ports, links, logs and metrics."""
--- a/src/magnoliasill/administration.py
+++ b/src/magnoliasill/process/administration.py
@@ -7,22 +7,22 @@
 import attrs
 import msgspec
 
-from .changes import MAX_CHANGE_BYTES, carry_out_change
-from .codes import ErrorCode
-from .error_catalogue import ERRORS
-from .errors import AdministrationError, MagnoliasillError
-from .events import ServerAnnounced
+from ..codes import ErrorCode
+from ..core.events import ServerAnnounced
+from ..error_catalogue import ERRORS
+from ..errors import AdministrationError, MagnoliasillError
+from ..publishing.changes import MAX_CHANGE_BYTES, carry_out_change
+from ..takeovers.records import list_rollouts
 from .exposition import format_metrics
 from .progress import report_version
-from .records import list_rollouts
 from .reports import dump_state, list_members, list_services
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from .changes import ChangeContext
-    from .events import Event
-    from .serving import Proxy
+    from ..calls.serving import Proxy
+    from ..core.events import Event
+    from ..publishing.changes import ChangeContext
 
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain; version=0.0.4"
--- a/src/magnoliasill/daemon.py
+++ b/src/magnoliasill/process/daemon.py
@@ -17,32 +17,36 @@
 import fire
 import greenlet
 
-from .actions import Log, ResetPeer, ResolveWait, SendMessage
-from .administration import Administration, build_administration
-from .callers import CallerProtocol
-from .changes import ChangeContext
-from .claim_ranges import release_ranges
-from .codes import ErrorCode, LogEvent
-from .connections import close_expired
-from .deferred import defer, run_pending
-from .disconnects import cancel_disconnected
-from .engine import step
-from .error_catalogue import ERRORS
-from .errors import (
+from ..calls.callers import CallerProtocol
+from ..calls.connections import close_expired
+from ..calls.disconnects import cancel_disconnected
+from ..calls.guard import guard_exchange
+from ..calls.proxy import build_application
+from ..calls.serving import Proxy
+from ..claims.claim_ranges import release_ranges
+from ..claims.idempotency import resolve_wait
+from ..codes import ErrorCode, LogEvent
+from ..core.actions import Log, ResetPeer, ResolveWait, SendMessage
+from ..core.engine import step
+from ..core.events import Event, MessageReceived, StoreFailed, Tick
+from ..core.messages import MemberRecord, decode_message, encode_message
+from ..core.node import Node
+from ..error_catalogue import ERRORS
+from ..errors import (
     MagnoliasillError,
     MessageError,
     SettingsError,
     StoreError,
     StoreOutcomeUnknownError,
 )
-from .events import Event, MessageReceived, StoreFailed, Tick
-from .guard import guard_exchange
-from .idempotency import resolve_wait
+from ..membership.membership import leave
+from ..publishing.changes import ChangeContext
+from ..spreading.relays import resign
+from ..store import connect_store
+from .administration import Administration, build_administration
+from .deferred import defer, run_pending
 from .logs import bind_logger, configure_logs, write_log
-from .membership import leave
-from .messages import MemberRecord, decode_message, encode_message
 from .metrics import build_metrics, count_store_requests
-from .node import Node
 from .peers import (
     PeerSockets,
     close_peers,
@@ -51,15 +55,11 @@
     reset_peer,
     send_to_peer,
 )
-from .proxy import build_application
-from .relays import resign
-from .serving import Proxy
 from .settings import Settings, format_help, load_settings
-from .store import connect_store
 
 if TYPE_CHECKING:
-    from .actions import Action, StoreAction
-    from .store import StoreFunction
+    from ..core.actions import Action, StoreAction
+    from ..store import StoreFunction
 
 EXIT_REFUSED = 2
 HELP_FLAGS = frozenset({"--help", "-h"})
--- a/src/magnoliasill/exposition.py
+++ b/src/magnoliasill/process/exposition.py
@@ -11,8 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from ..calls.serving import Proxy
     from .metrics import Metrics
-    from .serving import Proxy
 
 
 def format_metrics(proxy: Proxy) -> bytes:
--- a/src/magnoliasill/logs.py
+++ b/src/magnoliasill/process/logs.py
@@ -8,7 +8,7 @@
 import structlog
 
 if TYPE_CHECKING:
-    from .codes import LogEvent
+    from ..codes import LogEvent
 
 
 def configure_logs() -> None:
--- a/src/magnoliasill/metrics.py
+++ b/src/magnoliasill/process/metrics.py
@@ -9,16 +9,16 @@
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, ProcessCollector
 
-from .codes import ErrorCode, LogEvent
-from .errors import StoreError, StoreOutcomeUnknownError
-from .messages import Message
-from .outcomes import OutcomeKind
+from ..codes import ErrorCode, LogEvent
+from ..core.messages import Message
+from ..core.outcomes import OutcomeKind
+from ..errors import StoreError, StoreOutcomeUnknownError
 
 if TYPE_CHECKING:
 
-    from .actions import StoreAction
-    from .events import StoreAnswered
-    from .store import StoreFunction
+    from ..core.actions import StoreAction
+    from ..core.events import StoreAnswered
+    from ..store import StoreFunction
 
 MAX_LATENCY_US = 600_000_000
 SIGNIFICANT_DIGITS = 2
--- a/src/magnoliasill/peers.py
+++ b/src/magnoliasill/process/peers.py
@@ -11,9 +11,9 @@
 import pynng
 import pynng.nng
 
-from .codes import ErrorCode
-from .errors import SettingsError
-from .messages import MAX_MESSAGE_BYTES
+from ..codes import ErrorCode
+from ..core.messages import MAX_MESSAGE_BYTES
+from ..errors import SettingsError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/magnoliasill/progress.py
+++ b/src/magnoliasill/process/progress.py
@@ -7,7 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
-    from .node import Node
+    from ..core.node import Node
 
 
 @attrs.frozen
--- a/src/magnoliasill/reports.py
+++ b/src/magnoliasill/process/reports.py
@@ -7,13 +7,13 @@
 
 import attrs
 
-from .claim_holder import count_records
-from .dispatch import list_entries
-from .service_file import encode_service_file
+from ..calls.dispatch import list_entries
+from ..claims.claim_holder import count_records
+from ..versions.service_file import encode_service_file
 
 if TYPE_CHECKING:
-    from .node import Node
-    from .serving import Proxy
+    from ..calls.serving import Proxy
+    from ..core.node import Node
 
 
 def dump_state(proxy: Proxy) -> dict[str, Any]:
--- a/src/magnoliasill/settings.py
+++ b/src/magnoliasill/process/settings.py
@@ -8,8 +8,8 @@
 
 import attrs
 
-from .codes import ErrorCode
-from .errors import SettingsError
+from ..codes import ErrorCode
+from ..errors import SettingsError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
--- a/src/magnoliasill/base_file.py
+++ b/src/magnoliasill/publishing/base_file.py
@@ -8,8 +8,8 @@
 import attrs
 import msgspec
 
-from .codes import ErrorCode
-from .errors import ServiceFileError
+from ..codes import ErrorCode
+from ..errors import ServiceFileError
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/magnoliasill/changes.py
+++ b/src/magnoliasill/publishing/changes.py
@@ -7,18 +7,18 @@
 import attrs
 import msgspec
 
-from .codes import ErrorCode, LogEvent
-from .errors import AdministrationError, MagnoliasillError
+from ..codes import ErrorCode, LogEvent
+from ..errors import AdministrationError, MagnoliasillError
+from ..versions.service_file import decode_service_file
 from .publisher import Publish, plan_undo, publish
-from .service_file import decode_service_file
 from .teams import check_token
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from datetime import datetime
 
-    from .manifest import Head
-    from .store import StoreFunction
+    from ..store import StoreFunction
+    from ..versions.manifest import Head
 
 MAX_CHANGES_IN_PROGRESS = 4
 MAX_CHANGE_BYTES = 2_000_000
--- a/src/magnoliasill/history.py
+++ b/src/magnoliasill/publishing/history.py
@@ -7,15 +7,15 @@
 import attrs
 import msgspec
 
-from .actions import StoreRead, StoreWrite
-from .codes import ErrorCode
-from .errors import ConfigurationError, PublishError
+from ..codes import ErrorCode
+from ..core.actions import StoreRead, StoreWrite
+from ..errors import ConfigurationError, PublishError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from .manifest import Head
-    from .store import StoreFunction
+    from ..store import StoreFunction
+    from ..versions.manifest import Head
 
 HISTORY_PREFIX = "configuration/history/"
 HISTORY_SLOTS = 4_096
--- a/src/magnoliasill/publisher.py
+++ b/src/magnoliasill/publishing/publisher.py
@@ -6,17 +6,16 @@
 
 import attrs
 
-from .actions import StoreRead, StoreWrite
-from .codes import ErrorCode
-from .errors import (
+from ..codes import ErrorCode
+from ..core.actions import StoreRead, StoreWrite
+from ..errors import (
     ConfigurationError,
     PublishError,
     ServiceFileError,
     StoreError,
     StoreOutcomeUnknownError,
 )
-from .history import keep_change, read_changes
-from .manifest import (
+from ..versions.manifest import (
     BLOB_PREFIX,
     HEAD_KEY,
     RECENT_PUBLISHES,
@@ -27,19 +26,20 @@
     encode_head,
     hash_blob,
 )
-from .service_file import (
+from ..versions.service_file import (
     ServiceFile,
     decode_service_file,
     encode_service_file,
     parse_service_file,
 )
+from .history import keep_change, read_changes
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
     from datetime import datetime
     from pathlib import Path
 
-    from .store import StoreFunction
+    from ..store import StoreFunction
 
 ATTEMPTS = 8
 
--- a/src/magnoliasill/targets.py
+++ b/src/magnoliasill/publishing/targets.py
@@ -12,14 +12,14 @@
 import attrs
 import msgspec
 
+from ..codes import ErrorCode
+from ..errors import AdministrationError
+from ..store import StoreFunction, connect_store
+from ..tool.client import read_daemon, send_change
+from ..versions.service_file import ServiceFile, decode_service_file, encode_service_file
 from .changes import Accepted, PublishRequest, RemoveRequest, UndoRequest
-from .client import read_daemon, send_change
-from .codes import ErrorCode
-from .errors import AdministrationError
 from .history import read_base
 from .publisher import Publish, plan_undo, publish, read_accepted, read_head
-from .service_file import ServiceFile, decode_service_file, encode_service_file
-from .store import StoreFunction, connect_store
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/magnoliasill/teams.py
+++ b/src/magnoliasill/publishing/teams.py
@@ -11,14 +11,14 @@
 import attrs
 import msgspec
 
-from .actions import StoreDelete, StoreRead, StoreWrite
-from .codes import ErrorCode
-from .errors import AdministrationError
-from .service_file import NAME_PATTERN
+from ..codes import ErrorCode
+from ..core.actions import StoreDelete, StoreRead, StoreWrite
+from ..errors import AdministrationError
+from ..versions.service_file import NAME_PATTERN
 
 if TYPE_CHECKING:
-    from .events import StoreEntry
-    from .store import StoreFunction
+    from ..core.events import StoreEntry
+    from ..store import StoreFunction
 
 TEAM_PREFIX = "team/"
 TOKEN_BYTES = 32
--- a/src/magnoliasill/sidecar/bodies.py
+++ b/src/magnoliasill/sidecar/bodies.py
@@ -7,8 +7,8 @@
 import attrs
 from eventlet.wsgi import ChunkReadError
 
+from ..calls.disconnects import CallerDisconnectedError
 from ..codes import ErrorCode
-from ..disconnects import CallerDisconnectedError
 from ..errors import CallError
 
 if TYPE_CHECKING:
--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -6,9 +6,9 @@
 
 import attrs
 
-from ..answers import answer_refusal
+from ..calls.answers import answer_refusal
+from ..calls.disconnects import CallerDisconnectedError, watch_caller
 from ..codes import ErrorCode, LogEvent
-from ..disconnects import CallerDisconnectedError, watch_caller
 from ..errors import CallError
 from ..mesh.repeats import count_repeat, count_request
 from ..mesh.routes import choose_destination, find_route
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -13,9 +13,9 @@
 import eventlet
 import msgspec
 
+from ..calls.connections import close_expired
+from ..calls.disconnects import cancel_disconnected
 from ..codes import ErrorCode, LogEvent
-from ..connections import close_expired
-from ..disconnects import cancel_disconnected
 from ..errors import MagnoliasillError, SettingsError
 from ..mesh.gate import start_waiting
 from ..mesh.repeats import RepeatBudget
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -7,8 +7,8 @@
 import attrs
 from eventlet.event import Event
 
+from ..calls.disconnects import CallerDisconnectedError, watch_caller
 from ..codes import LogEvent
-from ..disconnects import CallerDisconnectedError, watch_caller
 from ..mesh.backend import is_open
 from ..mesh.evidence import count_answer
 from ..mesh.gate import (
--- a/src/magnoliasill/sidecar/protocol.py
+++ b/src/magnoliasill/sidecar/protocol.py
@@ -6,7 +6,7 @@
 
 import eventlet.wsgi
 
-from ..callers import CallerProtocol
+from ..calls.callers import CallerProtocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -9,8 +9,8 @@
 
 import attrs
 
+from ..calls.connections import ConnectionTable
 from ..codes import LogEvent
-from ..connections import ConnectionTable
 from ..mesh.backend import Backend
 from ..mesh.gate import MAX_WAIT_S, Gate
 from ..mesh.items import Mirror
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..disconnects import OpenCall
+    from ..calls.disconnects import OpenCall
     from ..mesh.evidence import RouteCounts
     from ..mesh.returns import Pressure
     from ..mesh.routes import RouteTable
--- a/src/magnoliasill/sidecar/transfer.py
+++ b/src/magnoliasill/sidecar/transfer.py
@@ -15,8 +15,8 @@
 import attrs
 from eventlet.hubs import trampoline
 
-from ..codes import ErrorCode
-from ..connections import (
+from ..balancing.idle_bounds import IdleBound
+from ..calls.connections import (
     ConnectionTable,
     Link,
     connect,
@@ -26,8 +26,8 @@
     take_connection,
     wait_readable,
 )
+from ..codes import ErrorCode
 from ..errors import MagnoliasillError
-from ..idle_bounds import IdleBound
 from .bodies import LongBody, read_pieces
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/src/magnoliasill/spreading/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a version to every daemon."""
--- a/src/magnoliasill/distribution.py
+++ b/src/magnoliasill/spreading/distribution.py
@@ -10,9 +10,14 @@
 import math
 from typing import TYPE_CHECKING
 
-from .actions import Action, Log, SendMessage
-from .codes import ErrorCode, LogEvent
-from .configuration import (
+from ..codes import ErrorCode, LogEvent
+from ..core.actions import Action, Log, SendMessage
+from ..core.messages import ConfigurationReply, ConfigurationRequest, Digest
+from ..core.node import Source, list_alive
+from ..errors import ConfigurationError
+from ..membership.membership import merge_records
+from ..membership.syncing import compare_fingerprint, compute_fingerprint
+from ..versions.configuration import (
     apply_staged,
     drop_blobs,
     is_wanted,
@@ -20,19 +25,14 @@
     note_refused,
     stage_head,
 )
-from .errors import ConfigurationError
+from ..versions.manifest import apply_delta, build_delta, hash_blob, hash_manifest
 from .joining import list_due_questions, may_apply, note_answer
-from .manifest import apply_delta, build_delta, hash_blob, hash_manifest
-from .membership import merge_records
-from .messages import ConfigurationReply, ConfigurationRequest, Digest
-from .node import Source, list_alive
 from .spreading import spread_message, take_news
-from .syncing import compare_fingerprint, compute_fingerprint
 
 if TYPE_CHECKING:
-    from .manifest import Head
-    from .messages import MemberRecord
-    from .node import Node
+    from ..core.messages import MemberRecord
+    from ..core.node import Node
+    from ..versions.manifest import Head
 
 WITNESSES = 2
 CONFIRM_TIMEOUT_S = 1.0
--- a/src/magnoliasill/duties.py
+++ b/src/magnoliasill/spreading/duties.py
@@ -5,11 +5,11 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-from .node import list_alive
+from ..core.node import list_alive
 
 if TYPE_CHECKING:
-    from .messages import MemberRecord
-    from .node import Node
+    from ..core.messages import MemberRecord
+    from ..core.node import Node
 
 COLLECTORS = 2
 
--- a/src/magnoliasill/invariants.py
+++ b/src/magnoliasill/spreading/invariants.py
@@ -10,14 +10,14 @@
 
 import attrs
 
-from .manifest import hash_blob, hash_manifest
-from .service_file import decode_service_file
+from ..versions.manifest import hash_blob, hash_manifest
+from ..versions.service_file import decode_service_file
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from .configuration import ConfigurationTable, Snapshot
-    from .messages import MemberRecord
+    from ..core.messages import MemberRecord
+    from ..versions.configuration import ConfigurationTable, Snapshot
 
 CONVERGENCE_LIMIT_S = 6.0
 LEAVING_LIMIT_S = 3.0
--- a/src/magnoliasill/joining.py
+++ b/src/magnoliasill/spreading/joining.py
@@ -8,14 +8,14 @@
 
 from typing import TYPE_CHECKING
 
-from .actions import Log
-from .codes import LogEvent
-from .node import list_alive
+from ..codes import LogEvent
+from ..core.actions import Log
+from ..core.node import list_alive
 
 if TYPE_CHECKING:
-    from .actions import Action
-    from .messages import Digest, MemberRecord
-    from .node import Node
+    from ..core.actions import Action
+    from ..core.messages import Digest, MemberRecord
+    from ..core.node import Node
 
 JOIN_LIMIT_S = 4.0
 ASK_RETRY_S = 0.5
--- a/src/magnoliasill/relays.py
+++ b/src/magnoliasill/spreading/relays.py
@@ -7,7 +7,8 @@
 import attrs
 import msgspec
 
-from .actions import (
+from ..codes import LogEvent
+from ..core.actions import (
     Action,
     LeaseGrant,
     LeaseKeepAlive,
@@ -17,18 +18,17 @@
     StoreWatch,
     StoreWrite,
 )
-from .codes import LogEvent
-from .configuration import list_missing_blobs
+from ..core.node import list_alive
+from ..errors import ConfigurationError
+from ..membership.probing import probe_address
+from ..versions.configuration import list_missing_blobs
+from ..versions.manifest import BLOB_PREFIX, HEAD_KEY, decode_head, strip_head
 from .distribution import offer_configuration, put_in_force
-from .errors import ConfigurationError
 from .joining import note_platform_read
-from .manifest import BLOB_PREFIX, HEAD_KEY, decode_head, strip_head
-from .node import list_alive
-from .probing import probe_address
 
 if TYPE_CHECKING:
-    from .events import StoreAnswered, StoreEntry, StoreFailed
-    from .node import Node
+    from ..core.events import StoreAnswered, StoreEntry, StoreFailed
+    from ..core.node import Node
 
 RELAYS_PER_DATA_CENTRE = 2
 MAX_SCAN_DOUBLINGS = 8
--- a/src/magnoliasill/spreading.py
+++ b/src/magnoliasill/spreading/spreading.py
@@ -4,16 +4,16 @@
 
 from typing import TYPE_CHECKING
 
-from .actions import SendMessage
-from .messages import MemberNews
-from .node import list_alive
+from ..core.actions import SendMessage
+from ..core.messages import MemberNews
+from ..core.node import list_alive
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from .actions import Action
-    from .messages import MemberRecord, Message
-    from .node import Node
+    from ..core.actions import Action
+    from ..core.messages import MemberRecord, Message
+    from ..core.node import Node
 
 FANOUT_LOCAL = 4
 FANOUT_REMOTE = 1
--- a/src/magnoliasill/store.py
+++ b/src/magnoliasill/store.py
@@ -6,7 +6,7 @@
 from itertools import takewhile
 from typing import TYPE_CHECKING, TypeAlias
 
-from .actions import (
+from .core.actions import (
     LeaseGrant,
     LeaseKeepAlive,
     LeaseRevoke,
@@ -16,8 +16,8 @@
     StoreWatch,
     StoreWrite,
 )
+from .core.events import StoreAnswered, StoreEntry
 from .errors import ConditionFailedError, HistoryLostError, LeaseEndedError
-from .events import StoreAnswered, StoreEntry
 from .mesh.items import Condition, Put, Transaction
 from .platform.store import connect_client
 
--- a/src/magnoliasill/collecting.py
+++ b/src/magnoliasill/takeovers/collecting.py
@@ -12,11 +12,11 @@
 
 import attrs
 
-from .actions import SendMessage
-from .duties import rank_daemons
+from ..core.actions import SendMessage
+from ..core.messages import EvidenceReport, EvidenceSummary
+from ..core.node import list_alive
+from ..spreading.duties import rank_daemons
 from .evidence import Cell, Counts, Finding, reset_levels, seed_tester, update_tester
-from .messages import EvidenceReport, EvidenceSummary
-from .node import list_alive
 from .plans import Phase
 from .rollout import Verdict, apply_decision, is_adjusting, judge
 from .spread_progress import adopt_progress, find_takeover
@@ -24,9 +24,9 @@
 from .tally import FIELDS, NEW_OFFSET
 
 if TYPE_CHECKING:
-    from .actions import Action
+    from ..core.actions import Action
+    from ..core.node import Node
     from .evidence import RouteEvidence
-    from .node import Node
 
 REPORT_INTERVAL_S = 0.5
 REPORT_INTERVAL_PER_DAEMON_S = 0.04
--- a/src/magnoliasill/controller.py
+++ b/src/magnoliasill/takeovers/controller.py
@@ -12,7 +12,8 @@
 import attrs
 import msgspec
 
-from .actions import (
+from ..codes import LogEvent
+from ..core.actions import (
     LeaseGrant,
     LeaseKeepAlive,
     LeaseRevoke,
@@ -21,9 +22,8 @@
     StoreRead,
     StoreWrite,
 )
-from .codes import LogEvent
+from ..spreading.duties import rank_daemons
 from .collecting import build_cells, judge_locally, take_untested, tick_collecting
-from .duties import rank_daemons
 from .evidence import Tester, find_worst, update_tester
 from .plans import Phase
 from .ramp import compute_boosts
@@ -34,9 +34,9 @@
 from .takeovers import WINDOW_S, Collection
 
 if TYPE_CHECKING:
-    from .actions import Action
-    from .events import StoreAnswered, StoreFailed
-    from .node import Node
+    from ..core.actions import Action
+    from ..core.events import StoreAnswered, StoreFailed
+    from ..core.node import Node
     from .plans import Progress
     from .rollout import Decision
     from .takeovers import Takeover
--- a/src/magnoliasill/records.py
+++ b/src/magnoliasill/takeovers/records.py
@@ -12,8 +12,8 @@
 from .rollout import LOWERED_SHARE, is_lowered
 
 if TYPE_CHECKING:
+    from ..core.node import Node
     from .evidence import RouteEvidence
-    from .node import Node
     from .takeovers import Takeover
 
 RECORD_PREFIX = "rollout/"
--- a/src/magnoliasill/releases.py
+++ b/src/magnoliasill/takeovers/releases.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from .node import Node
-    from .service_file import ServiceFile
+    from ..core.node import Node
+    from ..versions.service_file import ServiceFile
 
 
 def choose_release(node: Node, service: ServiceFile, route: str = "") -> str:
--- a/src/magnoliasill/rollout.py
+++ b/src/magnoliasill/takeovers/rollout.py
@@ -31,8 +31,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from ..versions.service_file import ServiceFile
     from .evidence import Finding, RouteEvidence
-    from .service_file import ServiceFile
 
 LOWERED_SHARE = 0.1  # while a suspicion is settled
 OBSERVE_FRACTION = 0.03  # of the time from start to finish, before the first call is moved
--- a/src/magnoliasill/shares.py
+++ b/src/magnoliasill/takeovers/shares.py
@@ -5,19 +5,19 @@
 from math import ceil
 from typing import TYPE_CHECKING
 
+from ..core.node import list_alive
+from ..membership.servers import ServerGroup
 from .evidence import Tester
-from .node import list_alive
 from .plans import Phase, Progress
 from .ramp import LAST_STAGE
 from .rollout import build_plan, compute_share, is_overdue
-from .servers import ServerGroup
 from .takeovers import WINDOW_S, Collection, Control, Takeover
 from .tally import ServerFacts, build_tally
 
 if TYPE_CHECKING:
-    from .node import Node
+    from ..core.node import Node
+    from ..versions.service_file import ServiceFile
     from .plans import Plan
-    from .service_file import ServiceFile
 
 REFRESH_INTERVAL_S = 0.5
 
--- a/src/magnoliasill/spread_progress.py
+++ b/src/magnoliasill/takeovers/spread_progress.py
@@ -4,21 +4,21 @@
 
 from typing import TYPE_CHECKING
 
-from .actions import Log, SendMessage
-from .codes import LogEvent
-from .messages import TakeoverNews
-from .node import list_alive
+from ..codes import LogEvent
+from ..core.actions import Log, SendMessage
+from ..core.messages import TakeoverNews
+from ..core.node import list_alive
+from ..spreading.spreading import spread_message
 from .plans import Phase
 from .rollout import is_lowered, merge_progress
 from .shares import update_shares
-from .spreading import spread_message
 from .takeovers import MAX_ENDED
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from .actions import Action
-    from .node import Node
+    from ..core.actions import Action
+    from ..core.node import Node
     from .plans import Progress
     from .takeovers import Takeover
 
--- a/src/magnoliasill/tally.py
+++ b/src/magnoliasill/takeovers/tally.py
@@ -6,12 +6,12 @@
 
 import attrs
 
-from .outcomes import OutcomeKind
+from ..core.outcomes import OutcomeKind
 
 if TYPE_CHECKING:
-    from .outcomes import Outcome
+    from ..core.outcomes import Outcome
+    from ..versions.service_file import ServiceFile
     from .plans import Plan
-    from .service_file import ServiceFile
 
 FIELDS = 6  # calls, failures and slow calls of the old release, then of the new one
 NEW_OFFSET = 3
--- /dev/null
+++ b/src/magnoliasill/tool/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- a/src/magnoliasill/cli.py
+++ b/src/magnoliasill/tool/cli.py
@@ -8,9 +8,9 @@
 
 import fire
 
-from .deferred import defer, run_pending
-from .error_catalogue import ERRORS
-from .errors import MagnoliasillError
+from ..error_catalogue import ERRORS
+from ..errors import MagnoliasillError
+from ..process.deferred import defer, run_pending
 from .explain import explain
 from .observing_commands import convergence, dump, members
 from .publishing_commands import check, history, publish_folder, pull, remove, show, status, undo
--- a/src/magnoliasill/client.py
+++ b/src/magnoliasill/tool/client.py
@@ -8,8 +8,8 @@
 import msgspec
 import urllib3
 
-from .codes import ErrorCode
-from .errors import AdministrationError
+from ..codes import ErrorCode
+from ..errors import AdministrationError
 
 READ_TIMEOUT_S = 5.0
 CHANGE_TIMEOUT_S = 30.0
--- a/src/magnoliasill/explain.py
+++ b/src/magnoliasill/tool/explain.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from .codes import ErrorCode
-from .errors import AdministrationError
+from ..codes import ErrorCode
+from ..errors import AdministrationError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
--- a/src/magnoliasill/observing_commands.py
+++ b/src/magnoliasill/tool/observing_commands.py
@@ -10,11 +10,11 @@
 import attrs
 import msgspec
 
+from ..codes import ErrorCode
+from ..core.messages import MemberRecord
+from ..errors import AdministrationError
+from ..process.progress import VersionReport
 from .client import read_daemon
-from .codes import ErrorCode
-from .errors import AdministrationError
-from .messages import MemberRecord
-from .progress import VersionReport
 from .publishing_commands import format_output
 
 PARALLEL_REQUESTS = 32
--- a/src/magnoliasill/publishing_commands.py
+++ b/src/magnoliasill/tool/publishing_commands.py
@@ -10,14 +10,12 @@
 import attrs
 import msgspec
 
-from .base_file import read_base_file, write_base_file
-from .codes import ErrorCode
-from .errors import AdministrationError, PublishError, ServiceFileError
-from .history import read_changes
-from .manifest import check_deadlines, check_services, hash_blob
-from .publisher import Publish, collect_services, locate_services, read_head
-from .service_file import encode_service_file
-from .targets import (
+from ..codes import ErrorCode
+from ..errors import AdministrationError, PublishError, ServiceFileError
+from ..publishing.base_file import read_base_file, write_base_file
+from ..publishing.history import read_changes
+from ..publishing.publisher import Publish, collect_services, locate_services, read_head
+from ..publishing.targets import (
     choose_target,
     connect_platform,
     make_publish_id,
@@ -26,10 +24,12 @@
     send_publish,
     send_undo,
 )
+from ..versions.manifest import check_deadlines, check_services, hash_blob
+from ..versions.service_file import encode_service_file
 
 if TYPE_CHECKING:
-    from .changes import Accepted
-    from .service_file import ServiceFile
+    from ..publishing.changes import Accepted
+    from ..versions.service_file import ServiceFile
 
 
 def check(folder: str, json: bool = False) -> str:
--- a/src/magnoliasill/rollout_commands.py
+++ b/src/magnoliasill/tool/rollout_commands.py
@@ -8,17 +8,17 @@
 import attrs
 import msgspec
 
-from .actions import StoreRead
-from .codes import ErrorCode
-from .errors import AdministrationError
-from .plans import Phase
+from ..codes import ErrorCode
+from ..core.actions import StoreRead
+from ..errors import AdministrationError
+from ..publishing.targets import connect_platform
+from ..takeovers.plans import Phase
+from ..takeovers.records import RECORD_PREFIX, Record, decode_record, name_record_key
 from .publishing_commands import format_output
-from .records import RECORD_PREFIX, Record, decode_record, name_record_key
-from .targets import connect_platform
 
 if TYPE_CHECKING:
-    from .records import RouteReport
-    from .store import StoreFunction
+    from ..store import StoreFunction
+    from ..takeovers.records import RouteReport
 
 
 def rollouts(service: str = "", store: str = "", json: bool = False) -> str:
--- a/src/magnoliasill/team_commands.py
+++ b/src/magnoliasill/tool/team_commands.py
@@ -5,10 +5,10 @@
 import time
 from datetime import UTC, datetime
 
-from .errors import StoreOutcomeUnknownError
+from ..errors import StoreOutcomeUnknownError
+from ..publishing.targets import connect_platform
+from ..publishing.teams import generate_token, list_teams, remove_team, set_token
 from .publishing_commands import format_output
-from .targets import connect_platform
-from .teams import generate_token, list_teams, remove_team, set_token
 
 ATTEMPTS = 3
 
--- /dev/null
+++ b/src/magnoliasill/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Service files, versions of the configuration and routing by them."""
--- a/src/magnoliasill/configuration.py
+++ b/src/magnoliasill/versions/configuration.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from .codes import ErrorCode
-from .errors import ConfigurationError, ServiceFileError
+from ..codes import ErrorCode
+from ..errors import ConfigurationError, ServiceFileError
 from .manifest import check_services, hash_blob
 from .routing import RouteTable, compile_routes
 from .service_file import ServiceFile, decode_service_file
--- a/src/magnoliasill/service_file.py
+++ b/src/magnoliasill/versions/service_file.py
@@ -9,8 +9,8 @@
 import attrs
 import msgspec
 
-from .codes import ErrorCode
-from .errors import ServiceFileError
+from ..codes import ErrorCode
+from ..errors import ServiceFileError
 
 MAX_BLOB_BYTES = 900_000
 NAME_PATTERN = r"[a-z][a-z0-9-]{0,62}"
--- a/tests/test_idle_bounds.py
+++ b/tests/balancing/test_idle_bounds.py
@@ -8,13 +8,13 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.connections import ConnectionTable, Link, close_expired
-from magnoliasill.idle_bounds import BRIEF_S, KEPT_S, IdleBound, bound_idle
-from magnoliasill.membership import merge_records
-from magnoliasill.messages import MemberRecord
-from magnoliasill.node import Node
-from magnoliasill.servers import Position, ServerGroup, ServerIndex, find_group
-from magnoliasill.service_file import Limits
+from magnoliasill.balancing.idle_bounds import BRIEF_S, KEPT_S, IdleBound, bound_idle
+from magnoliasill.calls.connections import ConnectionTable, Link, close_expired
+from magnoliasill.core.messages import MemberRecord
+from magnoliasill.core.node import Node
+from magnoliasill.membership.membership import merge_records
+from magnoliasill.membership.servers import Position, ServerGroup, ServerIndex, find_group
+from magnoliasill.versions.service_file import Limits
 
 DAEMONS = 170
 CALLS_PER_SECOND_OF_SERVER = 100
--- a/tests/test_limits.py
+++ b/tests/balancing/test_limits.py
@@ -10,17 +10,22 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.admission import MAX_SPREAD_S, ServiceLoad, choose_retry_after, count_admitted
-from magnoliasill.balancer import LoadTable, Question, pick_server
-from magnoliasill.dispatch import FORGET_INTERVAL_S, Dispatcher, Request, find_servers
-from magnoliasill.limits import MAX_HOLD_S, adapt_limit, apply_report
-from magnoliasill.load import LoadReport, read_report
-from magnoliasill.messages import MemberRecord
-from magnoliasill.node import Node
-from magnoliasill.outcomes import OutcomeKind
-from magnoliasill.servers import ServerGroup
-from magnoliasill.service_file import Release, Route, ServiceFile
-from magnoliasill.upstreams import FORGET_AFTER_S, find_upstream
+from magnoliasill.balancing.admission import (
+    MAX_SPREAD_S,
+    ServiceLoad,
+    choose_retry_after,
+    count_admitted,
+)
+from magnoliasill.balancing.balancer import LoadTable, Question, pick_server
+from magnoliasill.balancing.limits import MAX_HOLD_S, adapt_limit, apply_report
+from magnoliasill.balancing.load import LoadReport, read_report
+from magnoliasill.balancing.upstreams import FORGET_AFTER_S, find_upstream
+from magnoliasill.calls.dispatch import FORGET_INTERVAL_S, Dispatcher, Request, find_servers
+from magnoliasill.core.messages import MemberRecord
+from magnoliasill.core.node import Node
+from magnoliasill.core.outcomes import OutcomeKind
+from magnoliasill.membership.servers import ServerGroup
+from magnoliasill.versions.service_file import Release, Route, ServiceFile
 
 SLOTS = 10
 WORK_S = 0.1
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from magnoliasill.manifest import Head, hash_blob
-from magnoliasill.service_file import Release, Route, ServiceFile, encode_service_file
+from magnoliasill.versions.manifest import Head, hash_blob
+from magnoliasill.versions.service_file import Release, Route, ServiceFile, encode_service_file
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/tests/test_callers.py
+++ b/tests/calls/test_callers.py
@@ -5,10 +5,10 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.callers import CallerProtocol
-from magnoliasill.proxy import build_application
+from magnoliasill.calls.callers import CallerProtocol
+from magnoliasill.calls.proxy import build_application
 
-from .serving import build_proxy, exchange_bytes, read_request, serve_bytes, serve_locally
+from ..serving import build_proxy, exchange_bytes, read_request, serve_bytes, serve_locally
 
 
 def frame(line: str, *headers: str, body: str = "") -> bytes:
--- a/tests/test_crashes.py
+++ b/tests/calls/test_crashes.py
@@ -10,11 +10,9 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.actions import Log, SendMessage
-from magnoliasill.call import Call
-from magnoliasill.codes import ErrorCode, LogEvent
-from magnoliasill.connections import ConnectionTable
-from magnoliasill.crashes import (
+from magnoliasill.calls.call import Call
+from magnoliasill.calls.connections import ConnectionTable
+from magnoliasill.calls.crashes import (
     FIRST_BLOCK_S,
     LONGEST_BLOCK_S,
     MAX_ENTRIES,
@@ -24,13 +22,15 @@
     receive_crash_notice,
     record_crash,
 )
+from magnoliasill.calls.exchange import exchange_call
+from magnoliasill.calls.guard import guard_exchange
+from magnoliasill.codes import ErrorCode, LogEvent
+from magnoliasill.core.actions import Log, SendMessage
+from magnoliasill.core.messages import CrashNotice, MemberRecord
+from magnoliasill.core.node import Member, Node
 from magnoliasill.errors import CallError
-from magnoliasill.exchange import exchange_call
-from magnoliasill.guard import guard_exchange
-from magnoliasill.messages import CrashNotice, MemberRecord
-from magnoliasill.node import Member, Node
 
-from .serving import read_request, serve_bytes
+from ..serving import read_request, serve_bytes
 
 DAEMONS = 170
 PRINT = digest_fingerprint("PUT", "/fees", b"x")
--- a/tests/test_exchange.py
+++ b/tests/calls/test_exchange.py
@@ -13,14 +13,14 @@
 import urllib3
 from testscenarios import WithScenarios
 
-from magnoliasill.call import Call
-from magnoliasill.callers import CallerProtocol
-from magnoliasill.connections import CONNECT_TIMEOUT_S, ConnectionTable, _is_open
-from magnoliasill.exchange import PROBE_TIMEOUT_S, SILENT_AFTER_S, exchange_call
-from magnoliasill.outcomes import OutcomeKind
-from magnoliasill.proxy import build_application
-
-from .serving import TIMEOUT_S, build_proxy, read_request, serve_bytes, serve_locally
+from magnoliasill.calls.call import Call
+from magnoliasill.calls.callers import CallerProtocol
+from magnoliasill.calls.connections import CONNECT_TIMEOUT_S, ConnectionTable, _is_open
+from magnoliasill.calls.exchange import PROBE_TIMEOUT_S, SILENT_AFTER_S, exchange_call
+from magnoliasill.calls.proxy import build_application
+from magnoliasill.core.outcomes import OutcomeKind
+
+from ..serving import TIMEOUT_S, build_proxy, read_request, serve_bytes, serve_locally
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 DEADLINE_S = 5.0
--- a/tests/test_forwarder.py
+++ b/tests/calls/test_forwarder.py
@@ -9,20 +9,20 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.call import Call
+from magnoliasill.balancing.retries import BUDGET_CAP, BUDGET_SHARE, MAX_ATTEMPTS
+from magnoliasill.calls.call import Call
+from magnoliasill.calls.exchange import Answer, Exchange
+from magnoliasill.calls.forwarder import forward_call
+from magnoliasill.calls.serving import Proxy
 from magnoliasill.codes import ErrorCode
+from magnoliasill.core.messages import MemberRecord
+from magnoliasill.core.node import Node
+from magnoliasill.core.outcomes import OutcomeKind
 from magnoliasill.errors import CallError
-from magnoliasill.exchange import Answer, Exchange
-from magnoliasill.forwarder import forward_call
-from magnoliasill.membership import merge_records
-from magnoliasill.messages import MemberRecord
-from magnoliasill.metrics import build_metrics
-from magnoliasill.node import Node
-from magnoliasill.outcomes import OutcomeKind
-from magnoliasill.retries import BUDGET_CAP, BUDGET_SHARE, MAX_ATTEMPTS
-from magnoliasill.routing import RouteTarget
-from magnoliasill.service_file import Limits, Release, Route, ServiceFile
-from magnoliasill.serving import Proxy
+from magnoliasill.membership.membership import merge_records
+from magnoliasill.process.metrics import build_metrics
+from magnoliasill.versions.routing import RouteTarget
+from magnoliasill.versions.service_file import Limits, Release, Route, ServiceFile
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Sequence
--- a/tests/test_uploads.py
+++ b/tests/calls/test_uploads.py
@@ -10,10 +10,10 @@
 import msgspec
 import testtools
 
-from magnoliasill.callers import CallerProtocol
-from magnoliasill.proxy import build_application
+from magnoliasill.calls.callers import CallerProtocol
+from magnoliasill.calls.proxy import build_application
 
-from .serving import TIMEOUT_S, build_proxy, exchange_bytes, serve_bytes, serve_locally
+from ..serving import TIMEOUT_S, build_proxy, exchange_bytes, serve_bytes, serve_locally
 
 SIZE = 30_000_000
 PIECE = bytes(100_000)
--- a/tests/claim_cluster.py
+++ b/tests/claim_cluster.py
@@ -10,16 +10,16 @@
 import eventlet
 
 from fakes.store import Tables, apply_request
-from magnoliasill.actions import Log, ResetPeer, ResolveWait, SendMessage, StoreWrite
-from magnoliasill.answers import is_not_run
-from magnoliasill.call import Call
-from magnoliasill.engine import step
+from magnoliasill.calls.answers import is_not_run
+from magnoliasill.calls.call import Call
+from magnoliasill.calls.exchange import Answer
+from magnoliasill.claims.idempotency import Peers, resolve_wait, run_once
+from magnoliasill.core.actions import Log, ResetPeer, ResolveWait, SendMessage, StoreWrite
+from magnoliasill.core.engine import step
+from magnoliasill.core.events import MessageReceived, StoreFailed, Tick
+from magnoliasill.core.messages import ClaimQuery, ClaimReply, ClaimRequest, MemberRecord
+from magnoliasill.core.node import Member, Node
 from magnoliasill.errors import CallError, StoreError, StoreOutcomeUnknownError
-from magnoliasill.events import MessageReceived, StoreFailed, Tick
-from magnoliasill.exchange import Answer
-from magnoliasill.idempotency import Peers, resolve_wait, run_once
-from magnoliasill.messages import ClaimQuery, ClaimReply, ClaimRequest, MemberRecord
-from magnoliasill.node import Member, Node
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/test_claim_ranges.py
+++ b/tests/claims/test_claim_ranges.py
@@ -12,14 +12,13 @@
 from testscenarios import WithScenarios
 
 from fakes.store import Tables, apply_request
-from magnoliasill.actions import LeaseGrant, Log, SendMessage, StoreWrite
-from magnoliasill.claim_holder import (
+from magnoliasill.claims.claim_holder import (
     BUCKET_RECORDS,
     RETENTION_LEASE_S,
     RETENTION_S,
     WRITE_INTERVAL_S,
 )
-from magnoliasill.claim_ranges import (
+from magnoliasill.claims.claim_ranges import (
     LOAD_BATCH,
     list_candidates,
     receive_claim_answer,
@@ -27,7 +26,7 @@
     release_ranges,
     tick_claims,
 )
-from magnoliasill.claim_records import (
+from magnoliasill.claims.claim_records import (
     ClaimRecord,
     add_run,
     build_run,
@@ -35,9 +34,10 @@
     find_in_run,
     find_range,
 )
-from magnoliasill.membership import leave
-from magnoliasill.messages import ClaimReply, ClaimRequest, MemberRecord
-from magnoliasill.node import Member, Node
+from magnoliasill.core.actions import LeaseGrant, Log, SendMessage, StoreWrite
+from magnoliasill.core.messages import ClaimReply, ClaimRequest, MemberRecord
+from magnoliasill.core.node import Member, Node
+from magnoliasill.membership.membership import leave
 
 NUMBER = 0
 
--- a/tests/test_idempotency.py
+++ b/tests/claims/test_idempotency.py
@@ -10,14 +10,14 @@
 from testscenarios import WithScenarios
 
 from fakes.store import Faults
-from magnoliasill import idempotency
-from magnoliasill.claim_ranges import list_candidates
-from magnoliasill.claim_records import digest_key, find_range
+from magnoliasill.claims import idempotency
+from magnoliasill.claims.claim_ranges import list_candidates
+from magnoliasill.claims.claim_records import digest_key, find_range
 from magnoliasill.codes import ErrorCode
-from magnoliasill.membership import leave
+from magnoliasill.membership.membership import leave
 
-from . import serving
-from .claim_cluster import (
+from .. import serving
+from ..claim_cluster import (
     LEASE_OVER_S,
     Cluster,
     build_cluster,
--- a/tests/tool.py
+++ b/tests/command_line.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from magnoliasill.cli import main
+from magnoliasill.tool.cli import main
 
 
 @attrs.frozen
--- a/tests/test_messages.py
+++ b/tests/core/test_messages.py
@@ -7,9 +7,7 @@
 from hypothesis import strategies as st
 from testscenarios import WithScenarios
 
-from magnoliasill.errors import MessageError
-from magnoliasill.manifest import build_delta
-from magnoliasill.messages import (
+from magnoliasill.core.messages import (
     MAX_MESSAGE_BYTES,
     ClaimQuery,
     ClaimReply,
@@ -29,8 +27,10 @@
     decode_message,
     encode_message,
 )
+from magnoliasill.errors import MessageError
+from magnoliasill.versions.manifest import build_delta
 
-from .builders import build_head, build_service
+from ..builders import build_head, build_service
 
 SENDER = MemberRecord("a-1", "a", "127.0.0.1:1", 1)
 HEAD, BLOBS = build_head(1, [build_service("certs")])
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `magnoliasill.membership`."""
--- a/tests/test_membership.py
+++ b/tests/membership/test_membership.py
@@ -11,9 +11,9 @@
 from testscenarios import WithScenarios
 
 from magnoliasill.codes import LogEvent
-from magnoliasill.membership import merge_records
-from magnoliasill.messages import MemberRecord
-from magnoliasill.node import Node
+from magnoliasill.core.messages import MemberRecord
+from magnoliasill.core.node import Node
+from magnoliasill.membership.membership import merge_records
 
 OWN = MemberRecord("a-1", "a", "127.0.0.1:1", 1)
 OTHER = MemberRecord("a-2", "a", "127.0.0.1:2", 5)
--- a/tests/test_probing.py
+++ b/tests/membership/test_probing.py
@@ -6,10 +6,10 @@
 from testscenarios import WithScenarios
 
 from magnoliasill.codes import LogEvent
-from magnoliasill.events import ServerAnnounced
+from magnoliasill.core.events import ServerAnnounced
 
-from .network import build_network, freeze_node, kill_node, publish_version, resume_node
-from .test_faults import list_servers, members_agree
+from ..network import build_network, freeze_node, kill_node, publish_version, resume_node
+from ..test_faults import list_servers, members_agree
 
 STEADY_S = 10.0
 DETECTION_LIMIT_S = 12.0
--- a/tests/network.py
+++ b/tests/network.py
@@ -12,20 +12,20 @@
 import attrs
 
 from fakes.store import Tables, apply_request, read_entry
-from magnoliasill.actions import Log, ResetPeer, SendMessage, StoreWatch, StoreWrite
-from magnoliasill.engine import step
+from magnoliasill.core.actions import Log, ResetPeer, SendMessage, StoreWatch, StoreWrite
+from magnoliasill.core.engine import step
+from magnoliasill.core.events import MessageReceived, StoreAnswered, StoreFailed, Tick
+from magnoliasill.core.messages import MemberRecord, decode_message, encode_message
+from magnoliasill.core.node import Node
 from magnoliasill.errors import StoreError, StoreOutcomeUnknownError
-from magnoliasill.events import MessageReceived, StoreAnswered, StoreFailed, Tick
-from magnoliasill.invariants import Acceptance, check_table, observe
-from magnoliasill.manifest import BLOB_PREFIX, HEAD_KEY, encode_head, hash_manifest
-from magnoliasill.messages import MemberRecord, decode_message, encode_message
-from magnoliasill.node import Node
+from magnoliasill.spreading.invariants import Acceptance, check_table, observe
+from magnoliasill.versions.manifest import BLOB_PREFIX, HEAD_KEY, encode_head, hash_manifest
 
 from .builders import build_head, build_service
 
 if TYPE_CHECKING:
-    from magnoliasill.actions import Action
-    from magnoliasill.events import Event
+    from magnoliasill.core.actions import Action
+    from magnoliasill.core.events import Event
 
 TICK_S = 0.1
 POLL_S = 0.05
--- a/tests/test_administration.py
+++ b/tests/process/test_administration.py
@@ -11,21 +11,21 @@
 from testscenarios import WithScenarios
 
 from fakes.store import Tables, build_local_store, read_entry
-from magnoliasill.administration import CALLS, Administration, build_administration
-from magnoliasill.changes import MAX_CHANGE_BYTES, MAX_CHANGES_IN_PROGRESS, ChangeContext
+from magnoliasill.calls.serving import Proxy
 from magnoliasill.codes import ErrorCode
+from magnoliasill.core.messages import MemberRecord
+from magnoliasill.core.node import Node
 from magnoliasill.error_catalogue import ERRORS
 from magnoliasill.errors import AdministrationError
-from magnoliasill.messages import MemberRecord
-from magnoliasill.metrics import build_metrics
-from magnoliasill.node import Node
-from magnoliasill.publisher import read_accepted
-from magnoliasill.service_file import encode_service_file
-from magnoliasill.serving import Proxy
-from magnoliasill.teams import check_token, set_token
+from magnoliasill.process.administration import CALLS, Administration, build_administration
+from magnoliasill.process.metrics import build_metrics
+from magnoliasill.publishing.changes import MAX_CHANGE_BYTES, MAX_CHANGES_IN_PROGRESS, ChangeContext
+from magnoliasill.publishing.publisher import read_accepted
+from magnoliasill.publishing.teams import check_token, set_token
+from magnoliasill.versions.service_file import encode_service_file
 from tools.docs import ROOT
 
-from .builders import build_service
+from ..builders import build_service
 
 NOW = datetime(2027, 1, 1, tzinfo=UTC)
 
--- a/tests/test_metrics.py
+++ b/tests/process/test_metrics.py
@@ -8,11 +8,15 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from fakes.store import Tables, build_local_store
-from magnoliasill.actions import StoreRead, StoreWatch, StoreWrite
+from magnoliasill.calls.proxy import build_application
+from magnoliasill.calls.serving import Proxy
+from magnoliasill.core.actions import StoreRead, StoreWatch, StoreWrite
+from magnoliasill.core.messages import MemberRecord
+from magnoliasill.core.node import Node
+from magnoliasill.core.outcomes import Outcome, OutcomeKind
 from magnoliasill.errors import StoreError
-from magnoliasill.exposition import format_metrics
-from magnoliasill.messages import MemberRecord
-from magnoliasill.metrics import (
+from magnoliasill.process.exposition import format_metrics
+from magnoliasill.process.metrics import (
     COUNTERS,
     GAUGES,
     HISTOGRAMS,
@@ -20,10 +24,6 @@
     build_metrics,
     count_store_requests,
 )
-from magnoliasill.node import Node
-from magnoliasill.outcomes import Outcome, OutcomeKind
-from magnoliasill.proxy import build_application
-from magnoliasill.serving import Proxy
 from tools.docs import ROOT
 
 
--- a/tests/test_settings.py
+++ b/tests/process/test_settings.py
@@ -7,7 +7,7 @@
 
 from magnoliasill.codes import ErrorCode
 from magnoliasill.errors import SettingsError
-from magnoliasill.settings import load_settings
+from magnoliasill.process.settings import load_settings
 
 GOOD = {
     "name": "a-1",
--- a/tests/test_publisher.py
+++ b/tests/publishing/test_publisher.py
@@ -9,8 +9,8 @@
 from testscenarios import WithScenarios
 
 from fakes.store import Tables, build_local_store, put_item
-from magnoliasill.actions import StoreWrite
 from magnoliasill.codes import ErrorCode
+from magnoliasill.core.actions import StoreWrite
 from magnoliasill.errors import (
     ConfigurationError,
     PublishError,
@@ -18,11 +18,11 @@
     StoreError,
     StoreOutcomeUnknownError,
 )
-from magnoliasill.history import read_base, read_changes
-from magnoliasill.manifest import BLOB_PREFIX, HEAD_KEY
-from magnoliasill.publisher import Publish, plan_undo, publish, read_accepted, read_head
+from magnoliasill.publishing.history import read_base, read_changes
+from magnoliasill.publishing.publisher import Publish, plan_undo, publish, read_accepted, read_head
+from magnoliasill.versions.manifest import BLOB_PREFIX, HEAD_KEY
 
-from .builders import build_service
+from ..builders import build_service
 
 NOW = datetime(2027, 1, 1, tzinfo=UTC)
 
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -10,12 +10,12 @@
 import eventlet.wsgi
 import msgspec
 
-from magnoliasill.configuration import build_snapshot
-from magnoliasill.messages import MemberRecord
-from magnoliasill.metrics import build_metrics
-from magnoliasill.node import Node
-from magnoliasill.service_file import Limits, Release, Route, ServiceFile
-from magnoliasill.serving import Proxy
+from magnoliasill.calls.serving import Proxy
+from magnoliasill.core.messages import MemberRecord
+from magnoliasill.core.node import Node
+from magnoliasill.process.metrics import build_metrics
+from magnoliasill.versions.configuration import build_snapshot
+from magnoliasill.versions.service_file import Limits, Release, Route, ServiceFile
 
 from .builders import build_head
 
--- a/tests/sidecar/test_transfer.py
+++ b/tests/sidecar/test_transfer.py
@@ -8,7 +8,7 @@
 
 import testtools
 
-from magnoliasill.connections import ConnectionTable
+from magnoliasill.calls.connections import ConnectionTable
 from magnoliasill.sidecar import transfer
 from magnoliasill.sidecar.transfer import (
     BrokenError,
--- a/tests/test_distribution.py
+++ b/tests/spreading/test_distribution.py
@@ -10,23 +10,23 @@
 from testscenarios import WithScenarios
 
 from magnoliasill.codes import LogEvent
-from magnoliasill.distribution import REPLY_BYTES, offer_configuration, receive_request
-from magnoliasill.engine import step
-from magnoliasill.events import MessageReceived, Tick
-from magnoliasill.invariants import check_convergence, check_versions
-from magnoliasill.manifest import HeadDelta
-from magnoliasill.messages import (
+from magnoliasill.core.engine import step
+from magnoliasill.core.events import MessageReceived, Tick
+from magnoliasill.core.messages import (
     ConfigurationReply,
     ConfigurationRequest,
     Digest,
     MemberNews,
     MemberRecord,
 )
-from magnoliasill.node import Node
-from magnoliasill.service_file import Release, Route, ServiceFile
-
-from .builders import build_head, build_service
-from .network import build_network, kill_node, publish_version, start_node
+from magnoliasill.core.node import Node
+from magnoliasill.spreading.distribution import REPLY_BYTES, offer_configuration, receive_request
+from magnoliasill.spreading.invariants import check_convergence, check_versions
+from magnoliasill.versions.manifest import HeadDelta
+from magnoliasill.versions.service_file import Release, Route, ServiceFile
+
+from ..builders import build_head, build_service
+from ..network import build_network, kill_node, publish_version, start_node
 
 LIMIT_S = 6.0
 PEER = MemberRecord("a-2", "a", "10.0.0.2:7000", 1)
--- a/tests/test_relays.py
+++ b/tests/spreading/test_relays.py
@@ -7,17 +7,17 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.actions import LeaseGrant, StoreRead, StoreWatch, StoreWrite
-from magnoliasill.engine import step
-from magnoliasill.events import StoreAnswered, StoreEntry, StoreFailed, Tick
-from magnoliasill.manifest import HEAD_KEY, encode_head
-from magnoliasill.membership import leave
-from magnoliasill.messages import MemberRecord
-from magnoliasill.node import Node
-from magnoliasill.relays import BLOBS, RELAYS_PER_DATA_CENTRE, START_SPREAD_S, resign
-
-from .builders import build_head, build_service
-from .network import build_network, kill_node, publish_version, start_node
+from magnoliasill.core.actions import LeaseGrant, StoreRead, StoreWatch, StoreWrite
+from magnoliasill.core.engine import step
+from magnoliasill.core.events import StoreAnswered, StoreEntry, StoreFailed, Tick
+from magnoliasill.core.messages import MemberRecord
+from magnoliasill.core.node import Node
+from magnoliasill.membership.membership import leave
+from magnoliasill.spreading.relays import BLOBS, RELAYS_PER_DATA_CENTRE, START_SPREAD_S, resign
+from magnoliasill.versions.manifest import HEAD_KEY, encode_head
+
+from ..builders import build_head, build_service
+from ..network import build_network, kill_node, publish_version, start_node
 
 LIMIT_S = 6.0
 MAX_READS_PER_SECOND = 2_000 / 1_200  # of each daemon, in a herd restart at the target size
--- a/tests/test_spreading.py
+++ b/tests/spreading/test_spreading.py
@@ -7,9 +7,9 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.messages import Digest, MemberRecord
-from magnoliasill.node import Member, Node
-from magnoliasill.spreading import FANOUT_LOCAL, FANOUT_REMOTE, spread_message
+from magnoliasill.core.messages import Digest, MemberRecord
+from magnoliasill.core.node import Member, Node
+from magnoliasill.spreading.spreading import FANOUT_LOCAL, FANOUT_REMOTE, spread_message
 
 MIN_REACHED = 0.95  # of the daemons, by a message that nobody repeats
 
--- a/tests/takeover_faults.py
+++ b/tests/takeover_faults.py
@@ -6,8 +6,8 @@
 
 import attrs
 
-from magnoliasill.messages import EvidenceReport, EvidenceSummary, TakeoverNews
-from magnoliasill.ramp import LAST_STAGE
+from magnoliasill.core.messages import EvidenceReport, EvidenceSummary, TakeoverNews
+from magnoliasill.takeovers.ramp import LAST_STAGE
 
 from .network import freeze_node, kill_node, resume_node, start_node
 from .takeover_network import SERVICE, Scene, build_scene, publish_takeover
--- a/tests/takeover_network.py
+++ b/tests/takeover_network.py
@@ -8,12 +8,12 @@
 import attrs
 
 from fakes.store import read_entry
-from magnoliasill.manifest import BLOB_PREFIX, HEAD_KEY, encode_head
-from magnoliasill.outcomes import Outcome, OutcomeKind
-from magnoliasill.records import decode_record, name_record_key
-from magnoliasill.releases import choose_release
-from magnoliasill.service_file import Release, Route, ServiceFile, Takeover
-from magnoliasill.tally import count_attempt
+from magnoliasill.core.outcomes import Outcome, OutcomeKind
+from magnoliasill.takeovers.records import decode_record, name_record_key
+from magnoliasill.takeovers.releases import choose_release
+from magnoliasill.takeovers.tally import count_attempt
+from magnoliasill.versions.manifest import BLOB_PREFIX, HEAD_KEY, encode_head
+from magnoliasill.versions.service_file import Release, Route, ServiceFile, Takeover
 
 from . import network as virtual
 from .builders import build_head
@@ -22,8 +22,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliasill.plans import Phase
-    from magnoliasill.records import Record
+    from magnoliasill.takeovers.plans import Phase
+    from magnoliasill.takeovers.records import Record
 
 CALLS_PER_TICK = 6  # of each daemon, every TRAFFIC_S
 TRAFFIC_S = 0.1
--- a/tests/test_collecting.py
+++ b/tests/takeovers/test_collecting.py
@@ -7,16 +7,16 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.plans import Phase
-from magnoliasill.rollout import is_lowered
+from magnoliasill.takeovers.plans import Phase
+from magnoliasill.takeovers.rollout import is_lowered
 
-from .takeover_faults import FAULTS, LENGTH_S, SETTLE_S, STEPS, reach_stage, start_takeover
-from .takeover_network import SERVICE
+from ..takeover_faults import FAULTS, LENGTH_S, SETTLE_S, STEPS, reach_stage, start_takeover
+from ..takeover_network import SERVICE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .takeover_network import Scene
+    from ..takeover_network import Scene
 
 
 class BadReleaseTest(WithScenarios, testtools.TestCase):
--- a/tests/test_controller.py
+++ b/tests/takeovers/test_controller.py
@@ -8,19 +8,19 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.controller import WRITE
-from magnoliasill.engine import step
-from magnoliasill.events import StoreAnswered, StoreEntry
-from magnoliasill.plans import Phase
+from magnoliasill.core.engine import step
+from magnoliasill.core.events import StoreAnswered, StoreEntry
+from magnoliasill.takeovers.controller import WRITE
+from magnoliasill.takeovers.plans import Phase
 
-from .network import start_node
-from .takeover_faults import FAULTS, LENGTH_S, SETTLE_S, STEPS, reach_stage, start_takeover
-from .takeover_network import build_scene, publish_plain, publish_takeover
+from ..network import start_node
+from ..takeover_faults import FAULTS, LENGTH_S, SETTLE_S, STEPS, reach_stage, start_takeover
+from ..takeover_network import build_scene, publish_plain, publish_takeover
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .takeover_network import Scene
+    from ..takeover_network import Scene
 
 
 class GoodReleaseTest(WithScenarios, testtools.TestCase):
--- a/tests/test_rollout.py
+++ b/tests/takeovers/test_rollout.py
@@ -8,10 +8,17 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.evidence import LEVEL_ALARM, Finding, RouteEvidence
-from magnoliasill.plans import Phase, Plan, Progress
-from magnoliasill.ramp import LAST_STAGE, STAGES, compute_boosts
-from magnoliasill.rollout import AGREEMENT, LOWERED_SHARE, Verdict, compute_share, decide, judge
+from magnoliasill.takeovers.evidence import LEVEL_ALARM, Finding, RouteEvidence
+from magnoliasill.takeovers.plans import Phase, Plan, Progress
+from magnoliasill.takeovers.ramp import LAST_STAGE, STAGES, compute_boosts
+from magnoliasill.takeovers.rollout import (
+    AGREEMENT,
+    LOWERED_SHARE,
+    Verdict,
+    compute_share,
+    decide,
+    judge,
+)
 
 PLAN = Plan("id", "lessons", "r1", "r2", 1_000.0, 1_100.0, ("view",))
 RUNNING = Progress("id", number=3, stage=2, changed_at=1_020.0, trial="a")
--- a/tests/test_sequential.py
+++ b/tests/takeovers/test_sequential.py
@@ -9,7 +9,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from magnoliasill.sequential import (
+from magnoliasill.takeovers.sequential import (
     Reference,
     Sample,
     build_comparison,
--- a/tests/test_tally.py
+++ b/tests/takeovers/test_tally.py
@@ -8,13 +8,13 @@
 from hypothesis import strategies as st
 from testscenarios import WithScenarios
 
-from magnoliasill.collecting import keep_counts, take_untested
-from magnoliasill.messages import EvidenceReport
-from magnoliasill.outcomes import Outcome, OutcomeKind
-from magnoliasill.tally import MAX_BURST, ServerFacts, count_attempt
+from magnoliasill.core.messages import EvidenceReport
+from magnoliasill.core.outcomes import Outcome, OutcomeKind
+from magnoliasill.takeovers.collecting import keep_counts, take_untested
+from magnoliasill.takeovers.tally import MAX_BURST, ServerFacts, count_attempt
 
-from .takeover_faults import start_takeover
-from .takeover_network import SERVICE
+from ..takeover_faults import start_takeover
+from ..takeover_network import SERVICE
 
 GOOD = Outcome(SERVICE, "view", "r2", "10.9.9.9:80", OutcomeKind.SUCCEEDED, 100.0, 0.01)
 FAILED = attrs.evolve(GOOD, kind=OutcomeKind.FAILED)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -60,5 +60,9 @@
         text = (ROOT / "docs" / "DEVELOPERS.md").read_text(encoding="utf-8")
         table = text.split("## Module map")[1].split("##")[0]
         named = sorted(re.findall(r"`(\w+)`", table))
-        paths = (ROOT / "src" / "magnoliasill").glob("*.py")
+        root = ROOT / "src" / "magnoliasill"
+        described = {root / name for name in ("mesh", "platform", "sidecar")}  # by docs/PLATFORM.md
+        paths = [path for path in root.rglob("*.py") if path.parent not in described]
         self.assertEqual(sorted(path.stem for path in paths if path.stem != "__init__"), named)
+        packages = sorted(re.findall(r"`(\w+)/`", table))
+        self.assertEqual(sorted(path.parent.name for path in root.glob("*/__init__.py")), packages)
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -10,20 +10,20 @@
 from testscenarios import WithScenarios, multiply_scenarios
 
 from fakes.store import build_local_store, expire_leases
+from magnoliasill.core.events import ServerAnnounced
+from magnoliasill.core.messages import ConfigurationRequest, Digest
 from magnoliasill.errors import PublishError
-from magnoliasill.events import ServerAnnounced
-from magnoliasill.invariants import (
+from magnoliasill.membership.servers import ServerIndex, find_group
+from magnoliasill.publishing.publisher import Publish, publish, read_head
+from magnoliasill.spreading.invariants import (
     Acceptance,
     check_accepted,
     check_convergence,
     check_leaving,
     check_versions,
 )
-from magnoliasill.manifest import hash_manifest
-from magnoliasill.messages import ConfigurationRequest, Digest
-from magnoliasill.publisher import Publish, publish, read_head
-from magnoliasill.relays import CLAIM
-from magnoliasill.servers import ServerIndex, find_group
+from magnoliasill.spreading.relays import CLAIM
+from magnoliasill.versions.manifest import hash_manifest
 
 from .builders import build_service
 from .network import (
@@ -37,8 +37,8 @@
 )
 
 if TYPE_CHECKING:
-    from magnoliasill.messages import MemberRecord
-    from magnoliasill.node import Node
+    from magnoliasill.core.messages import MemberRecord
+    from magnoliasill.core.node import Node
 
 SEED = 4
 LIMIT_S = 6.0
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,12 +10,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from magnoliasill.actions import SendMessage
-from magnoliasill.engine import step
-from magnoliasill.events import MessageReceived, Tick
-from magnoliasill.invariants import check_accepted, check_table, check_versions
-from magnoliasill.manifest import Head, HeadDelta
-from magnoliasill.messages import (
+from magnoliasill.core.actions import SendMessage
+from magnoliasill.core.engine import step
+from magnoliasill.core.events import MessageReceived, Tick
+from magnoliasill.core.messages import (
     MAX_MESSAGE_BYTES,
     ConfigurationReply,
     ConfigurationRequest,
@@ -30,7 +28,9 @@
     decode_message,
     encode_message,
 )
-from magnoliasill.node import Node
+from magnoliasill.core.node import Node
+from magnoliasill.spreading.invariants import check_accepted, check_table, check_versions
+from magnoliasill.versions.manifest import Head, HeadDelta
 
 from .builders import build_head, build_service
 from .network import (
--- a/tests/test_processes_administration.py
+++ b/tests/test_processes_administration.py
@@ -26,9 +26,9 @@
     stop_fleet,
     wait_until,
 )
-from magnoliasill.cli import COMMANDS
+from magnoliasill.tool.cli import COMMANDS
 
-from .tool import run_tool
+from .command_line import run_tool
 
 WAIT_S = 60.0
 DAEMON_START = "from magnoliasill.programs import run_daemon; run_daemon()"
--- a/tests/test_processes_peers.py
+++ b/tests/test_processes_peers.py
@@ -16,7 +16,7 @@
 warnings.simplefilter("ignore")
 import eventlet
 eventlet.monkey_patch()
-from magnoliasill.peers import open_peers, receive_from_peers, send_to_peer
+from magnoliasill.process.peers import open_peers, receive_from_peers, send_to_peer
 
 receiver, sender = open_peers("{first}"), open_peers("{second}")
 received = eventlet.Queue()
--- a/tests/test_processes_spread.py
+++ b/tests/test_processes_spread.py
@@ -25,7 +25,7 @@
     stop_fleet,
     wait_until,
 )
-from magnoliasill.publisher import Publish, publish, read_head
+from magnoliasill.publishing.publisher import Publish, publish, read_head
 from magnoliasill.store import connect_store
 
 from .builders import build_service
@@ -33,7 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from magnoliasill.manifest import Head
+    from magnoliasill.versions.manifest import Head
 
 WAIT_S = 40.0
 SERVICE = "lessons"
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -7,7 +7,7 @@
 import testtools
 
 from fakes.store import PAGE_ITEMS, Tables, build_local_store, drop_history, put_item
-from magnoliasill.actions import (
+from magnoliasill.core.actions import (
     LeaseGrant,
     LeaseKeepAlive,
     LeaseRevoke,
@@ -20,7 +20,7 @@
 from magnoliasill.store import PAGED_KEYS
 
 if TYPE_CHECKING:
-    from magnoliasill.events import StoreEntry
+    from magnoliasill.core.events import StoreEntry
 
 
 class StoreCase(testtools.TestCase):
--- a/tests/test_takeover_input.py
+++ b/tests/test_takeover_input.py
@@ -11,8 +11,8 @@
 
 from fakes.store import Tables, build_local_store
 from magnoliasill.errors import ServiceFileError
-from magnoliasill.manifest import HEAD_KEY, check_deadlines
-from magnoliasill.publisher import Publish, collect_services, publish
+from magnoliasill.publishing.publisher import Publish, collect_services, publish
+from magnoliasill.versions.manifest import HEAD_KEY, check_deadlines
 
 NOW = datetime(2030, 1, 1, tzinfo=UTC)
 SERVICE = """
--- a/tests/test_explain.py
+++ b/tests/tool/test_explain.py
@@ -8,7 +8,7 @@
 
 import testtools
 
-from .tool import run_tool
+from ..command_line import run_tool
 
 
 def build_line(second: int, daemon: str, event: str, identifier: str, **fields: object) -> str:
--- a/tests/test_rollout_commands.py
+++ b/tests/tool/test_rollout_commands.py
@@ -6,12 +6,12 @@
 import testtools
 
 from fakes.store import Tables, build_local_store
-from magnoliasill.actions import StoreWrite
-from magnoliasill.plans import Phase, Progress
-from magnoliasill.records import Record, RouteReport, list_rollouts, name_record_key
-from magnoliasill.rollout_commands import describe_record, read_records
+from magnoliasill.core.actions import StoreWrite
+from magnoliasill.takeovers.plans import Phase, Progress
+from magnoliasill.takeovers.records import Record, RouteReport, list_rollouts, name_record_key
+from magnoliasill.tool.rollout_commands import describe_record, read_records
 
-from .takeover_faults import LENGTH_S, reach_stage, start_takeover
+from ..takeover_faults import LENGTH_S, reach_stage, start_takeover
 
 EVIDENCE = {"view": RouteReport(1_000, 40, 9, 1, 0, 3, 2e6, 15.0)}
 
--- a/tests/test_configuration.py
+++ b/tests/versions/test_configuration.py
@@ -6,11 +6,11 @@
 from testscenarios import WithScenarios
 
 from magnoliasill.codes import ErrorCode
-from magnoliasill.configuration import ConfigurationTable, apply_staged, stage_head
 from magnoliasill.errors import ConfigurationError
-from magnoliasill.routing import find_route
+from magnoliasill.versions.configuration import ConfigurationTable, apply_staged, stage_head
+from magnoliasill.versions.routing import find_route
 
-from .builders import build_head, build_service
+from ..builders import build_head, build_service
 
 
 class RefusedConfigurationTest(WithScenarios, testtools.TestCase):
--- a/tests/test_service_file.py
+++ b/tests/versions/test_service_file.py
@@ -10,15 +10,15 @@
 
 from magnoliasill.codes import ErrorCode
 from magnoliasill.errors import ServiceFileError
-from magnoliasill.manifest import check_deadlines, check_services
-from magnoliasill.publisher import collect_services
-from magnoliasill.service_file import (
+from magnoliasill.publishing.publisher import collect_services
+from magnoliasill.versions.manifest import check_deadlines, check_services
+from magnoliasill.versions.service_file import (
     decode_service_file,
     encode_service_file,
     parse_service_file,
 )
 
-EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
+EXAMPLES = Path(__file__).resolve().parents[2] / "examples"
 GOOD = """
 service = "lessons"
 team = "teaching"
--- a/tools/docs.py
+++ b/tools/docs.py
@@ -10,7 +10,7 @@
 from magnoliasill.codes import ErrorCode, LogEvent
 from magnoliasill.error_catalogue import ERRORS
 from magnoliasill.event_catalogue import EVENTS
-from magnoliasill.settings import Settings, format_flag, format_variable
+from magnoliasill.process.settings import Settings, format_flag, format_variable
 
 from .faults import build_faults_page
 
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -63,28 +63,28 @@
     ),
     (
         "At most once: steps of a claimed request",
-        "test_idempotency",
+        "claims.test_idempotency",
         "FaultTableTest",
         "test_at_most_once",
         _find_step,
     ),
     (
         "Calls: the end of the first attempt, then of the second",
-        "test_forwarder",
+        "calls.test_forwarder",
         "FaultMatrixTest",
         "test_verdict_is_true",
         _find_ends,
     ),
     (
         "Takeover of a good release: what happens to its controller",
-        "test_controller",
+        "takeovers.test_controller",
         "GoodReleaseTest",
         "test_completed_in_time",
         _find_name,
     ),
     (
         "Takeover of a release that goes bad",
-        "test_collecting",
+        "takeovers.test_collecting",
         "BadReleaseTest",
         "test_taken_back",
         _find_name,
@@ -169,12 +169,13 @@
 def collect_tables() -> list[FaultTable]:
     """Return every fault table of the tests."""
     tables = [_read_scenarios(*place) for place in SCENARIOS]
-    for path in sorted((ROOT / "tests").glob("test_*.py")):
+    for path in sorted((ROOT / "tests").rglob("test_*.py"), key=lambda found: found.stem):
         if "\nFAULT_CELLS" not in path.read_text(encoding="utf-8"):
             continue
-        module = importlib.import_module(f"tests.{path.stem}")
+        name = ".".join(path.relative_to(ROOT).with_suffix("").parts)
+        module = importlib.import_module(name)
         title = TITLES.get(path.stem, path.stem.removeprefix("test_").replace("_", " "))
-        tables.append(FaultTable(title, f"tests.{path.stem}", dict(module.FAULT_CELLS), {}))
+        tables.append(FaultTable(title, name, dict(module.FAULT_CELLS), {}))
     return tables
 
 
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -119,10 +119,10 @@
         _CHANGES,
     ),
     Guard(
-        "controller.py",
+        "takeovers/controller.py",
         "if not answer.succeeded:\n        return _lose_control(node, now, takeover)\n    return _",
         "if False:\n        pass\n    return _",
-        ("tests.test_controller",),
+        ("tests.takeovers.test_controller",),
     ),
 )
 
