--- a/tests/mesh/test_takeovers.py
+++ b/tests/mesh/test_takeovers.py
@@ -184,6 +184,22 @@
             kept += Verdict.BAD not in looks
         self.assertGreaterEqual(kept, 299)
 
+    def test_a_trouble_that_both_releases_share_is_no_fault_of_the_new_one(self) -> None:
+        """valdivieso-salon trouble-1: servers of both releases fail more for some seconds."""
+        kept = 0
+        for seed in range(20):
+            generator = random.Random(seed)
+            old, new = {"view": RouteCounts()}, {"view": RouteCounts()}
+            verdicts = []
+            for look in range(40):
+                rate = 0.01 if look < 30 else 0.2
+                for row, answers in ((old["view"], 110), (new["view"], 5)):
+                    row.answers += answers
+                    row.failures += sum(generator.random() < rate for _ in range(answers))
+                verdicts.append(judge_release([old], [new])[0])
+            kept += Verdict.BAD not in verdicts
+        self.assertGreaterEqual(kept, 19)
+
     def test_slow_answers_show(self) -> None:
         found = 0
         for seed in range(50):
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -397,3 +397,18 @@
         self.assertEqual(set(), set(ends) - {200, 503})
         ran = sum(self.stock.runs.values())
         self.assertEqual(ran, ends.count(200))
+
+
+class NestedFailureTest(CallCase):
+    """valdivieso-salon trouble-1: a good release was taken back for calls that others failed."""
+
+    def test_a_failure_after_a_failed_call_of_its_own_says_nothing_of_a_release(self) -> None:
+        def call_stock(found: object, identifier: str) -> bytes:
+            status = send(self.fleet, 0, "/stock/x", f"{identifier}.1", "POST", b"x")[0]
+            return build_answer(identifier, b"", "500 Broken" if status >= 500 else "200 OK")
+
+        self.fleet.servers[0].behave = call_stock
+        self.stock.behave = lambda found, identifier: b"!reset"
+        self.assertEqual(500, send(self.fleet, 1, "/shop/x", "p-1")[0])
+        counts = self.fleet.sidecars[0].sidecar.counts
+        self.assertEqual(0, counts["r-shop"].failures if "r-shop" in counts else 0)
