--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -115,6 +115,11 @@
     return member.data_centre == own.data_centre
 
 
+def is_long(item: Item) -> bool:
+    """Return whether a value is too long to be handed to every follower."""
+    return item.value is not None and len(item.value) > MAX_RELAYED_BYTES
+
+
 @attrs.define
 class Versions:
     """The latest versions of long values, and the deltas between them that were asked for."""
@@ -124,7 +129,7 @@
 
     def keep(self, item: Item) -> None:
         """Keep a version if it is long."""
-        if item.value is None or len(item.value) <= MAX_RELAYED_BYTES:
+        if not is_long(item):
             return
         kept = self.items.setdefault(item.key, [])
         kept.append(item)
@@ -162,7 +167,7 @@
 
 
 def _shorten(item: Item, versions: Versions, after: int) -> Change:
-    if item.value is None or len(item.value) <= MAX_RELAYED_BYTES:
+    if not is_long(item):
         return Change(item.key, item.revision, item.value, item.lease)
     delta = versions.find_delta(item, after)
     return Change(item.key, item.revision, None, item.lease, long=True, delta=delta)
--- a/src/magnoliasill/sidecar/control_port.py
+++ b/src/magnoliasill/sidecar/control_port.py
@@ -21,7 +21,7 @@
 )
 from .meters import format_meters
 from .protocol import end_connection
-from .relaying import UNKNOWN_AGE_S
+from .relaying import find_store_age
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -151,7 +151,7 @@
         "members": len(sidecar.members.records),
         "members_leaving": sum(m.leaving for m in sidecar.members.records.values()),
         "store_available": float(sidecar.store_reachable),
-        "store_age_seconds": min(sidecar.clock() - sidecar.store_heard_at, UNKNOWN_AGE_S),
+        "store_age_seconds": find_store_age(sidecar),
         "open_requests": sidecar.open_requests,
         "gate_running": gate.running,
         "gate_waiting": len(gate.waiting),
--- a/src/magnoliasill/sidecar/deciding.py
+++ b/src/magnoliasill/sidecar/deciding.py
@@ -6,17 +6,16 @@
 
 import attrs
 import eventlet
-import msgspec
 
 from ..codes import LogEvent
-from ..errors import ConditionFailedError, LeaseEndedError, MagnoliasillError, StoreError
+from ..errors import ConditionFailedError, LeaseEndedError, StoreError
 from ..mesh.evidence import RouteCounts, Verdict, judge_release
 from ..mesh.items import Condition, Put, Transaction
 from ..mesh.records import DECIDER_KEY, TAKEOVER_PREFIX, encode_record
 from ..mesh.takeovers import Moment, Phase, decide_takeover, start_takeover
 from ..platform.operators import STATUS_PREFIX, encode_status
+from .asking import ask_member
 from .state import find_takeover, log_takeover
-from .transfer import Message, exchange
 
 if TYPE_CHECKING:
     from ..mesh.members import Member
@@ -215,14 +214,10 @@
 def _ask(sidecar: Sidecar, member: Member) -> GateCounts | None:
     if member.name == sidecar.settings.name:
         return describe_counts(sidecar)
-    message = Message("GET", COUNTS_PATH, [("Host", member.gate)], None)
-    deadline = sidecar.clock() + ASK_TIMEOUT_S
-    try:
-        reply = exchange(sidecar.peer_links, member.gate, message, deadline, True)
-        return msgspec.json.decode(reply.body, type=GateCounts)
-    except (MagnoliasillError, msgspec.MsgspecError):
+    counts = ask_member(sidecar, member, COUNTS_PATH, ASK_TIMEOUT_S, GateCounts)
+    if counts is None:
         sidecar.meters.count("attempts", "counts_unread")
-        return None
+    return counts
 
 
 def describe_counts(sidecar: Sidecar) -> GateCounts:
--- a/src/magnoliasill/sidecar/following.py
+++ b/src/magnoliasill/sidecar/following.py
@@ -17,6 +17,7 @@
 )
 from ..mesh.members import drop_lapsed, find_condition, lapse_member, put_member, remove_member
 from ..mesh.records import MEMBER_PREFIX, TAKEOVER_PREFIX, decode_member, decode_takeover
+from ..mesh.relays import is_long
 from ..platform.operators import (
     CONFIGURATION_KEY,
     ORDER_PREFIX,
@@ -86,8 +87,6 @@
             break
         after = page.items[-1].key
     for item in apply_snapshot(sidecar.mirror, items, revision):
-        if watches_store(sidecar):
-            sidecar.versions.keep(item)
         _apply(sidecar, item)
 
 
@@ -101,8 +100,6 @@
     changed = apply_changes(sidecar.mirror, page)
     newest = {item.key: item for item in changed}
     for item in newest.values():
-        if watches_store(sidecar):
-            sidecar.versions.keep(item)
         _apply(sidecar, item)
 
 
@@ -118,6 +115,8 @@
 
 
 def _apply(sidecar: Sidecar, item: Item) -> None:
+    if is_long(item) and watches_store(sidecar):
+        sidecar.versions.keep(item)
     try:
         if item.key == CONFIGURATION_KEY:
             _apply_configuration(sidecar, item)
--- a/src/magnoliasill/sidecar/relaying.py
+++ b/src/magnoliasill/sidecar/relaying.py
@@ -9,11 +9,10 @@
 import msgspec
 
 from ..codes import LogEvent
-from ..errors import MagnoliasillError
 from ..mesh.deltas import DeltaError, apply_delta
 from ..mesh.items import Item, Page
 from ..mesh.relays import MAX_AGE_S, Relayed, choose_relay, is_relay, relay_changes
-from .transfer import Message, exchange
+from .asking import ask_member
 
 if TYPE_CHECKING:
     from ..mesh.members import Member
@@ -40,7 +39,7 @@
     while sidecar.mirror.revision <= after and sidecar.clock() < until:
         eventlet.sleep(STEP_S)
     sidecar.meters.count("relay", "answered")
-    answer = relay_changes(sidecar.mirror, sidecar.versions, after, _find_age(sidecar))
+    answer = relay_changes(sidecar.mirror, sidecar.versions, after, find_store_age(sidecar))
     return msgspec.json.encode(answer)
 
 
@@ -79,7 +78,8 @@
     return is_relay(sidecar.members, sidecar.settings.name)
 
 
-def _find_age(sidecar: Sidecar) -> float:
+def find_store_age(sidecar: Sidecar) -> float:
+    """Return the seconds since the store last confirmed what is known here."""
     return min(sidecar.clock() - sidecar.store_heard_at, UNKNOWN_AGE_S)
 
 
@@ -95,14 +95,10 @@
 
 def _ask(sidecar: Sidecar, relay: Member) -> Relayed | None:
     target = f"{CHANGES_PATH}?after={sidecar.mirror.revision}"
-    message = Message("GET", target, [("Host", relay.gate)], None)
-    deadline = sidecar.clock() + WAIT_S + ANSWER_S
-    try:
-        reply = exchange(sidecar.peer_links, relay.gate, message, deadline, True)
-        return msgspec.json.decode(reply.body, type=Relayed)
-    except (MagnoliasillError, msgspec.MsgspecError):
+    answer = ask_member(sidecar, relay, target, WAIT_S + ANSWER_S, Relayed)
+    if answer is None:
         sidecar.meters.count("relay", "unread")
-        return None
+    return answer
 
 
 def _read(sidecar: Sidecar, change: Change) -> Item:
--- /dev/null
+++ b/tests/sidecar/test_releases.py
@@ -0,0 +1,51 @@
+"""What requests show of a new release, and what they don't."""
+
+from __future__ import annotations
+
+import attrs
+
+from magnoliasill.mesh.members import put_member
+from magnoliasill.mesh.takeovers import Takeover
+
+from .fleet import build_answer, send
+from .test_calls import CallCase
+
+
+class NewReleaseTest(CallCase):
+    """ikenna-lms hunt-009a-3: requests that a bad release failed were sent to it once more."""
+
+    services = ("shop", "stock", "stock", "stock")
+
+    def test_a_request_that_it_failed_goes_to_the_established_release(self) -> None:
+        for index, running in enumerate(self.fleet.sidecars):
+            sidecar = running.sidecar
+            sidecar.takeovers["stock"] = (Takeover("stock", "v2", 1, share=0.99), 1)
+            for name in ("vm-2", "vm-3"):
+                put_member(
+                    sidecar.members, attrs.evolve(sidecar.members.records[name], release="v2")
+                )
+            if index in (1, 2):
+                latest = sidecar.backend.latest
+                sidecar.backend.latest = attrs.evolve(latest, release="v2")
+                self.fleet.servers[index].behave = lambda found, i: build_answer(
+                    i, b"", "500 Broken"
+                )
+        for number in range(5):  # within the budget of repeats
+            self.assertEqual(200, send(self.fleet, 0, "/stock/x", f"v-{number}")[0])
+            failed = [server.runs[f"v-{number}"] for server in self.fleet.servers[1:3]]
+            self.assertLessEqual(sum(failed), 1)
+
+
+class NestedFailureTest(CallCase):
+    """valdivieso-salon trouble-1: a good release was taken back for calls that others failed."""
+
+    def test_a_failure_after_a_failed_call_of_its_own_says_nothing_of_a_release(self) -> None:
+        def call_stock(found: object, identifier: str) -> bytes:
+            status = send(self.fleet, 0, "/stock/x", f"{identifier}.1", "POST", b"x")[0]
+            return build_answer(identifier, b"", "500 Broken" if status >= 500 else "200 OK")
+
+        self.fleet.servers[0].behave = call_stock
+        self.stock.behave = lambda found, identifier: b"!reset"
+        self.assertEqual(500, send(self.fleet, 1, "/shop/x", "p-1")[0])
+        counts = self.fleet.sidecars[0].sidecar.counts
+        self.assertEqual(0, counts["r-shop"].failures if "r-shop" in counts else 0)
