Log how each version of the configuration arrived, and count refused writes of the member record

The logs could not tell whether a late version was one of many in a long answer of the store, came late from a relay, or waited behind writes of the record. CONFIGURATION_RECEIVED gives source, versions and bytes of the answer, its duration and the age of the local copy before; RELAY_DISTRUSTED gives the time lost with the relay; REGISTRATION_CHANGED the writes refused before. No decision changes.

--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -52,6 +52,13 @@
     LogEvent.CONFIGURATION_APPLIED: EventEntry(
         "This daemon applied a newer configuration.", fields=("version", "publish_id")
     ),
+    LogEvent.CONFIGURATION_RECEIVED: EventEntry(
+        "A response with versions of the configuration arrived: from a relay (its name), from a "
+        "watch of the store or from a read of its items, and how old the local copy was before.",
+        fields=("source", "revision", "versions", "size", "seconds", "copy_age_s"),
+        reaction="if `copy_age_s` or `seconds` is near the time allowed to apply a change, check "
+        "the VM's link and whether the store answers it",
+    ),
     LogEvent.CONFIGURATION_REFUSED: EventEntry(
         "A newer configuration was rejected as a whole; the applied one stays.",
         fields=("version", "code", "reason"),
@@ -118,7 +125,7 @@
     ),
     LogEvent.RELAY_DISTRUSTED: EventEntry(
         "This sidecar reads the store directly for a while instead of through its relay.",
-        fields=("relay", "reason", "revision"),
+        fields=("relay", "reason", "revision", "seconds"),
         reaction="nothing, unless one relay is named for minutes: check its VM",
     ),
     LogEvent.STORE_UNAVAILABLE: EventEntry(
@@ -244,7 +251,7 @@
     ),
     LogEvent.REGISTRATION_CHANGED: EventEntry(
         "This daemon's record was written to the store or removed.",
-        fields=("instance", "leaving", "revision"),
+        fields=("instance", "leaving", "revision", "conflicts"),
     ),
     LogEvent.REGISTRATION_LOST: EventEntry(
         "The lease of this daemon's record has ended; the record is written again.",
--- a/src/magnoliasill/sidecar/metrics.py
+++ b/src/magnoliasill/sidecar/metrics.py
@@ -15,6 +15,7 @@
     "attempts": ("outcome", "Requests sent to gates, by how that ended"),
     "gate": ("outcome", "Requests at the own gate, by how that ended"),
     "store": ("outcome", "Requests to the platform's store, by outcome"),
+    "configuration": ("source", "Versions received, by how; superseded: with a newer one"),
     "relay": ("outcome", "Requests for changes at a relay, there and here"),
     "events": ("event", "Log events, by name"),
     "logs_left_out": ("event", "Log lines that were left out to bound their volume"),
@@ -25,6 +26,7 @@
     "server": "From the start of a request at the backend server to its answer",
     "hop": "From sending a request to a gate to its answer",
     "store": "From a request to the platform's store to its answer; watches left out",
+    "copy_age": "Age of the local copy of the store when a configuration arrived",
     "convergence": "From hearing of a configuration to its being in force",
 }
 
--- a/src/magnoliasill/sidecar/registration.py
+++ b/src/magnoliasill/sidecar/registration.py
@@ -36,12 +36,14 @@
         lease: The lease that the record is written under, or 0 for none.
         stored_record: The record as last written, or None.
         revision: The last known revision of the record's item, or 0.
+        conflicts: The writes refused since the record was last written.
         changed: Event that ends the wait for the next renewal early.
     """
 
     lease: int = 0
     stored_record: Member | None = None
     revision: int = 0
+    conflicts: int = 0
     changed: Event = attrs.field(factory=Event)
 
     def wake(self) -> None:
@@ -65,6 +67,8 @@
         except ConditionFailedError as error:
             registration.revision = error.items[0].revision if error.items else 0
             registration.stored_record = None
+            registration.conflicts += 1
+            sidecar.meters.count("store", "registration_conflict")
             pause_s = 0.0
         except StoreError:
             sidecar.meters.count("store", "registration_failed")
@@ -97,7 +101,9 @@
         instance=record.instance,
         leaving=record.leaving,
         revision=registration.revision,
+        conflicts=registration.conflicts,
     )
+    registration.conflicts = 0
 
 
 def _update_revision(sidecar: Sidecar, registration: Registration, key: str) -> None:
--- a/src/magnoliasill/sidecar/store_relay.py
+++ b/src/magnoliasill/sidecar/store_relay.py
@@ -62,8 +62,13 @@
     if reason:
         sidecar.relay_backoff.suspend(relay.name, sidecar.clock())
         sidecar.followed_relay = ""
-        revision = sidecar.mirror.revision
-        sidecar.log(LogEvent.RELAY_DISTRUSTED, relay=relay.name, reason=reason, revision=revision)
+        sidecar.log(
+            LogEvent.RELAY_DISTRUSTED,
+            relay=relay.name,
+            reason=reason,
+            revision=sidecar.mirror.revision,
+            seconds=round(sidecar.clock() - now, 3),
+        )
         return None
     sidecar.meters.count("relay", "followed")
     sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, sidecar.clock() - response.age_s)
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 import eventlet
 
 from ..codes import ErrorCode, LogEvent
@@ -25,9 +26,11 @@
     decode_order,
 )
 from .state import OpenOrder, find_takeover, log_takeover
-from .store_relay import acts_as_relay, follow_relay
+from .store_relay import acts_as_relay, find_store_age, follow_relay
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from .state import Sidecar
 
 WATCH_TIMEOUT_S = 3.0  # a lost response delays a change by at most this
@@ -43,6 +46,19 @@
 ALL_KEYS = ""  # key prefix that matches every item
 
 
+@attrs.frozen
+class _Fetch:
+    """A request for changes.
+
+    Attributes:
+        started_at: When it was sent, in seconds on the monotonic clock.
+        copy_age_s: The age of the local copy then, or None if there was no copy.
+    """
+
+    started_at: float
+    copy_age_s: float | None
+
+
 def follow_store(sidecar: Sidecar) -> None:
     """Apply changes of the store as they come, until the process ends."""
     in_sync = False
@@ -52,15 +68,19 @@
                 read_all_items(sidecar)
                 in_sync = True
                 _record_store_state(sidecar, True)
+            fetch = _begin_fetch(sidecar)
             page = follow_relay(sidecar)
             if page is not None:
                 apply_page(sidecar, page)
+                _log_configuration(sidecar, page.items, sidecar.followed_relay, fetch)
                 eventlet.sleep(FOLLOWER_BATCH_DELAY_S if page.items else 0.0)
                 continue
+            fetch = _begin_fetch(sidecar)
             page = sidecar.store.watch(ALL_KEYS, sidecar.mirror.revision, WATCH_TIMEOUT_S)
             sidecar.meters.count("store", "watch")
             _record_store_state(sidecar, True)
             apply_page(sidecar, page)
+            _log_configuration(sidecar, page.items, "watch", fetch)
             if page.items:
                 eventlet.sleep(BATCH_DELAY_S)
             # a watch returns every intermediate version, a read only the latest
@@ -80,6 +100,7 @@
     Raises:
         StoreError: If the store did not respond.
     """
+    fetch = _begin_fetch(sidecar)
     items: list[Item] = []
     revision, after = None, ""
     while True:
@@ -92,6 +113,7 @@
         after = page.items[-1].key
     for item in apply_snapshot(sidecar.mirror, items, revision):
         _apply_item(sidecar, item)
+    _log_configuration(sidecar, items, "read", fetch)
 
 
 def apply_page(sidecar: Sidecar, page: Page) -> None:
@@ -107,6 +129,32 @@
         _apply_item(sidecar, item)
 
 
+def _begin_fetch(sidecar: Sidecar) -> _Fetch:
+    copy_age_s = find_store_age(sidecar) if sidecar.mirror.revision else None
+    return _Fetch(sidecar.clock(), copy_age_s)
+
+
+def _log_configuration(sidecar: Sidecar, items: Sequence[Item], source: str, fetch: _Fetch) -> None:
+    """Log how versions of the configuration arrived, if a response had any."""
+    versions = [item for item in items if item.key == CONFIGURATION_KEY and item.value is not None]
+    if not versions:
+        return
+    direct = source in ("watch", "read")
+    sidecar.meters.count("configuration", source if direct else "relay", len(versions))
+    sidecar.meters.count("configuration", "superseded", len(versions) - 1)
+    if fetch.copy_age_s is not None:
+        sidecar.meters.observe("copy_age", fetch.copy_age_s)
+    sidecar.log(
+        LogEvent.CONFIGURATION_RECEIVED,
+        source=source,
+        revision=max(item.revision for item in versions),
+        versions=len(versions),
+        size=sum(len(item.value) for item in versions),
+        seconds=round(sidecar.clock() - fetch.started_at, 3),
+        copy_age_s=fetch.copy_age_s,
+    )
+
+
 def remove_lapsed_members(sidecar: Sidecar) -> None:
     """Remove members whose records lapsed and were not registered again in time."""
     for member in remove_lapsed(sidecar.members, sidecar.clock()):
