--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -130,7 +130,7 @@
 
 
 def _begin_fetch(sidecar: Sidecar) -> _Fetch:
-    copy_age_s = find_store_age(sidecar) if sidecar.mirror.revision else None
+    copy_age_s = round(find_store_age(sidecar), 3) if sidecar.mirror.revision else None
     return _Fetch(sidecar.clock(), copy_age_s)
 
 
--- /dev/null
+++ b/tests/sidecar/simulated_fleet.py
@@ -0,0 +1,384 @@
+"""Simulates sidecars that follow the store, on a virtual clock and over links of limited rate.
+
+The sidecars run their real loops. Only what leaves the process is replaced: requests to the store
+are answered by the fake store, and polls of a relay by the relay's own handler.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING, Any
+from urllib.parse import parse_qsl, urlsplit
+
+import attrs
+import eventlet
+import eventlet.hubs
+import msgspec
+from eventlet.hubs.hub import BaseHub
+
+from fakes.store import FakeStore, expire_leases, handle_read, handle_request, put_item
+from magnoliasill.errors import StoreError
+from magnoliasill.mesh.backend import Heartbeat, apply_heartbeat
+from magnoliasill.mesh.settings import Bounds, SidecarSettings
+from magnoliasill.platform.store import StoreClient, StoreRequest
+from magnoliasill.sidecar.daemon import STORE_TIMEOUT_S
+from magnoliasill.sidecar.metrics import Meters
+from magnoliasill.sidecar.registration import Registration, keep_registered
+from magnoliasill.sidecar.state import Sidecar
+from magnoliasill.sidecar.store_relay import handle_follower_poll
+from magnoliasill.sidecar.store_sync import follow_store, remove_lapsed_members
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from magnoliasill.mesh.members import Member
+
+STORE_DELAY_S = 0.004
+PEER_DELAY_S = 0.0005
+WATCH_POLL_INTERVAL_S = 0.01
+CHECK_INTERVAL_S = 0.05
+ITEM_OVERHEAD_BYTES = 150
+FAST_LINK_BYTES_PER_S = 1_800_000.0
+SLOW_LINK_BYTES_PER_S = 90_000.0  # a configuration of this simulation takes about 0.3 s
+ROUTES = 110  # makes a configuration longer than what relays send in one piece
+
+
+class VirtualHub(BaseHub):
+    """Event hub whose clock jumps to the next timer instead of waiting for it."""
+
+    def __init__(self) -> None:
+        """Create a hub whose clock starts at 0."""
+        self.now_s = 0.0
+        super().__init__(clock=lambda: self.now_s)
+
+    @staticmethod
+    def is_available() -> bool:
+        """Return that the hub works on every platform."""
+        return True
+
+    def wait(self, seconds: float | None = None) -> None:
+        """Advance the clock."""
+        self.now_s += max(seconds or 0.0, 0.0)
+
+
+@attrs.define(eq=False)
+class Vm:
+    """A simulated VM.
+
+    Attributes:
+        sidecar: The sidecar that runs on it.
+        link_bytes_per_s: The rate of its link.
+        link_free_at: When its link has delivered all that was sent so far.
+        refused: Whether the store answers this VM with 503.
+        silent: Whether the store does not answer this VM.
+        down: Whether the VM is without power.
+        served_since: Since when the store has served this VM.
+        late_s: The longest time for which it lacked an accepted configuration, while the store
+            had served it for the fleet's `contact_s`.
+        late_while_refused_s: The same for the time in which the store did not serve it.
+        bytes_received: The bytes that its link has delivered.
+        events: The log events of its sidecar.
+        loops: The green threads of its loops.
+    """
+
+    sidecar: Sidecar
+    link_bytes_per_s: float
+    link_free_at: float = 0.0
+    refused: bool = False
+    silent: bool = False
+    down: bool = False
+    served_since: float = 0.0
+    late_s: float = 0.0
+    late_while_refused_s: float = 0.0
+    bytes_received: int = 0
+    events: list[dict[str, Any]] = attrs.field(factory=list)
+    loops: list[Any] = attrs.field(factory=list)
+
+
+@attrs.define
+class SimulatedFleet:
+    """The simulated VMs and their store.
+
+    Attributes:
+        hub: The hub with the virtual clock.
+        random: Decides everything that is left to chance.
+        vms: The VMs by name.
+        fake_store: The data of the store.
+        contact_s: For how long a VM must have been served to count as undisturbed.
+        accepted: When each version of the configuration was accepted.
+        failures: Errors that ended a loop.
+    """
+
+    hub: VirtualHub
+    random: Random
+    vms: dict[str, Vm] = attrs.field(factory=dict)
+    fake_store: FakeStore = attrs.field(factory=FakeStore)
+    contact_s: float = 3.0
+    accepted: dict[int, float] = attrs.field(factory=dict)
+    failures: list[str] = attrs.field(factory=list)
+
+    @property
+    def now(self) -> float:
+        """Seconds on the virtual clock."""
+        return self.hub.now_s
+
+
+def open_simulated_fleet(seed: int, data_centres: int, vms: int, fast: int) -> SimulatedFleet:
+    """Start the sidecars of a simulated fleet with a first configuration.
+
+    Args:
+        seed: Seed of all random choices.
+        data_centres: The number of data centres.
+        vms: The number of VMs in each data centre.
+        fast: How many of these have a fast link.
+    """
+    eventlet.hubs.use_hub(VirtualHub)
+    fleet = SimulatedFleet(eventlet.hubs.get_hub(), Random(seed))
+    publish(fleet)
+    for data_centre in range(data_centres):
+        for number in range(vms):
+            rate = FAST_LINK_BYTES_PER_S if number < fast else SLOW_LINK_BYTES_PER_S
+            _start_vm(fleet, f"dc-{data_centre}", f"vm-{data_centre}-{number:02}", rate)
+    eventlet.spawn(_check_versions, fleet)
+    return fleet
+
+
+def ask_simulated_member(fleet: SimulatedFleet) -> Callable[..., Any]:
+    """Return a replacement for `request_from_member` that calls the relay's handler."""
+
+    def ask(
+        sidecar: Sidecar, member: Member, target: str, timeout_s: float, response_type: Any
+    ) -> Any:
+        with eventlet.Timeout(timeout_s, False):
+            eventlet.sleep(PEER_DELAY_S)
+            vm = fleet.vms[member.name]
+            if vm.down:
+                eventlet.sleep(timeout_s)
+            body = handle_follower_poll(vm.sidecar, target)
+            _transfer(fleet, vm, len(body))
+            _transfer(fleet, fleet.vms[sidecar.settings.name], len(body))
+            return msgspec.json.decode(body, type=response_type)
+        return None
+
+    return ask
+
+
+def publish(fleet: SimulatedFleet) -> int:
+    """Write a new configuration in which one route differs from the last; return its version."""
+    version = len(fleet.accepted) + 1
+    put_item(fleet.fake_store, "op/config", encode_configuration(version))
+    fleet.accepted[version] = fleet.now
+    return version
+
+
+def publish_series(fleet: SimulatedFleet, gap_s: float, until: float) -> None:
+    """Write a new configuration again and again, in the background.
+
+    Args:
+        fleet: The fleet.
+        gap_s: The time between two versions, in seconds.
+        until: When to stop, on the virtual clock.
+    """
+
+    def run() -> None:
+        while fleet.now < until:
+            publish(fleet)
+            eventlet.sleep(gap_s)
+
+    eventlet.spawn(run)
+
+
+def interrupt_store(
+    fleet: SimulatedFleet, names: list[str], start: float, duration_s: float, silent: bool
+) -> None:
+    """Turn VMs away from the store for a time, and end their leases, in the background.
+
+    Args:
+        fleet: The fleet.
+        names: The names of the VMs.
+        start: When that begins, on the virtual clock.
+        duration_s: How long it lasts, in seconds.
+        silent: Whether the store leaves them without an answer instead of refusing.
+    """
+
+    def run() -> None:
+        eventlet.sleep(max(start - fleet.now, 0.0))
+        affected = [fleet.vms[name] for name in names]
+        for vm in affected:
+            vm.refused, vm.silent = not silent, silent
+        eventlet.sleep(duration_s)
+        for vm in affected:
+            vm.refused = vm.silent = False
+            vm.served_since = fleet.now
+
+    eventlet.spawn(run)
+
+
+def stop_vm(fleet: SimulatedFleet, name: str) -> None:
+    """Cut the power of a VM."""
+    vm = fleet.vms[name]
+    vm.down = True
+    for loop in vm.loops:
+        loop.kill()
+
+
+def run_until(fleet: SimulatedFleet, moment: float) -> None:
+    """Let the fleet run until a moment on the virtual clock."""
+    eventlet.sleep(max(moment - fleet.now, 0.0))
+
+
+def find_received(vm: Vm, after: float) -> list[dict[str, Any]]:
+    """Return a VM's log events about received configurations after a moment."""
+    events = [event for event in vm.events if event["at"] > after]
+    return [event for event in events if event["event"] == "configuration_received"]
+
+
+def encode_configuration(version: int) -> bytes:
+    """Return a configuration in the operator's format, of which each version changes one route."""
+    rules = [
+        {
+            "name": f"r-{number}",
+            "route_kind": "idempotent",
+            "target_latency_s": 0.5 + (version / 1000 if number == version % ROUTES else 0.0),
+            "priority": 1,
+            "match_criteria": {"prefix": f"/{number:05}/"},
+            "route_action": {"service_name": "shop", "timeout_s": 2.0, "max_attempts": 2},
+        }
+        for number in range(ROUTES)
+    ]
+    return msgspec.json.encode(
+        {
+            "version": f"r{version}",
+            "listener_set": [{"host_name": "shop.example", "rule_set": rules}],
+            "cluster_set": [{"name": "shop", "health_path": "/health"}],
+        }
+    )
+
+
+def _start_vm(fleet: SimulatedFleet, data_centre: str, name: str, rate: float) -> None:
+    events: list[dict[str, Any]] = []
+    settings = SidecarSettings(
+        name=name,
+        data_centre=data_centre,
+        callers=f"{name}:1",
+        gate=f"{name}:2",
+        readiness=f"{name}:3",
+        control=f"{name}:4",
+        server=f"{name}:5",
+        service="shop",
+        store="store:1",
+        bounds=Bounds(),
+    )
+
+    def write(event: Any, **fields: Any) -> None:
+        events.append({"at": fleet.now, "event": event.name.lower(), **fields})
+
+    sidecar = Sidecar(
+        settings,
+        StoreClient(lambda request: _call_store(fleet, fleet.vms[name], request)),
+        Meters(),
+        write,
+        start_id=name,
+        random=Random(fleet.random.random()),
+        clock=lambda: fleet.now,
+    )
+    vm = fleet.vms[name] = Vm(sidecar, rate, events=events)
+    heartbeat = Heartbeat(
+        instance=f"i-{name}",
+        address=settings.server,
+        service="shop",
+        release="v1",
+        slots=9,
+        data_centre=data_centre,
+        leaving=False,
+        sequence=1,
+        cold_s=0.0,
+        born=1,
+    )
+    apply_heartbeat(sidecar.backend, heartbeat, fleet.now)
+    registration = Registration()
+    sidecar.wake_registration = registration.wake
+    for loop in (
+        lambda: follow_store(sidecar),
+        lambda: keep_registered(sidecar, registration),
+        lambda: _remove_lapsed(sidecar),
+    ):
+        vm.loops.append(eventlet.spawn_after(fleet.random.random() * 0.3, _run, fleet, loop))
+
+
+def _run(fleet: SimulatedFleet, loop: Callable[[], None]) -> None:
+    try:
+        loop()
+    except Exception as error:  # reported by the test; a daemon would restart the loop
+        fleet.failures.append(repr(error))
+
+
+def _remove_lapsed(sidecar: Sidecar) -> None:
+    while True:
+        remove_lapsed_members(sidecar)
+        eventlet.sleep(CHECK_INTERVAL_S)
+
+
+def _call_store(fleet: SimulatedFleet, vm: Vm, request: StoreRequest) -> tuple[int, Any]:
+    """Answer a store request of a VM, after the time that its link takes."""
+    deadline = fleet.now + STORE_TIMEOUT_S + request.wait_s
+    eventlet.sleep(STORE_DELAY_S)
+    parts = urlsplit(request.path)
+    query = dict(parse_qsl(parts.query, keep_blank_values=True))
+    if vm.refused:
+        return 503, {}
+    if vm.silent:
+        _lose_answer(fleet, deadline)
+    if parts.path == "/-/kv-watch":
+        status, body = _wait_for_events(fleet, vm, parts.path, query, request.wait_s)
+    else:
+        status, body = handle_request(
+            fleet.fake_store, fleet.now, request.method, parts.path, query, request.body
+        )
+    if vm.silent:
+        _lose_answer(fleet, deadline)
+    rows = body.get("items") or body.get("events") or [body]
+    _transfer(fleet, vm, sum(len(row.get("value", "")) + ITEM_OVERHEAD_BYTES for row in rows))
+    return status, body
+
+
+def _wait_for_events(
+    fleet: SimulatedFleet, vm: Vm, path: str, query: dict[str, str], wait_s: float
+) -> tuple[int, Any]:
+    until = fleet.now + wait_s
+    while True:
+        if vm.refused:
+            return 503, {}
+        expire_leases(fleet.fake_store, fleet.now)
+        status, body = handle_read(fleet.fake_store, path, query)
+        if status != 200 or body["events"] or fleet.now >= until:
+            return status, body
+        eventlet.sleep(WATCH_POLL_INTERVAL_S)
+
+
+def _lose_answer(fleet: SimulatedFleet, deadline: float) -> None:
+    eventlet.sleep(max(deadline - fleet.now, 0.0))
+    raise StoreError("MS-302", "the store did not answer")
+
+
+def _transfer(fleet: SimulatedFleet, vm: Vm, size: int) -> None:
+    """Wait until a VM's link has carried a number of bytes, after all those before."""
+    vm.link_free_at = max(vm.link_free_at, fleet.now) + size / vm.link_bytes_per_s
+    vm.bytes_received += size
+    eventlet.sleep(vm.link_free_at - fleet.now)
+
+
+def _check_versions(fleet: SimulatedFleet) -> None:
+    """Record how long each VM lacks an accepted configuration."""
+    while True:
+        eventlet.sleep(CHECK_INTERVAL_S)
+        for vm in fleet.vms.values():
+            version = vm.sidecar.table.version if vm.sidecar.table else 0
+            accepted_at = fleet.accepted.get(version + 1)
+            if vm.down or accepted_at is None:
+                continue
+            late_s = fleet.now - accepted_at
+            if vm.refused or vm.silent:
+                vm.late_while_refused_s = max(vm.late_while_refused_s, late_s)
+            elif fleet.now - vm.served_since >= fleet.contact_s:
+                vm.late_s = max(vm.late_s, late_s)
--- /dev/null
+++ b/tests/sidecar/test_store_sync.py
@@ -0,0 +1,111 @@
+"""Tests of how soon sidecars apply configurations while the store or their relay fails them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import eventlet
+import testtools
+from testscenarios import WithScenarios
+
+from fakes.store import end_lease
+from magnoliasill.sidecar import store_relay
+
+from . import simulated_fleet as simulation
+
+if TYPE_CHECKING:
+    from .simulated_fleet import SimulatedFleet
+
+CONFIG_APPLY_S = 2.5  # the grown deployments' bound from acceptance to use by every sidecar
+MAX_STRETCH_S = 5.0  # the platform's extension of that bound for a VM that the store turns away
+RELAY = "vm-0-00"
+
+
+class OutageCase(testtools.TestCase):
+    """Simulated fleet of two data centres whose first VMs are their relays."""
+
+    def open_fleet(self, seed: int, vms: int = 8, fast: int = 2) -> SimulatedFleet:
+        self.addCleanup(eventlet.hubs.use_hub, None)
+        fleet = simulation.open_simulated_fleet(seed, data_centres=2, vms=vms, fast=fast)
+        ask = simulation.ask_simulated_member(fleet)
+        self.patch(store_relay, "request_from_member", ask)
+        simulation.run_until(fleet, 4.0)
+        return fleet
+
+    def assert_in_time(self, fleet: SimulatedFleet) -> None:
+        late = {name: round(vm.late_s, 2) for name, vm in fleet.vms.items()}
+        self.assertEqual({}, {name: s for name, s in late.items() if s > CONFIG_APPLY_S})
+        late = {name: round(vm.late_while_refused_s, 2) for name, vm in fleet.vms.items()}
+        bound = CONFIG_APPLY_S + MAX_STRETCH_S
+        self.assertEqual({}, {name: s for name, s in late.items() if s > bound})
+        self.assertEqual([], fleet.failures)
+
+
+class PartialOutageTest(WithScenarios, OutageCase):
+    """The store turns some sidecars away while long configurations follow one another."""
+
+    scenarios = [
+        (f"{'silent' if silent else 'refusing'}-{seed}", {"seed": seed, "silent": silent})
+        for seed in range(1, 5)
+        for silent in (False, True)
+    ]
+
+    # a sidecar that caught up version by version, or followed a relay without the store, was late
+    def test_configurations_are_applied_in_time_everywhere(self) -> None:
+        fleet = self.open_fleet(self.seed)
+        random = fleet.random
+        affected = [RELAY, *random.sample(sorted(set(fleet.vms) - {RELAY}), 5)]
+        duration_s = random.uniform(5.0, 10.0)
+        simulation.interrupt_store(fleet, affected, 6.0, duration_s, self.silent)
+        simulation.publish_series(fleet, random.uniform(0.4, 0.9), 22.0)
+        simulation.run_until(fleet, 24.0)
+        self.assert_in_time(fleet)
+
+
+class RelayFailureTest(WithScenarios, OutageCase):
+    """A relay loses power while long configurations follow one another."""
+
+    scenarios = [(f"seed-{seed}", {"seed": seed}) for seed in range(1, 5)]
+
+    # followers of a relay without power kept an outdated configuration for too long
+    def test_configurations_are_applied_in_time_elsewhere(self) -> None:
+        fleet = self.open_fleet(self.seed)
+        simulation.publish_series(fleet, fleet.random.uniform(0.4, 0.9), 16.0)
+        simulation.run_until(fleet, 6.0 + fleet.random.random())
+        simulation.stop_vm(fleet, RELAY)
+        simulation.run_until(fleet, 18.0)
+        self.assert_in_time(fleet)
+
+
+class CatchUpTest(OutageCase):
+    """The store turns every sidecar away while several configurations are accepted."""
+
+    # sidecars received each version that they had missed, one after the other, before the newest
+    def test_superseded_versions_are_not_read(self) -> None:
+        fleet = self.open_fleet(seed=1)
+        simulation.interrupt_store(fleet, sorted(fleet.vms), 5.0, 6.0, silent=False)
+        simulation.run_until(fleet, 6.0)
+        simulation.publish_series(fleet, 0.5, 10.0)
+        simulation.run_until(fleet, 15.0)
+        received = {
+            name: sum(event["versions"] for event in simulation.find_received(vm, after=6.0))
+            for name, vm in fleet.vms.items()
+        }
+        self.assertEqual({}, {name: count for name, count in received.items() if count > 1})
+        self.assert_in_time(fleet)
+
+
+class RegistrationTest(OutageCase):
+    """The lease of a sidecar's record ends while its copy of the store is outdated."""
+
+    # the write was repeated without a pause, with the outdated revision, until the copy caught up
+    def test_a_record_is_written_again_by_the_revision_that_the_store_reports(self) -> None:
+        fleet = self.open_fleet(seed=1)
+        name = "vm-0-05"
+        follow_store_loop, *_ = fleet.vms[name].loops
+        follow_store_loop.kill()  # the copy stays as it is
+        writes = fleet.fake_store.counts["write"]
+        end_lease(fleet.fake_store, fleet.fake_store.items[f"mesh/members/{name}"]["lease"])
+        simulation.run_until(fleet, fleet.now + 3.0)
+        self.assertIn(f"mesh/members/{name}", list(fleet.fake_store.items))
+        self.assertLessEqual(fleet.fake_store.counts["write"] - writes, 2)
