Write a lapsed member record by the revision that the store reports

Cause: the revision reported by a refused write was replaced by that of the older local copy before the next write, without a pause. Now the store's latest answer decides, the copy is only used before the first write, and a second conflict in a row waits.

Test: RegistrationTest in tests/sidecar/test_store_sync (failed before: never written, now two writes at most).

--- a/src/magnoliasill/sidecar/registration.py
+++ b/src/magnoliasill/sidecar/registration.py
@@ -35,14 +35,15 @@
     Attributes:
         lease: The lease that the record is written under, or 0 for none.
         stored_record: The record as last written, or None.
-        revision: The last known revision of the record's item, or 0.
+        revision: The revision of the record's item, by the store's latest answer if there was one:
+            0 if there is no such item, None before the first write.
         conflicts: The writes refused since the record was last written.
         changed: Event that ends the wait for the next renewal early.
     """
 
     lease: int = 0
     stored_record: Member | None = None
-    revision: int = 0
+    revision: int | None = None
     conflicts: int = 0
     changed: Event = attrs.field(factory=Event)
 
@@ -62,14 +63,16 @@
                 sidecar.store_confirmed_at = sidecar.clock()
         except LeaseEndedError:
             sidecar.log(LogEvent.REGISTRATION_LOST, lease=registration.lease)
-            registration.lease, registration.stored_record = 0, None
+            registration.lease, registration.stored_record, registration.revision = 0, None, 0
             continue
         except ConditionFailedError as error:
             registration.revision = error.items[0].revision if error.items else 0
             registration.stored_record = None
             registration.conflicts += 1
             sidecar.meters.count("store", "registration_conflict")
-            pause_s = 0.0
+            # one repetition with the reported revision is enough, unless another process writes too
+            again = registration.conflicts > 1
+            pause_s = sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S) if again else 0.0
         except StoreError:
             sidecar.meters.count("store", "registration_failed")
             pause_s = sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S)
@@ -90,7 +93,8 @@
         sidecar.store.renew_lease(registration.lease)
         sidecar.meters.count("store", "renewal")
         return
-    _update_revision(sidecar, registration, key)
+    if registration.revision is None:
+        registration.revision = _find_copied_revision(sidecar, key)
     put = Put(key, encode_record(record), registration.lease)
     condition = (Condition(key, registration.revision),)
     registration.revision = sidecar.store.transact(Transaction((put,), condition))
@@ -106,8 +110,11 @@
     registration.conflicts = 0
 
 
-def _update_revision(sidecar: Sidecar, registration: Registration, key: str) -> None:
-    """Adopt a newer known revision of the record, such as one that a previous process wrote."""
+def _find_copied_revision(sidecar: Sidecar, key: str) -> int:
+    """Return the revision of an item in the local copy, such as one that a previous process wrote.
+
+    The copy may be outdated; the store refuses a write with such a revision and reports the right
+    one.
+    """
     item = sidecar.mirror.items.get(key)
-    if item is not None and item.revision > registration.revision:
-        registration.revision = item.revision if item.value is not None else 0
+    return item.revision if item is not None and item.value is not None else 0
