Read the current items after a gap instead of every change in between

Cause: catching up cost as much as was missed. Now a sidecar whose copy was last complete more than 1 s ago reads the current items first.

--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -40,6 +40,9 @@
 FOLLOWER_BATCH_DELAY_S = 0.25  # the same batching when a relay is polled
 RETRY_MIN_S = 0.3
 RETRY_MAX_S = 0.7  # detects a recovered store within this; shorter delays cost more rejected calls
+# After a longer gap the current items are read: a watch would first deliver all that was superseded
+# in between, for as long as the gap and the size of the versions make it.
+MAX_WATCH_GAP_S = 1.0
 # With this many bytes of superseded versions in a page (50 ms on a slow link), the current items
 # are read next instead of further changes.
 MAX_REPLACED_BYTES = 65_536
@@ -61,19 +64,20 @@
 
 def follow_store(sidecar: Sidecar) -> None:
     """Apply changes of the store as they come, until the process ends."""
-    in_sync = False
+    in_sync_at = float("-inf")  # when the local copy was last complete; needs no read soon after
     while True:
         try:
-            if not in_sync:
+            if sidecar.clock() - in_sync_at > MAX_WATCH_GAP_S:
                 read_all_items(sidecar)
-                in_sync = True
                 _record_store_state(sidecar, True)
+                in_sync_at = sidecar.clock()
             fetch = _begin_fetch(sidecar)
             page = follow_relay(sidecar)
             if page is not None:
                 apply_page(sidecar, page)
                 _log_configuration(sidecar, page.items, sidecar.followed_relay, fetch)
                 eventlet.sleep(FOLLOWER_BATCH_DELAY_S if page.items else 0.0)
+                in_sync_at = sidecar.clock()
                 continue
             fetch = _begin_fetch(sidecar)
             page = sidecar.store.watch(ALL_KEYS, sidecar.mirror.revision, WATCH_TIMEOUT_S)
@@ -84,10 +88,11 @@
             if page.items:
                 eventlet.sleep(BATCH_DELAY_S)
             # a watch returns every intermediate version, a read only the latest
-            in_sync = count_replaced_bytes(page) < MAX_REPLACED_BYTES
+            superseded = count_replaced_bytes(page) >= MAX_REPLACED_BYTES
+            in_sync_at = float("-inf") if superseded else sidecar.clock()
         except HistoryLostError:
             sidecar.meters.count("store", "history_lost")
-            in_sync = False
+            in_sync_at = float("-inf")
         except StoreError as error:
             sidecar.meters.count("store", "watch_failed")
             _record_store_state(sidecar, False, error.message)
