Follow another sidecar when a relay or the store itself fails a sidecar

Now each sidecar follows the first of its data centre that it has no reason to doubt. A relay that the store does not answer says so at once, one that is about to confirm its copy gets 0.4 s. A sidecar that the store turns away follows a neighbour. A copy that nobody confirmed for 1.25 s is read from the store. Any sidecar keeps the last versions, since any may become a relay; a follower names the versions that it holds, and gets a compressed value if no delta fits, instead of reading it from a store that may turn it away. A watch is cancelled when renewals fail.

--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -1,25 +1,32 @@
 """Relays: sidecars that watch the store and forward its changes to others in their data centre.
 
 Limits the load of many sidecars on the store, where each call is charged and counts towards a rate
-limit. Relays are only an optimisation: a sidecar that gets no usable answer from its relay reads
-from the store itself.
+limit. Any sidecar can act as a relay: each one follows the first of its data centre that gave it no
+reason to doubt, and reads from the store itself if that is the sidecar itself. A sidecar that the
+store turns away follows another that the store serves.
 """
 
 from __future__ import annotations
 
+import zlib
 from typing import TYPE_CHECKING
 
 import attrs
 
-from .deltas import Delta, build_delta
+from .deltas import Delta, DeltaError, build_delta
+from .members import find_condition
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from .members import Member, MemberTable
     from .store_items import Item, Mirror
 
 FOLLOWERS_PER_RELAY = 24  # each sends it about 1 request/s
 MAX_AGE_S = 1.0  # since the store last answered; well below the time allowed to apply a change
 RELAY_BACKOFF_S = 4.0  # how long a relay is not asked after it gave no usable answer
+MAX_VALUE_BYTES = 1_048_576  # the store accepts no longer values
+PACKING_LEVEL = 1  # of zlib; higher levels take several times as long for a tenth less
 MAX_RELAYED_BYTES = 16_384  # sending longer ones to all followers would saturate a relay's link
 KEPT_VERSIONS = 3  # of each long value; a follower is rarely further behind
 
@@ -35,6 +42,7 @@
         lease: The lease that the item is attached to, or 0.
         long: Whether the value is too long to forward and has to come from `delta` or the store.
         delta: The delta from the follower's version to the new value, if that version is kept.
+        packed: The compressed new value, if it is too long to forward and there is no delta.
     """
 
     key: str
@@ -43,6 +51,7 @@
     lease: int = 0
     long: bool = False
     delta: Delta | None = None
+    packed: bytes | None = None
 
 
 @attrs.frozen
@@ -54,68 +63,85 @@
         revision: The store revision up to which the changes are complete.
         age_s: Seconds since the store last answered the relay.
         whole: Whether the relay knows all changes since the follower's revision.
+        reads_store: Whether the store answers the relay; if not, it may follow the follower.
     """
 
     changes: tuple[Change, ...]
     revision: int
     age_s: float
     whole: bool = True
+    reads_store: bool = True
 
 
 @attrs.define
 class RelayBackoff:
-    """The relays that this sidecar doesn't ask for now, with the times at which that ends."""
+    """The sidecars that are no source of changes now, with the times at which that ends.
+
+    The sidecar's own name is among them while the store does not answer it.
+    """
 
     suspended_until: dict[str, float] = attrs.field(factory=dict)
 
     def suspend(self, name: str, now: float) -> None:
-        """Stop asking a relay for a fixed time."""
+        """Use no changes from a sidecar for a fixed time."""
         self.suspended_until[name] = now + RELAY_BACKOFF_S
 
     def is_available(self, name: str, now: float) -> bool:
-        """Return whether a relay may be asked now."""
+        """Return whether a sidecar may be used as a source now."""
         return now >= self.suspended_until.get(name, now)
 
+    def restore(self, name: str) -> None:
+        """Use changes from a sidecar again."""
+        self.suspended_until.pop(name, None)
 
-def is_relay(table: MemberTable, name: str) -> bool:
-    """Return whether a sidecar is a relay, or not registered yet, and so has to watch the store."""
-    member = table.records.get(name)
-    return member is None or name in [relay.name for relay in _list_relays(table, member)]
 
-
-def choose_relay(table: MemberTable, name: str, backoff: RelayBackoff, now: float) -> Member | None:
+def choose_relay(
+    table: MemberTable, name: str, data_centre: str, backoff: RelayBackoff, now: float
+) -> Member | None:
     """Return the relay that a sidecar follows, or None if it reads from the store itself.
 
     Args:
-        table: The member table.
+        table: The member table, which may lack the sidecar.
         name: The name of the sidecar.
-        backoff: The relays that it doesn't ask for now.
+        data_centre: The data centre of the sidecar.
+        backoff: The sidecars that are no source of changes now.
         now: Seconds on the monotonic clock.
     """
-    own = table.records.get(name)
-    if own is None:
-        return None
-    relays = _list_relays(table, own)
-    if own in relays or not relays:
+    local = [member for member in table.records.values() if member.data_centre == data_centre]
+    relays = _list_relays(table, local, backoff, now)
+    if not relays or any(member.name == name for member in relays):
         return None
-    names = sorted(
-        found for found in table.records if _is_same_data_centre(table.records[found], own)
-    )
-    relay = relays[names.index(name) % len(relays)]
-    return relay if backoff.is_available(relay.name, now) else None
+    position = sum(member.name < name for member in local)
+    return relays[position % len(relays)]
 
 
-def _list_relays(table: MemberTable, own: Member) -> list[Member]:
-    """Return the relays of a member's data centre: by name, the first that aren't leaving."""
-    local = [member for member in table.records.values() if _is_same_data_centre(member, own)]
-    staying = sorted(
-        (member for member in local if not member.leaving), key=lambda member: member.name
-    )
-    return staying[: -(-len(local) // FOLLOWERS_PER_RELAY)]
+def _list_relays(
+    table: MemberTable, local: list[Member], backoff: RelayBackoff, now: float
+) -> list[Member]:
+    """Return the relays of a data centre: by name, the first that have no sign of trouble."""
+    available = [
+        member for member in local if not member.leaving and backoff.is_available(member.name, now)
+    ]
+    ranked = sorted(available, key=lambda member: (_is_lapsed(table, member), member.name))
+    return ranked[: -(-len(local) // FOLLOWERS_PER_RELAY)]
+
+
+def _is_lapsed(table: MemberTable, member: Member) -> bool:
+    return find_condition(table, member).lapsed_at is not None
 
 
-def _is_same_data_centre(member: Member, own: Member) -> bool:
-    return member.data_centre == own.data_centre
+def should_answer(revision: int, after: int, age_s: float, may_recover: bool) -> bool:
+    """Return whether a relay should answer a follower's poll now instead of waiting for a change.
+
+    Args:
+        revision: The revision of the relay's copy.
+        after: The revision up to which the follower has all changes.
+        age_s: Seconds since the store last confirmed the copy.
+        may_recover: Whether the relay may confirm an outdated copy soon.
+    """
+    if age_s > MAX_AGE_S:
+        return not may_recover  # the follower has to look for another source
+    return revision > after
 
 
 def is_long(item: Item) -> bool:
@@ -125,10 +151,11 @@
 
 @attrs.define
 class LongValueVersions:
-    """The latest versions of long values, and cached deltas between them."""
+    """The latest versions of long values, with caches of their deltas and of compressed values."""
 
     items: dict[str, list[Item]] = attrs.field(factory=dict)
     deltas: dict[tuple[str, int, int], Delta] = attrs.field(factory=dict)
+    packed: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
 
     def record_version(self, item: Item) -> None:
         """Keep an item's version if its value is long."""
@@ -139,9 +166,14 @@
         del kept[:-KEPT_VERSIONS]
         self.deltas = {key: delta for key, delta in self.deltas.items() if key[0] != item.key}
 
-    def find_delta(self, item: Item, after: int) -> Delta | None:
-        """Return the delta to an item from its latest version up to a revision, if that is kept."""
-        known = [found for found in self.items.get(item.key, ()) if found.revision <= after]
+    def find_delta(self, item: Item, held: Collection[int]) -> Delta | None:
+        """Return the delta to an item from the latest kept version that a follower holds.
+
+        Args:
+            item: The newest version.
+            held: The store revisions of the long values that the follower holds.
+        """
+        known = [found for found in self.items.get(item.key, ()) if found.revision in held]
         if not known or item.value is None:
             return None
         base = known[-1]
@@ -151,9 +183,44 @@
             self.deltas[(item.key, base.revision, item.revision)] = delta
         return delta
 
+    def pack_value(self, item: Item) -> bytes | None:
+        """Return the compressed value of an item, or None if it was removed."""
+        if item.value is None:
+            return None
+        revision, packed = self.packed.get(item.key, (0, b""))
+        if revision != item.revision:
+            packed = zlib.compress(item.value, PACKING_LEVEL)
+            self.packed[item.key] = (item.revision, packed)
+        return packed
+
+
+def unpack_value(packed: bytes) -> bytes:
+    """Return the value that `LongValueVersions.pack_value` compressed.
+
+    Raises:
+        DeltaError: If it is damaged or too long.
+    """
+    stream = zlib.decompressobj()
+    try:
+        value = stream.decompress(packed, MAX_VALUE_BYTES)
+    except zlib.error as error:
+        raise DeltaError(f"the compressed value is damaged: {error}") from error
+    if not stream.eof:
+        raise DeltaError("the compressed value is incomplete or too long")
+    return value
+
+
+def list_held(mirror: Mirror) -> list[int]:
+    """Return the store revisions of the long values in a mirror, for a poll of a relay."""
+    return sorted(item.revision for item in mirror.items.values() if is_long(item))
+
 
 def relay_changes(
-    mirror: Mirror, versions: LongValueVersions, after: int, age_s: float
+    mirror: Mirror,
+    versions: LongValueVersions,
+    after: int,
+    held: Collection[int],
+    age_s: float,
 ) -> RelayResponse:
     """Build a relay's answer to a follower.
 
@@ -161,20 +228,22 @@
         mirror: The relay's mirror of the store.
         versions: The versions of long values that it keeps.
         after: The revision up to which the follower has all changes.
-        age_s: Seconds since the store last answered the relay.
+        held: The store revisions of the long values that the follower holds.
+        age_s: Seconds since the store last confirmed the mirror.
     """
     if after < mirror.complete_since:
         return RelayResponse((), mirror.revision, age_s, whole=False)
     changes = tuple(
-        _build_change(item, versions, after)
+        _build_change(item, versions, held)
         for item in mirror.items.values()
         if item.revision > after
     )
     return RelayResponse(changes, mirror.revision, age_s)
 
 
-def _build_change(item: Item, versions: LongValueVersions, after: int) -> Change:
+def _build_change(item: Item, versions: LongValueVersions, held: Collection[int]) -> Change:
     if not is_long(item):
         return Change(item.key, item.revision, item.value, item.lease)
-    delta = versions.find_delta(item, after)
-    return Change(item.key, item.revision, None, item.lease, long=True, delta=delta)
+    delta = versions.find_delta(item, held)
+    packed = versions.pack_value(item) if delta is None else None
+    return Change(item.key, item.revision, None, item.lease, True, delta, packed)
--- a/src/magnoliasill/sidecar/registration.py
+++ b/src/magnoliasill/sidecar/registration.py
@@ -12,7 +12,7 @@
 from ..errors import ConditionFailedError, LeaseEndedError, StoreError
 from ..mesh.records import MEMBER_PREFIX, encode_record
 from ..mesh.store_items import Condition, Put, Transaction
-from .state import build_own_record
+from .state import STORE_DOUBT_S, build_own_record, record_store_answer
 from .store_relay import acts_as_relay
 
 if TYPE_CHECKING:
@@ -57,10 +57,9 @@
     """Write and renew this sidecar's record, until the process ends."""
     while True:
         try:
-            _register(sidecar, registration)
             pause_s = RELAY_RENEW_S if acts_as_relay(sidecar) else RENEW_S
-            if sidecar.watching_store:
-                sidecar.store_confirmed_at = sidecar.clock()
+            if _register(sidecar, registration):
+                _record_confirmation(sidecar)
         except LeaseEndedError:
             sidecar.log(LogEvent.REGISTRATION_LOST, lease=registration.lease)
             registration.lease, registration.stored_record, registration.revision = 0, None, 0
@@ -75,16 +74,26 @@
             pause_s = sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S) if again else 0.0
         except StoreError:
             sidecar.meters.count("store", "registration_failed")
+            sidecar.store_doubtful_until = sidecar.clock() + STORE_DOUBT_S
+            sidecar.cancel_watch()
             pause_s = sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S)
         with eventlet.Timeout(pause_s, False):
             registration.changed.wait()
         registration.changed = Event()
 
 
-def _register(sidecar: Sidecar, registration: Registration) -> None:
+def _record_confirmation(sidecar: Sidecar) -> None:
+    """Record that the store answers; a watch that runs meanwhile would have heard of changes."""
+    record_store_answer(sidecar)
+    if sidecar.watching_store:
+        sidecar.store_confirmed_at = sidecar.clock()
+
+
+def _register(sidecar: Sidecar, registration: Registration) -> bool:
+    """Write or renew the record; return whether there was one to register."""
     record = build_own_record(sidecar)
     if record is None:
-        return
+        return False
     key = MEMBER_PREFIX + sidecar.settings.name
     if not registration.lease:
         registration.lease = sidecar.store.grant_lease(LEASE_S)
@@ -92,7 +101,7 @@
     if record == registration.stored_record:
         sidecar.store.renew_lease(registration.lease)
         sidecar.meters.count("store", "renewal")
-        return
+        return True
     if registration.revision is None:
         registration.revision = _find_copied_revision(sidecar, key)
     put = Put(key, encode_record(record), registration.lease)
@@ -108,6 +117,7 @@
         conflicts=registration.conflicts,
     )
     registration.conflicts = 0
+    return True
 
 
 def _find_copied_revision(sidecar: Sidecar, key: str) -> int:
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -41,6 +41,12 @@
 GATE_LINGER_S = 1.6
 # After the signal to stop; a request that starts later may not finish before the process ends.
 LATEST_START_S = 4.0
+STORE_DOUBT_S = 4.0  # after a call to the store failed
+NEVER = float("-inf")  # a time before all others, in seconds on the monotonic clock
+
+
+def do_nothing() -> None:
+    """Stand in for a callback that is not set."""
 
 
 @attrs.define
@@ -91,8 +97,11 @@
         open_requests: Number of requests in progress.
         store_reachable: Whether the last call to the store succeeded.
         store_confirmed_at: When the store last confirmed the local copy, here or to the relay.
+        store_doubtful_until: Until when a watch waits only shortly, since another call failed.
         watching_store: Whether this sidecar watches the store itself and the store responds.
-        relay_backoff: Relays that are temporarily avoided.
+        cancel_watch: Ends the current watch of the store, if there is one.
+        in_sync_at: When the local copy was last complete.
+        relay_backoff: Sidecars, this one included, that are temporarily no source of changes.
         followed_relay: Name of the relay last followed, or empty.
         versions: Recent versions of long values, which a relay keeps to send deltas.
         stopping_at: When shutdown began, or None.
@@ -126,13 +135,16 @@
     watched_calls: set[WatchedCall] = attrs.field(factory=set)
     open_requests: int = 0
     store_reachable: bool = True
-    store_confirmed_at: float = float("-inf")
+    store_confirmed_at: float = NEVER
+    store_doubtful_until: float = NEVER
     watching_store: bool = False
+    cancel_watch: Callable[[], None] = do_nothing
+    in_sync_at: float = NEVER
     relay_backoff: RelayBackoff = attrs.field(factory=RelayBackoff)
     followed_relay: str = ""
     versions: LongValueVersions = attrs.field(factory=LongValueVersions)
     stopping_at: float | None = None
-    wake_registration: Callable[[], None] = lambda: None
+    wake_registration: Callable[[], None] = do_nothing
 
     def log(self, event: LogEvent, **fields: Any) -> None:
         """Write one event to the log and count it."""
@@ -140,6 +152,23 @@
         self.write_log(event, **fields)
 
 
+def record_store_answer(sidecar: Sidecar) -> None:
+    """Record that the store answered this sidecar."""
+    if sidecar.store_reachable:
+        return
+    sidecar.store_reachable = True
+    sidecar.log(LogEvent.STORE_AVAILABLE)
+    sidecar.wake_registration()  # restores the record if it lapsed meanwhile
+
+
+def record_store_failure(sidecar: Sidecar, reason: str) -> None:
+    """Record that the store did not answer this sidecar, or turned it away."""
+    if not sidecar.store_reachable:
+        return
+    sidecar.store_reachable = False
+    sidecar.log(LogEvent.STORE_UNAVAILABLE, reason=reason)
+
+
 def find_takeover(sidecar: Sidecar, service: str) -> tuple[Takeover | None, str]:
     """Return a service's latest takeover, and the release of a newer order if one is pending.
 
--- a/src/magnoliasill/sidecar/store_relay.py
+++ b/src/magnoliasill/sidecar/store_relay.py
@@ -3,14 +3,24 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs, urlencode, urlsplit
 
+import attrs
 import eventlet
 import msgspec
 
 from ..codes import LogEvent
+from ..errors import StoreError
 from ..mesh.deltas import DeltaError, apply_delta
-from ..mesh.relays import MAX_AGE_S, RelayResponse, choose_relay, is_relay, relay_changes
+from ..mesh.relays import (
+    MAX_AGE_S,
+    RelayResponse,
+    choose_relay,
+    list_held,
+    relay_changes,
+    should_answer,
+    unpack_value,
+)
 from ..mesh.store_items import Item, Page
 from .member_requests import request_from_member
 
@@ -21,68 +31,116 @@
 
 CHANGES_PATH = "/mesh/changes"
 POLL_TIMEOUT_S = 0.9  # how long a relay holds a follower's poll when nothing changes
+RECOVERY_TIMEOUT_S = 0.4  # how long it is held while the relay gets its outdated copy confirmed
 RESPONSE_MARGIN_S = 0.4  # added to the poll timeout for the round trip on a busy VM
 MAX_STORE_AGE_S = 1e9  # upper bound; reported if the store has never confirmed the local copy
+# A copy that the store has not confirmed for longer is confirmed by a call of its own to the store:
+# after a poll without an answer, but not after a relay's immediate answer that it is outdated.
+MAX_COPY_AGE_S = 1.25
 POLL_INTERVAL_S = 0.02  # between checks for a change during a poll
 
 
-def handle_follower_poll(sidecar: Sidecar, target: str) -> bytes:
+def handle_follower_poll(sidecar: Sidecar, target: str) -> bytes | None:
     """Wait for a change and return the encoded response to a follower's poll.
 
     Args:
         sidecar: State of the relay.
-        target: Request target, with the follower's revision in the query.
+        target: Request target, with the follower's revisions in the query.
+
+    Returns:
+        None if the query can't be understood.
     """
     query = parse_qs(urlsplit(target).query)
-    after = int(query.get("after", ["0"])[0])
-    until = sidecar.clock() + POLL_TIMEOUT_S
-    while sidecar.mirror.revision <= after and sidecar.clock() < until:
+    try:
+        after = int(query.get("after", ["0"])[0])
+        held = {int(revision) for revision in query.get("held", [])}
+    except ValueError:
+        return None
+    started = sidecar.clock()
+    while not _should_answer(sidecar, after, started):
         eventlet.sleep(POLL_INTERVAL_S)
     sidecar.meters.count("relay", "answered")
-    response = relay_changes(sidecar.mirror, sidecar.versions, after, find_store_age(sidecar))
-    return msgspec.json.encode(response)
+    age_s = find_store_age(sidecar)
+    response = relay_changes(sidecar.mirror, sidecar.versions, after, held, age_s)
+    return msgspec.json.encode(attrs.evolve(response, reads_store=_reads_store(sidecar)))
 
 
-def follow_relay(sidecar: Sidecar) -> Page | None:
-    """Poll this sidecar's relay for changes.
+def _should_answer(sidecar: Sidecar, after: int, started: float) -> bool:
+    if sidecar.clock() >= started + POLL_TIMEOUT_S or not _reads_store(sidecar):
+        return True
+    in_time = sidecar.clock() < started + RECOVERY_TIMEOUT_S
+    may_recover = in_time and sidecar.store_reachable and not sidecar.watching_store
+    age_s = find_store_age(sidecar)
+    return should_answer(sidecar.mirror.revision, after, age_s, may_recover)
+
+
+def _reads_store(sidecar: Sidecar) -> bool:
+    """Return whether this sidecar may read from the store, which answered it recently."""
+    return sidecar.relay_backoff.is_available(sidecar.settings.name, sidecar.clock())
+
+
+def find_relay(sidecar: Sidecar) -> Member | None:
+    """Return the sidecar to get the next changes from, or None for the store."""
+    if _reads_store(sidecar) and find_store_age(sidecar) > MAX_COPY_AGE_S:
+        return None
+    return _choose_relay(sidecar)
+
+
+def follow_relay(sidecar: Sidecar, relay: Member) -> Page | None:
+    """Poll a relay for changes.
 
     Returns:
-        The changes; None if there is no relay to poll or its response was rejected.
+        The changes; None if the response was rejected, so that another source has to be used.
 
     Raises:
         StoreError: If a value had to be read from the store and that failed.
     """
-    now = sidecar.clock()
-    relay = choose_relay(sidecar.members, sidecar.settings.name, sidecar.relay_backoff, now)
-    if relay is None:
-        return None
+    started = sidecar.clock()
     sidecar.watching_store = False
     response = _fetch_changes(sidecar, relay)
     reason = _find_distrust_reason(response)
     if reason:
-        sidecar.relay_backoff.suspend(relay.name, sidecar.clock())
-        sidecar.followed_relay = ""
-        sidecar.log(
-            LogEvent.RELAY_DISTRUSTED,
-            relay=relay.name,
-            reason=reason,
-            revision=sidecar.mirror.revision,
-            seconds=round(sidecar.clock() - now, 3),
-        )
+        _suspend_relay(sidecar, relay, reason, started)
         return None
     sidecar.meters.count("relay", "followed")
     sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, sidecar.clock() - response.age_s)
     if sidecar.followed_relay != relay.name:
         sidecar.followed_relay = relay.name
         sidecar.log(LogEvent.RELAY_FOLLOWED, relay=relay.name, revision=response.revision)
-    return Page(
-        tuple(_resolve_change(sidecar, change) for change in response.changes), response.revision
+    try:
+        items = tuple(_resolve_change(sidecar, change) for change in response.changes)
+    except StoreError:
+        _suspend_relay(sidecar, relay, "a value that it lacks could not be read", started)
+        raise
+    return Page(items, response.revision)
+
+
+def _suspend_relay(sidecar: Sidecar, relay: Member, reason: str, started: float) -> None:
+    sidecar.relay_backoff.suspend(relay.name, sidecar.clock())
+    sidecar.followed_relay = ""
+    sidecar.log(
+        LogEvent.RELAY_DISTRUSTED,
+        relay=relay.name,
+        reason=reason,
+        revision=sidecar.mirror.revision,
+        seconds=round(sidecar.clock() - started, 3),
     )
 
 
 def acts_as_relay(sidecar: Sidecar) -> bool:
-    """Return whether this sidecar watches the store on behalf of followers."""
-    return is_relay(sidecar.members, sidecar.settings.name)
+    """Return whether others may follow this sidecar, which reads from the store itself."""
+    return _choose_relay(sidecar) is None
+
+
+def _choose_relay(sidecar: Sidecar) -> Member | None:
+    settings = sidecar.settings
+    return choose_relay(
+        sidecar.members,
+        settings.name,
+        settings.data_centre,
+        sidecar.relay_backoff,
+        sidecar.clock(),
+    )
 
 
 def find_store_age(sidecar: Sidecar) -> float:
@@ -95,13 +153,16 @@
         return "no response"
     if not response.whole:
         return "relay started later than this sidecar's revision"
+    if not response.reads_store:
+        return "the store does not answer the relay"
     if response.age_s > MAX_AGE_S:
         return f"store has not answered the relay for {response.age_s:.1f} s"
     return ""
 
 
 def _fetch_changes(sidecar: Sidecar, relay: Member) -> RelayResponse | None:
-    target = f"{CHANGES_PATH}?after={sidecar.mirror.revision}"
+    held = [("held", revision) for revision in list_held(sidecar.mirror)]
+    target = f"{CHANGES_PATH}?{urlencode([('after', sidecar.mirror.revision), *held])}"
     response = request_from_member(
         sidecar, relay, target, POLL_TIMEOUT_S + RESPONSE_MARGIN_S, RelayResponse
     )
@@ -113,7 +174,7 @@
 def _resolve_change(sidecar: Sidecar, change: Change) -> Item:
     if not change.long:
         return Item(change.key, change.revision, change.value, change.lease)
-    value = _apply_change_delta(sidecar, change)
+    value = _decode_long_value(sidecar, change)
     if value is not None:
         return Item(change.key, change.revision, value, change.lease)
     sidecar.meters.count("store", "read")
@@ -121,12 +182,14 @@
     return found or Item(change.key, change.revision, None)
 
 
-def _apply_change_delta(sidecar: Sidecar, change: Change) -> bytes | None:
-    """Return the new value by applying the delta, or None if it does not fit the known value."""
+def _decode_long_value(sidecar: Sidecar, change: Change) -> bytes | None:
+    """Return the new value from its delta or compressed; None if that does not yield it."""
     known, delta = sidecar.mirror.items.get(change.key), change.delta
-    if delta is None or known is None or known.value is None or known.revision != delta.base:
-        return None
     try:
+        if delta is None:
+            return unpack_value(change.packed) if change.packed is not None else None
+        if known is None or known.value is None or known.revision != delta.base:
+            raise DeltaError("the delta is for another version than the known one")
         return apply_delta(known.value, delta)
     except DeltaError:
         sidecar.meters.count("relay", "delta_unfit")
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -6,12 +6,12 @@
 
 import attrs
 import eventlet
+from eventlet.support.greenlets import GreenletExit
 
 from ..codes import ErrorCode, LogEvent
 from ..errors import ConfigurationError, HistoryLostError, StoreError
 from ..mesh.members import find_condition, mark_lapsed, put_member, remove_lapsed, remove_member
 from ..mesh.records import MEMBER_PREFIX, TAKEOVER_PREFIX, decode_member, decode_takeover
-from ..mesh.relays import is_long
 from ..mesh.store_items import (
     Item,
     Page,
@@ -25,15 +25,25 @@
     decode_configuration,
     decode_order,
 )
-from .state import OpenOrder, find_takeover, log_takeover
-from .store_relay import acts_as_relay, find_store_age, follow_relay
+from .state import (
+    NEVER,
+    OpenOrder,
+    do_nothing,
+    find_takeover,
+    log_takeover,
+    record_store_answer,
+    record_store_failure,
+)
+from .store_relay import find_relay, find_store_age, follow_relay
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from ..mesh.members import Member
     from .state import Sidecar
 
 WATCH_TIMEOUT_S = 3.0  # a lost response delays a change by at most this
+SHORT_WATCH_TIMEOUT_S = 0.4  # while it is in doubt whether the store answers
 # Batches changes that arrive close together into one call; well below the time allowed to apply
 # a change.
 BATCH_DELAY_S = 0.5
@@ -43,9 +53,9 @@
 # After a longer gap the current items are read: a watch would first deliver all that was superseded
 # in between, for as long as the gap and the size of the versions make it.
 MAX_WATCH_GAP_S = 1.0
-# With this many bytes of superseded versions in a page (50 ms on a slow link), the current items
-# are read next instead of further changes.
-MAX_REPLACED_BYTES = 65_536
+# With this many bytes of superseded versions in a page, the current items are read next instead of
+# further changes.
+MAX_REPLACED_BYTES = 16_384
 ALL_KEYS = ""  # key prefix that matches every item
 
 
@@ -64,39 +74,92 @@
 
 def follow_store(sidecar: Sidecar) -> None:
     """Apply changes of the store as they come, until the process ends."""
-    in_sync_at = float("-inf")  # when the local copy was last complete; needs no read soon after
     while True:
+        relay = find_relay(sidecar)
         try:
-            if sidecar.clock() - in_sync_at > MAX_WATCH_GAP_S:
-                read_all_items(sidecar)
-                _record_store_state(sidecar, True)
-                in_sync_at = sidecar.clock()
-            fetch = _begin_fetch(sidecar)
-            page = follow_relay(sidecar)
-            if page is not None:
-                apply_page(sidecar, page)
-                _log_configuration(sidecar, page.items, sidecar.followed_relay, fetch)
-                eventlet.sleep(FOLLOWER_BATCH_DELAY_S if page.items else 0.0)
-                in_sync_at = sidecar.clock()
-                continue
-            fetch = _begin_fetch(sidecar)
-            page = sidecar.store.watch(ALL_KEYS, sidecar.mirror.revision, WATCH_TIMEOUT_S)
-            sidecar.meters.count("store", "watch")
-            _record_store_state(sidecar, True)
-            apply_page(sidecar, page)
-            _log_configuration(sidecar, page.items, "watch", fetch)
-            if page.items:
-                eventlet.sleep(BATCH_DELAY_S)
-            # a watch returns every intermediate version, a read only the latest
-            superseded = count_replaced_bytes(page) >= MAX_REPLACED_BYTES
-            in_sync_at = float("-inf") if superseded else sidecar.clock()
+            if relay is None:
+                _sync_with_store(sidecar)
+            else:
+                _sync_with_relay(sidecar, relay)
         except HistoryLostError:
             sidecar.meters.count("store", "history_lost")
-            in_sync_at = float("-inf")
+            sidecar.in_sync_at = NEVER
         except StoreError as error:
             sidecar.meters.count("store", "watch_failed")
-            _record_store_state(sidecar, False, error.message)
-            eventlet.sleep(sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
+            sidecar.watching_store = False
+            record_store_failure(sidecar, error.message)
+            sidecar.relay_backoff.suspend(sidecar.settings.name, sidecar.clock())
+            if find_relay(sidecar) is None:
+                eventlet.sleep(sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
+
+
+def _sync_with_relay(sidecar: Sidecar, relay: Member) -> None:
+    fetch = _begin_fetch(sidecar)
+    page = follow_relay(sidecar, relay)
+    if page is None:
+        return
+    apply_page(sidecar, page)
+    sidecar.in_sync_at = sidecar.clock()
+    _log_configuration(sidecar, page.items, relay.name, fetch)
+    eventlet.sleep(FOLLOWER_BATCH_DELAY_S if page.items else 0.0)
+
+
+def _sync_with_store(sidecar: Sidecar) -> None:
+    sidecar.followed_relay = ""
+    if sidecar.clock() - sidecar.in_sync_at > MAX_WATCH_GAP_S:
+        read_all_items(sidecar)
+        return
+    fetch = _begin_fetch(sidecar)
+    page = _watch_store(sidecar)
+    if page is None:
+        return
+    sidecar.meters.count("store", "watch")
+    _record_answer(sidecar, sidecar.clock())
+    sidecar.watching_store = True
+    apply_page(sidecar, page)
+    _log_configuration(sidecar, page.items, "watch", fetch)
+    # a watch returns every intermediate version, a read only the latest
+    superseded = count_replaced_bytes(page) >= MAX_REPLACED_BYTES
+    sidecar.in_sync_at = NEVER if superseded else sidecar.clock()
+    if page.items:
+        eventlet.sleep(BATCH_DELAY_S)
+
+
+def _record_answer(sidecar: Sidecar, confirmed_at: float) -> None:
+    record_store_answer(sidecar)
+    sidecar.relay_backoff.restore(sidecar.settings.name)
+    sidecar.store_confirmed_at = confirmed_at
+
+
+def _watch_store(sidecar: Sidecar) -> Page | None:
+    """Wait for changes in the store; return None if the wait was cancelled.
+
+    It is cancelled when another call to the store fails, since the connection of the watch may be
+    silent too. The next waits are short then: each of their answers confirms the local copy.
+    """
+    in_doubt = sidecar.clock() < sidecar.store_doubtful_until
+    wait_s = SHORT_WATCH_TIMEOUT_S if in_doubt else WATCH_TIMEOUT_S
+
+    def watch() -> Page | StoreError | None:
+        try:
+            return sidecar.store.watch(ALL_KEYS, sidecar.mirror.revision, wait_s)
+        except StoreError as error:
+            return error
+
+    thread = eventlet.spawn(watch)
+    sidecar.cancel_watch = thread.kill
+    try:
+        result = thread.wait()
+    except GreenletExit:
+        if not thread.dead:
+            raise  # this loop itself was ended
+        return None
+    finally:
+        sidecar.cancel_watch = do_nothing
+        thread.kill()
+    if isinstance(result, StoreError):
+        raise result
+    return result
 
 
 def read_all_items(sidecar: Sidecar) -> None:
@@ -118,6 +181,8 @@
         after = page.items[-1].key
     for item in apply_snapshot(sidecar.mirror, items, revision):
         _apply_item(sidecar, item)
+    _record_answer(sidecar, fetch.started_at)
+    sidecar.in_sync_at = sidecar.clock()
     _log_configuration(sidecar, items, "read", fetch)
 
 
@@ -172,8 +237,7 @@
 
 
 def _apply_item(sidecar: Sidecar, item: Item) -> None:
-    if is_long(item) and acts_as_relay(sidecar):
-        sidecar.versions.record_version(item)
+    sidecar.versions.record_version(item)  # any sidecar may have to act as a relay
     try:
         if item.key == CONFIGURATION_KEY:
             _apply_configuration(sidecar, item)
@@ -266,17 +330,3 @@
     sidecar.takeovers[service] = (takeover, item.revision)
     if before is None or (before.phase, before.share) != (takeover.phase, takeover.share):
         log_takeover(sidecar, takeover, item.revision)
-
-
-def _record_store_state(sidecar: Sidecar, reachable: bool, reason: str = "") -> None:
-    sidecar.watching_store = reachable
-    if reachable:
-        sidecar.store_confirmed_at = sidecar.clock()
-    if sidecar.store_reachable == reachable:
-        return
-    sidecar.store_reachable = reachable
-    if reachable:
-        sidecar.log(LogEvent.STORE_AVAILABLE)
-        sidecar.wake_registration()  # restores the record if it lapsed meanwhile
-    else:
-        sidecar.log(LogEvent.STORE_UNAVAILABLE, reason=reason)
