Choose the VM with the fastest link as the relay of a data centre

A relay receives every version of the configuration completely, and was the first VM by name: after b-1 came b-10 with 11 Mbit/s, although b-2 had 200. The record of a member now has the rate of its link, from the settings, and relays are ordered by it.

--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -25,6 +25,7 @@
         instance: The incarnation of its backend server.
         slots: The number of requests that the backend server can run concurrently.
         leaving: Whether the backend server is draining and takes no new requests.
+        link_mbps: The rate of the VM's network link in Mbit/s, or 0 if it is not known.
     """
 
     name: str
@@ -35,6 +36,7 @@
     instance: str
     slots: int
     leaving: bool = False
+    link_mbps: float = 0.0
 
 
 @attrs.define
--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -118,11 +118,15 @@
 def _list_relays(
     table: MemberTable, local: list[Member], backoff: RelayBackoff, now: float
 ) -> list[Member]:
-    """Return the relays of a data centre: by name, the first that have no sign of trouble."""
+    """Return the relays of a data centre: those with the fastest links and no sign of trouble."""
     available = [
         member for member in local if not member.leaving and backoff.is_available(member.name, now)
     ]
-    ranked = sorted(available, key=lambda member: (_is_lapsed(table, member), member.name))
+    # a relay receives every version of a long value completely; its followers receive deltas
+    ranked = sorted(
+        available,
+        key=lambda member: (_is_lapsed(table, member), -member.link_mbps, member.name),
+    )
     return ranked[: -(-len(local) // FOLLOWERS_PER_RELAY)]
 
 
--- a/src/magnoliasill/mesh/settings.py
+++ b/src/magnoliasill/mesh/settings.py
@@ -47,6 +47,7 @@
         server: The backend server's address.
         service: The service of the backend server on this VM.
         store: The store's address.
+        link_mbps: The rate of the VM's network link in Mbit/s, or 0 if it is not known.
         seeds: Control addresses of other sidecars, which may be outdated.
         bounds: The guarantees of the deployment.
     """
@@ -61,5 +62,6 @@
     service: str
     store: str
     metrics: str = ""
+    link_mbps: float = 0.0
     seeds: tuple[str, ...] = ()
     bounds: Bounds = attrs.field(factory=Bounds)
--- a/src/magnoliasill/platform/settings.py
+++ b/src/magnoliasill/platform/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tomllib
+from math import isfinite
 from typing import TYPE_CHECKING, Any
 
 from ..codes import ErrorCode
@@ -68,6 +69,7 @@
         service=_require_field(fields, "service_name", str),
         store=_read_address(_require_field(fields, "platform", dict), "address"),
         metrics=metrics,
+        link_mbps=_read_link_rate(fields.get("limits")),
         seeds=tuple(str(seed) for seed in fields.get("seed_nodes") or ()),
         bounds=_read_bounds(fields.get("bounds") or []),
     )
@@ -90,6 +92,13 @@
     return address
 
 
+def _read_link_rate(limits: Any) -> float:
+    """Return the rate of the VM's link in Mbit/s, or 0 if the platform does not give it."""
+    rate = limits.get("link_mbps") if isinstance(limits, dict) else None
+    usable = isinstance(rate, int | float) and isfinite(rate) and rate > 0
+    return float(rate) if usable else 0.0
+
+
 def _read_bounds(entries: Any) -> Bounds:
     values: dict[str, float] = {}
     for entry in entries if isinstance(entries, list) else str(entries).split(","):
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -212,6 +212,7 @@
         instance=latest.instance,
         slots=latest.slots,
         leaving=sidecar.backend.leaving_at is not None or is_gate_closing(sidecar),
+        link_mbps=sidecar.settings.link_mbps,
     )
 
 
--- a/tests/mesh/test_relays.py
+++ b/tests/mesh/test_relays.py
@@ -5,6 +5,7 @@
 import zlib
 from random import Random
 
+import attrs
 import testtools
 
 from magnoliasill.mesh.deltas import DeltaError, apply_delta, build_delta
@@ -91,6 +92,14 @@
             backoff.suspend(f"vm-00{number}", 10.0)
         self.assertIsNone(choose_relay(table, "vm-004", "dc-0", backoff, 11.0))
 
+    # a relay with a slow link could not receive every version of a long configuration in time
+    def test_the_fastest_link_comes_first(self) -> None:
+        table = build_table(6, 1)
+        for name, rate in (("vm-002", 200.0), ("vm-003", 200.0), ("vm-004", 11.0)):
+            put_member(table, attrs.evolve(table.records[name], link_mbps=rate))
+        self.assertEqual("vm-002", find_relay(table, "vm-000").name)
+        self.assertIsNone(find_relay(table, "vm-002"))
+
     def test_one_whose_record_lapsed_comes_last(self) -> None:
         table = build_table(3, 1)
         mark_lapsed(table, "vm-000", 5.0)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -42,6 +42,15 @@
         settings = decode_settings({**FIELDS, "bounds": "drain_s=3,grace_s=7"})
         self.assertEqual((3.0, 7.0), (settings.bounds.drain_s, settings.bounds.grace_s))
 
+    def test_the_rate_of_the_link(self) -> None:
+        for limits, rate in (({"link_mbps": 11}, 11.0), ({"link_mbps": "11"}, 0.0), ([], 0.0)):
+            self.assertEqual(rate, decode_settings({**FIELDS, "limits": limits}).link_mbps)
+        for value in (float("inf"), float("nan"), -1, 0):
+            self.assertEqual(
+                0.0, decode_settings({**FIELDS, "limits": {"link_mbps": value}}).link_mbps
+            )
+        self.assertEqual(0.0, decode_settings(FIELDS).link_mbps)
+
     def test_missing_fields_are_named(self) -> None:
         for name in ("node_name", "zone", "app_addr", "service_name", "listen_addrs", "platform"):
             fields = {key: value for key, value in FIELDS.items() if key != name}
--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -29,7 +29,7 @@
 from magnoliasill.sidecar.store_sync import follow_store, remove_lapsed_members
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from magnoliasill.mesh.members import Member
 
@@ -123,21 +123,28 @@
         return self.hub.now_s
 
 
-def open_simulated_fleet(seed: int, data_centres: int, vms: int, fast: int) -> SimulatedFleet:
+def open_simulated_fleet(
+    seed: int,
+    data_centres: int,
+    vms: int,
+    fast: Collection[int],
+    slow_link_bytes_per_s: float = SLOW_LINK_BYTES_PER_S,
+) -> SimulatedFleet:
     """Start the sidecars of a simulated fleet with a first configuration.
 
     Args:
         seed: Seed of all random choices.
         data_centres: The number of data centres.
         vms: The number of VMs in each data centre.
-        fast: How many of these have a fast link.
+        fast: The positions, by name, of those of these VMs that have a fast link.
+        slow_link_bytes_per_s: The rate of the other VMs' links.
     """
     eventlet.hubs.use_hub(VirtualHub)
     fleet = SimulatedFleet(eventlet.hubs.get_hub(), Random(seed))
     publish(fleet)
     for data_centre in range(data_centres):
         for number in range(vms):
-            rate = FAST_LINK_BYTES_PER_S if number < fast else SLOW_LINK_BYTES_PER_S
+            rate = FAST_LINK_BYTES_PER_S if number in fast else slow_link_bytes_per_s
             _start_vm(fleet, f"dc-{data_centre}", f"vm-{data_centre}-{number:02}", rate)
     eventlet.spawn(_check_versions, fleet)
     return fleet
@@ -267,6 +274,7 @@
         server=f"{name}:5",
         service="shop",
         store="store:1",
+        link_mbps=rate * 8 / 1e6,
         bounds=Bounds(),
     )
 
--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -24,9 +24,11 @@
 class OutageCase(testtools.TestCase):
     """Simulated fleet of two data centres whose first VMs are their relays."""
 
-    def open_fleet(self, seed: int, vms: int = 8, fast: int = 2) -> SimulatedFleet:
+    def open_fleet(
+        self, seed: int, fast: tuple[int, ...] = (0, 1), **options: float
+    ) -> SimulatedFleet:
         self.addCleanup(eventlet.hubs.use_hub, None)
-        fleet = simulation.open_simulated_fleet(seed, data_centres=2, vms=vms, fast=fast)
+        fleet = simulation.open_simulated_fleet(seed, 2, 8, fast, **options)
         ask = simulation.ask_simulated_member(fleet)
         self.patch(store_relay, "request_from_member", ask)
         simulation.run_until(fleet, 4.0)
@@ -77,6 +79,19 @@
         self.assert_in_time(fleet)
 
 
+class SlowLinkTest(WithScenarios, OutageCase):
+    """Only some VMs have links over which whole configurations arrive as fast as they change."""
+
+    scenarios = [(f"seed-{seed}", {"seed": seed}) for seed in range(1, 3)]
+
+    # the first VM by name was the relay, and its link could not carry each version in time
+    def test_a_vm_with_a_fast_link_is_the_relay(self) -> None:
+        fleet = self.open_fleet(self.seed, fast=(5, 6), slow_link_bytes_per_s=25_000.0)
+        simulation.publish_series(fleet, 0.6, 20.0)
+        simulation.run_until(fleet, 22.0)
+        self.assert_in_time(fleet)
+
+
 class CatchUpTest(OutageCase):
     """The store turns every sidecar away while several configurations are accepted."""
 
