--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -59,10 +59,11 @@
     """A relay's answer to a follower.
 
     Attributes:
-        changes: The changes since the follower's revision.
+        changes: The changes since the follower's revision, or all items if this is a snapshot.
         revision: The store revision up to which the changes are complete.
         age_s: Seconds since the store last answered the relay.
         whole: Whether the relay knows all changes since the follower's revision.
+        snapshot: Whether it sends all items instead, since it does not know all changes.
         reads_store: Whether the store answers the relay; if not, it may follow the follower.
     """
 
@@ -70,6 +71,7 @@
     revision: int
     age_s: float
     whole: bool = True
+    snapshot: bool = False
     reads_store: bool = True
 
 
@@ -235,14 +237,13 @@
         held: The store revisions of the long values that the follower holds.
         age_s: Seconds since the store last confirmed the mirror.
     """
-    if after < mirror.complete_since:
-        return RelayResponse((), mirror.revision, age_s, whole=False)
+    whole = after >= mirror.complete_since
     changes = tuple(
         _build_change(item, versions, held)
         for item in mirror.items.values()
-        if item.revision > after
+        if (item.revision > after if whole else item.value is not None)
     )
-    return RelayResponse(changes, mirror.revision, age_s)
+    return RelayResponse(changes, mirror.revision, age_s, whole, snapshot=not whole)
 
 
 def _build_change(item: Item, versions: LongValueVersions, held: Collection[int]) -> Change:
--- a/src/magnoliasill/mesh/store_items.py
+++ b/src/magnoliasill/mesh/store_items.py
@@ -30,11 +30,13 @@
         items: The items.
         revision: The store revision that the items are current at.
         more: Whether further pages follow.
+        snapshot: Whether the items are all that there are, instead of changes.
     """
 
     items: tuple[Item, ...]
     revision: int
     more: bool = False
+    snapshot: bool = False
 
 
 @attrs.frozen
--- a/src/magnoliasill/sidecar/store_relay.py
+++ b/src/magnoliasill/sidecar/store_relay.py
@@ -112,7 +112,7 @@
     except StoreError:
         _suspend_relay(sidecar, relay, "a value that it lacks could not be read", started)
         raise
-    return Page(items, response.revision)
+    return Page(items, response.revision, snapshot=response.snapshot)
 
 
 def _suspend_relay(sidecar: Sidecar, relay: Member, reason: str, started: float) -> None:
@@ -151,7 +151,7 @@
 def _find_distrust_reason(response: RelayResponse | None) -> str:
     if response is None:
         return "no response"
-    if not response.whole:
+    if not response.whole and not response.snapshot:
         return "relay started later than this sidecar's revision"
     if not response.reads_store:
         return "the store does not answer the relay"
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -191,9 +191,12 @@
 
     Args:
         sidecar: State of this sidecar.
-        page: The changes, from the store or from another sidecar.
+        page: The changes or a snapshot, from the store or from another sidecar.
     """
-    changed = apply_changes(sidecar.mirror, page)
+    if page.snapshot:
+        changed = apply_snapshot(sidecar.mirror, list(page.items), page.revision)
+    else:
+        changed = apply_changes(sidecar.mirror, page)
     newest = {item.key: item for item in changed}
     for item in newest.values():
         _apply_item(sidecar, item)
