--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -124,7 +124,7 @@
         fields=("relay", "revision"),
     ),
     LogEvent.RELAY_DISTRUSTED: EventEntry(
-        "This sidecar reads the store directly for a while instead of through its relay.",
+        "This sidecar gets no changes from a relay for a while, but from another or the store.",
         fields=("relay", "reason", "revision", "seconds"),
         reaction="nothing, unless one relay is named for minutes: check its VM",
     ),
