Prefer other sidecars to an own read of a long configuration over a slow link

After such a read a sidecar asks its neighbours first now; a read that brought a new long version counts as current from its start; and a relay whose copy was outdated, which it may be changing, is asked again after 1 s.

--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -24,7 +24,8 @@
 
 FOLLOWERS_PER_RELAY = 24  # each sends it about 1 request/s
 MAX_AGE_S = 1.0  # since the store last answered; well below the time allowed to apply a change
-RELAY_BACKOFF_S = 4.0  # how long a relay is not asked after it gave no usable answer
+RELAY_BACKOFF_S = 4.0  # how long a relay is not asked after it failed
+OUTDATED_BACKOFF_S = 1.0  # the same after its copy was outdated, which it may just be changing
 MAX_VALUE_BYTES = 1_048_576  # the store accepts no longer values
 PACKING_LEVEL = 1  # of zlib; higher levels take several times as long for a tenth less
 MAX_RELAYED_BYTES = 16_384  # sending longer ones to all followers would saturate a relay's link
@@ -84,9 +85,9 @@
 
     suspended_until: dict[str, float] = attrs.field(factory=dict)
 
-    def suspend(self, name: str, now: float) -> None:
-        """Use no changes from a sidecar for a fixed time."""
-        self.suspended_until[name] = now + RELAY_BACKOFF_S
+    def suspend(self, name: str, now: float, duration_s: float = RELAY_BACKOFF_S) -> None:
+        """Use no changes from a sidecar for some time."""
+        self.suspended_until[name] = now + duration_s
 
     def is_available(self, name: str, now: float) -> bool:
         """Return whether a sidecar may be used as a source now."""
--- a/src/magnoliasill/sidecar/registration.py
+++ b/src/magnoliasill/sidecar/registration.py
@@ -13,7 +13,7 @@
 from ..mesh.records import MEMBER_PREFIX, encode_record
 from ..mesh.store_items import Condition, Put, Transaction
 from .state import STORE_DOUBT_S, build_own_record, record_store_answer
-from .store_relay import acts_as_relay
+from .store_relay import find_relay
 
 if TYPE_CHECKING:
     from ..mesh.members import Member
@@ -57,7 +57,7 @@
     """Write and renew this sidecar's record, until the process ends."""
     while True:
         try:
-            pause_s = RELAY_RENEW_S if acts_as_relay(sidecar) else RENEW_S
+            pause_s = RELAY_RENEW_S if find_relay(sidecar) is None else RENEW_S
             if _register(sidecar, registration):
                 _record_confirmation(sidecar)
         except LeaseEndedError:
--- a/src/magnoliasill/sidecar/store_relay.py
+++ b/src/magnoliasill/sidecar/store_relay.py
@@ -14,6 +14,7 @@
 from ..mesh.deltas import DeltaError, apply_delta
 from ..mesh.relays import (
     MAX_AGE_S,
+    OUTDATED_BACKOFF_S,
     RelayResponse,
     choose_relay,
     list_held,
@@ -34,8 +35,8 @@
 RECOVERY_TIMEOUT_S = 0.4  # how long it is held while the relay gets its outdated copy confirmed
 RESPONSE_MARGIN_S = 0.4  # added to the poll timeout for the round trip on a busy VM
 MAX_STORE_AGE_S = 1e9  # upper bound; reported if the store has never confirmed the local copy
-# A copy that the store has not confirmed for longer is confirmed by a call of its own to the store:
-# after a poll without an answer, but not after a relay's immediate answer that it is outdated.
+# After a relay failed, an older copy is confirmed by reading from the store, which takes long over
+# slow links: a poll without an answer makes the copy as old, an immediate refusal does not.
 MAX_COPY_AGE_S = 1.25
 POLL_INTERVAL_S = 0.02  # between checks for a change during a poll
 
@@ -81,9 +82,19 @@
 
 def find_relay(sidecar: Sidecar) -> Member | None:
     """Return the sidecar to get the next changes from, or None for the store."""
-    if _reads_store(sidecar) and find_store_age(sidecar) > MAX_COPY_AGE_S:
-        return None
-    return _choose_relay(sidecar)
+    settings = sidecar.settings
+    return choose_relay(
+        sidecar.members,
+        settings.name,
+        settings.data_centre,
+        sidecar.relay_backoff,
+        sidecar.clock(),
+    )
+
+
+def needs_own_read(sidecar: Sidecar) -> bool:
+    """Return whether the local copy is so old that it has to be confirmed by the store itself."""
+    return _reads_store(sidecar) and find_store_age(sidecar) > MAX_COPY_AGE_S
 
 
 def follow_relay(sidecar: Sidecar, relay: Member) -> Page | None:
@@ -101,6 +112,8 @@
     reason = _find_distrust_reason(response)
     if reason:
         _suspend_relay(sidecar, relay, reason, started)
+        if response is not None and response.reads_store:
+            sidecar.relay_backoff.suspend(relay.name, sidecar.clock(), OUTDATED_BACKOFF_S)
         return None
     sidecar.meters.count("relay", "followed")
     sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, sidecar.clock() - response.age_s)
@@ -127,22 +140,6 @@
     )
 
 
-def acts_as_relay(sidecar: Sidecar) -> bool:
-    """Return whether others may follow this sidecar, which reads from the store itself."""
-    return _choose_relay(sidecar) is None
-
-
-def _choose_relay(sidecar: Sidecar) -> Member | None:
-    settings = sidecar.settings
-    return choose_relay(
-        sidecar.members,
-        settings.name,
-        settings.data_centre,
-        sidecar.relay_backoff,
-        sidecar.clock(),
-    )
-
-
 def find_store_age(sidecar: Sidecar) -> float:
     """Return the seconds since the store last confirmed this sidecar's copy of its items."""
     return min(sidecar.clock() - sidecar.store_confirmed_at, MAX_STORE_AGE_S)
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -12,6 +12,7 @@
 from ..errors import ConfigurationError, HistoryLostError, StoreError
 from ..mesh.members import find_condition, mark_lapsed, put_member, remove_lapsed, remove_member
 from ..mesh.records import MEMBER_PREFIX, TAKEOVER_PREFIX, decode_member, decode_takeover
+from ..mesh.relays import is_long
 from ..mesh.store_items import (
     Item,
     Page,
@@ -34,7 +35,7 @@
     record_store_answer,
     record_store_failure,
 )
-from .store_relay import find_relay, find_store_age, follow_relay
+from .store_relay import find_relay, find_store_age, follow_relay, needs_own_read
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -97,6 +98,8 @@
     fetch = _begin_fetch(sidecar)
     page = follow_relay(sidecar, relay)
     if page is None:
+        if needs_own_read(sidecar):
+            read_all_items(sidecar)
         return
     apply_page(sidecar, page)
     sidecar.in_sync_at = sidecar.clock()
@@ -179,10 +182,13 @@
         if not page.more or not page.items:
             break
         after = page.items[-1].key
-    for item in apply_snapshot(sidecar.mirror, items, revision):
+    changed = apply_snapshot(sidecar.mirror, items, revision)
+    for item in changed:
         _apply_item(sidecar, item)
     _record_answer(sidecar, fetch.started_at)
-    sidecar.in_sync_at = sidecar.clock()
+    # a long value that took long to arrive may already be superseded
+    is_changing = any(is_long(item) for item in changed)
+    sidecar.in_sync_at = fetch.started_at if is_changing else sidecar.clock()
     _log_configuration(sidecar, items, "read", fetch)
 
 
