Count no renewed lease as a confirmation while the items are being read

Without a watch a change could be missed meanwhile, and a slow read made the copy look fresh to followers. The time of the last confirmation no longer goes back either.

--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -1,9 +1,9 @@
 """Relays: sidecars that watch the store and forward its changes to others in their data centre.
 
 Limits the load of many sidecars on the store, where each call is charged and counts towards a rate
-limit. Any sidecar can act as a relay: each one follows the first of its data centre that gave it no
-reason to doubt, and reads from the store itself if that is the sidecar itself. A sidecar that the
-store turns away follows another that the store serves.
+limit. Each sidecar ranks the members of its data centre and follows the first that did not fail it,
+or reads from the store if it is the first itself. So any sidecar can become a relay, and one that
+the store turns away follows another that the store serves.
 """
 
 from __future__ import annotations
@@ -24,8 +24,8 @@
 
 FOLLOWERS_PER_RELAY = 24  # each sends it about 1 request/s
 MAX_AGE_S = 1.0  # since the store last answered; well below the time allowed to apply a change
-RELAY_BACKOFF_S = 4.0  # how long a relay is not asked after it failed
-OUTDATED_BACKOFF_S = 1.0  # the same after its copy was outdated, which it may just be changing
+RELAY_BACKOFF_S = 4.0  # how long a sidecar is no source of changes after it failed
+OUTDATED_BACKOFF_S = 1.0  # the same if only its copy was outdated, which may soon be over
 MAX_VALUE_BYTES = 1_048_576  # the store accepts no longer values
 PACKING_LEVEL = 1  # of zlib; higher levels take several times as long for a tenth less
 MAX_RELAYED_BYTES = 16_384  # sending longer ones to all followers would saturate a relay's link
@@ -85,7 +85,7 @@
 
     suspended_until: dict[str, float] = attrs.field(factory=dict)
 
-    def suspend(self, name: str, now: float, duration_s: float = RELAY_BACKOFF_S) -> None:
+    def suspend(self, name: str, now: float, duration_s: float) -> None:
         """Use no changes from a sidecar for some time."""
         self.suspended_until[name] = now + duration_s
 
--- a/src/magnoliasill/sidecar/store_relay.py
+++ b/src/magnoliasill/sidecar/store_relay.py
@@ -15,6 +15,7 @@
 from ..mesh.relays import (
     MAX_AGE_S,
     OUTDATED_BACKOFF_S,
+    RELAY_BACKOFF_S,
     RelayResponse,
     choose_relay,
     list_held,
@@ -111,9 +112,9 @@
     response = _fetch_changes(sidecar, relay)
     reason = _find_distrust_reason(response)
     if reason:
-        _suspend_relay(sidecar, relay, reason, started)
-        if response is not None and response.reads_store:
-            sidecar.relay_backoff.suspend(relay.name, sidecar.clock(), OUTDATED_BACKOFF_S)
+        is_outdated = response is not None and response.reads_store
+        backoff_s = OUTDATED_BACKOFF_S if is_outdated else RELAY_BACKOFF_S
+        _suspend_relay(sidecar, relay, reason, started, backoff_s)
         return None
     sidecar.meters.count("relay", "followed")
     sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, sidecar.clock() - response.age_s)
@@ -123,13 +124,16 @@
     try:
         items = tuple(_resolve_change(sidecar, change) for change in response.changes)
     except StoreError:
-        _suspend_relay(sidecar, relay, "a value that it lacks could not be read", started)
+        reason = "a value that it lacks could not be read"
+        _suspend_relay(sidecar, relay, reason, started, RELAY_BACKOFF_S)
         raise
     return Page(items, response.revision, snapshot=response.snapshot)
 
 
-def _suspend_relay(sidecar: Sidecar, relay: Member, reason: str, started: float) -> None:
-    sidecar.relay_backoff.suspend(relay.name, sidecar.clock())
+def _suspend_relay(
+    sidecar: Sidecar, relay: Member, reason: str, started: float, backoff_s: float
+) -> None:
+    sidecar.relay_backoff.suspend(relay.name, sidecar.clock(), backoff_s)
     sidecar.followed_relay = ""
     sidecar.log(
         LogEvent.RELAY_DISTRUSTED,
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -12,7 +12,7 @@
 from ..errors import ConfigurationError, HistoryLostError, StoreError
 from ..mesh.members import find_condition, mark_lapsed, put_member, remove_lapsed, remove_member
 from ..mesh.records import MEMBER_PREFIX, TAKEOVER_PREFIX, decode_member, decode_takeover
-from ..mesh.relays import is_long
+from ..mesh.relays import RELAY_BACKOFF_S, is_long
 from ..mesh.store_items import (
     Item,
     Page,
@@ -89,7 +89,8 @@
             sidecar.meters.count("store", "watch_failed")
             sidecar.watching_store = False
             record_store_failure(sidecar, error.message)
-            sidecar.relay_backoff.suspend(sidecar.settings.name, sidecar.clock())
+            own_name = sidecar.settings.name
+            sidecar.relay_backoff.suspend(own_name, sidecar.clock(), RELAY_BACKOFF_S)
             if find_relay(sidecar) is None:
                 eventlet.sleep(sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
@@ -131,7 +132,7 @@
 def _record_answer(sidecar: Sidecar, confirmed_at: float) -> None:
     record_store_answer(sidecar)
     sidecar.relay_backoff.restore(sidecar.settings.name)
-    sidecar.store_confirmed_at = confirmed_at
+    sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, confirmed_at)
 
 
 def _watch_store(sidecar: Sidecar) -> Page | None:
@@ -172,6 +173,7 @@
         StoreError: If the store did not respond.
     """
     fetch = _begin_fetch(sidecar)
+    sidecar.watching_store = False  # until then a renewed lease confirms nothing
     items: list[Item] = []
     revision, after = None, ""
     while True:
--- a/tests/mesh/test_relays.py
+++ b/tests/mesh/test_relays.py
@@ -73,7 +73,7 @@
     # followers of a relay without the store each read from the store, over their own links
     def test_the_next_one_is_followed_while_a_relay_is_distrusted(self) -> None:
         table, backoff = build_table(6, 1), RelayBackoff()
-        backoff.suspend("vm-000", 10.0)
+        backoff.suspend("vm-000", 10.0, RELAY_BACKOFF_S)
         followed = [
             choose_relay(table, "vm-004", "dc-0", backoff, 10.0 + wait_s).name
             for wait_s in (RELAY_BACKOFF_S / 2, RELAY_BACKOFF_S)
@@ -83,13 +83,13 @@
     # a relay that the store turned away kept its outdated copy although others had the newest
     def test_one_that_the_store_turns_away_follows_another(self) -> None:
         table, backoff = build_table(6, 1), RelayBackoff()
-        backoff.suspend("vm-000", 10.0)
+        backoff.suspend("vm-000", 10.0, RELAY_BACKOFF_S)
         self.assertEqual("vm-001", choose_relay(table, "vm-000", "dc-0", backoff, 11.0).name)
 
     def test_the_store_is_read_when_all_others_are_distrusted(self) -> None:
         table, backoff = build_table(6, 1), RelayBackoff()
         for number in (0, 1, 2, 3, 5):
-            backoff.suspend(f"vm-00{number}", 10.0)
+            backoff.suspend(f"vm-00{number}", 10.0, RELAY_BACKOFF_S)
         self.assertIsNone(choose_relay(table, "vm-004", "dc-0", backoff, 11.0))
 
     # a relay with a slow link could not receive every version of a long configuration in time
