Prefer a fast link in another data centre to a slow one in this as the relay

Members are ranked by link first, then by data centre. A sidecar that the store answers again, a renewal included, reads from it again at once; until now its followers could find it busy following another.

--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -1,9 +1,9 @@
 """Relays: sidecars that watch the store and forward its changes to others in their data centre.
 
 Limits the load of many sidecars on the store, where each call is charged and counts towards a rate
-limit. Each sidecar ranks the members of its data centre and follows the first that did not fail it,
-or reads from the store if it is the first itself. So any sidecar can become a relay, and one that
-the store turns away follows another that the store serves.
+limit. Each sidecar ranks the members by link and data centre and follows the first that did not
+fail it, or reads from the store if it is the first itself. So any sidecar can become a relay, and
+one that the store turns away follows another that the store serves.
 """
 
 from __future__ import annotations
@@ -111,26 +111,33 @@
         now: Seconds on the monotonic clock.
     """
     local = [member for member in table.records.values() if member.data_centre == data_centre]
-    relays = _list_relays(table, local, backoff, now)
+    ranked = _rank_members(table, data_centre, backoff, now)
+    relays = ranked[: -(-len(local) // FOLLOWERS_PER_RELAY)]
     if not relays or any(member.name == name for member in relays):
         return None
     position = sum(member.name < name for member in local)
     return relays[position % len(relays)]
 
 
-def _list_relays(
-    table: MemberTable, local: list[Member], backoff: RelayBackoff, now: float
+def _rank_members(
+    table: MemberTable, data_centre: str, backoff: RelayBackoff, now: float
 ) -> list[Member]:
-    """Return the relays of a data centre: those with the fastest links and no sign of trouble."""
+    """Return the members without a sign of trouble: those with the fastest links first.
+
+    A relay receives every version of a long value completely, and sends its changes to many. So a
+    fast link in another data centre is better than a slow one in this.
+    """
+
+    def find_rank(member: Member) -> tuple[bool, float, bool, str]:
+        elsewhere = member.data_centre != data_centre
+        return _is_lapsed(table, member), -member.link_mbps, elsewhere, member.name
+
     available = [
-        member for member in local if not member.leaving and backoff.is_available(member.name, now)
+        member
+        for member in table.records.values()
+        if not member.leaving and backoff.is_available(member.name, now)
     ]
-    # a relay receives every version of a long value completely; its followers receive deltas
-    ranked = sorted(
-        available,
-        key=lambda member: (_is_lapsed(table, member), -member.link_mbps, member.name),
-    )
-    return ranked[: -(-len(local) // FOLLOWERS_PER_RELAY)]
+    return sorted(available, key=find_rank)
 
 
 def _is_lapsed(table: MemberTable, member: Member) -> bool:
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -153,7 +153,8 @@
 
 
 def record_store_answer(sidecar: Sidecar) -> None:
-    """Record that the store answered this sidecar."""
+    """Record that the store answered this sidecar, which may read from it again."""
+    sidecar.relay_backoff.restore(sidecar.settings.name)
     if sidecar.store_reachable:
         return
     sidecar.store_reachable = True
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -131,7 +131,6 @@
 
 def _record_answer(sidecar: Sidecar, confirmed_at: float) -> None:
     record_store_answer(sidecar)
-    sidecar.relay_backoff.restore(sidecar.settings.name)
     sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, confirmed_at)
 
 
--- a/tests/mesh/test_relays.py
+++ b/tests/mesh/test_relays.py
@@ -100,6 +100,22 @@
         self.assertEqual("vm-002", find_relay(table, "vm-000").name)
         self.assertIsNone(find_relay(table, "vm-002"))
 
+    # 21 followers shared the slow link of the next relay when both with fast links had failed
+    def test_a_fast_link_elsewhere_comes_before_a_slow_one_here(self) -> None:
+        table, backoff = build_table(8), RelayBackoff()
+        for name in ("vm-000", "vm-005"):
+            put_member(table, attrs.evolve(table.records[name], link_mbps=200.0))
+        self.assertEqual("vm-000", find_relay(table, "vm-004").name)
+        backoff.suspend("vm-000", 10.0, RELAY_BACKOFF_S)
+        self.assertEqual("vm-005", choose_relay(table, "vm-004", "dc-0", backoff, 11.0).name)
+
+    def test_of_equal_links_those_of_the_data_centre_come_first(self) -> None:
+        table, backoff = build_table(8), RelayBackoff()
+        for number in (0, 2, 4):
+            backoff.suspend(f"vm-00{number}", 10.0, RELAY_BACKOFF_S)
+        self.assertIsNone(choose_relay(table, "vm-006", "dc-0", backoff, 11.0))
+        self.assertEqual("vm-006", choose_relay(table, "vm-004", "dc-0", backoff, 11.0).name)
+
     def test_one_whose_record_lapsed_comes_last(self) -> None:
         table = build_table(3, 1)
         mark_lapsed(table, "vm-000", 5.0)
--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -25,10 +25,10 @@
     """Simulated fleet of two data centres whose first VMs are their relays."""
 
     def open_fleet(
-        self, seed: int, fast: tuple[int, ...] = (0, 1), **options: float
+        self, seed: int, vms: int = 8, fast: tuple[int, ...] = (0, 1), **options: float
     ) -> SimulatedFleet:
         self.addCleanup(eventlet.hubs.use_hub, None)
-        fleet = simulation.open_simulated_fleet(seed, 2, 8, fast, **options)
+        fleet = simulation.open_simulated_fleet(seed, 2, vms, fast, **options)
         ask = simulation.ask_simulated_member(fleet)
         self.patch(store_relay, "request_from_member", ask)
         simulation.run_until(fleet, 4.0)
@@ -59,6 +59,17 @@
         self.assert_in_time(fleet)
 
 
+class FastLinksLostTest(OutageCase):
+    """The store turns away all VMs of a data centre that have a fast link."""
+
+    # one VM with a slow link had to read whole versions and send the changes to all others
+    def test_configurations_are_applied_in_time_by_those_that_the_store_serves(self) -> None:
+        fleet = self.open_fleet(seed=22, vms=23)
+        simulation.play_partial_outage(fleet, 0.33, (0.4, 0.9), silent=False)
+        self.assertTrue(all(fleet.vms[name].served_since for name in (RELAY, "vm-0-01")))
+        self.assert_in_time(fleet)
+
+
 class RelayFailureTest(WithScenarios, OutageCase):
     """A relay loses power while long configurations follow one another."""
 
