--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -120,7 +120,7 @@
         reaction="if it recurs, check the load of the VM",
     ),
     LogEvent.RELAY_FOLLOWED: EventEntry(
-        "This sidecar gets the store's changes from another sidecar in its data centre.",
+        "This sidecar gets the store's changes from another sidecar.",
         fields=("relay", "revision"),
     ),
     LogEvent.RELAY_DISTRUSTED: EventEntry(
--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -1,4 +1,4 @@
-"""Relays: sidecars that watch the store and forward its changes to others in their data centre.
+"""Relays: sidecars that watch the store and forward its changes to others.
 
 Limits the load of many sidecars on the store, where each call is charged and counts towards a rate
 limit. Each sidecar ranks the members by link and data centre and follows the first that did not
