--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -70,6 +70,16 @@
         self.assert_in_time(fleet)
 
 
+class SlowLinksOnlyTest(OutageCase):
+    """No VM has a fast link, and the store turns away a third of them."""
+
+    # whole versions over a slow link take most of the time that is allowed
+    def test_configurations_are_applied_in_time_by_those_that_the_store_serves(self) -> None:
+        fleet = self.open_fleet(seed=41, vms=5, fast=())
+        simulation.play_partial_outage(fleet, 0.33, (0.4, 0.9), silent=False)
+        self.assert_in_time(fleet)
+
+
 class RelayFailureTest(WithScenarios, OutageCase):
     """A relay loses power while long configurations follow one another."""
 
