--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -45,6 +45,8 @@
         most_running: The highest number of concurrent requests.
         cancelled: The number of requests whose connection closed while they ran.
         sequence: The sequence number of the latest heartbeat.
+        limit: The value of the header that names its rate limit, or None if it names none.
+        leaving: Whether its responses say that it is leaving.
         behave: A function that returns the bytes to send instead of the usual response, or None
             for the usual one. A trailing `!close` closes the connection afterwards, and `!reset`
             resets it.
@@ -63,6 +65,8 @@
     most_running: int = 0
     cancelled: int = 0
     sequence: int = 0
+    limit: str | None = None
+    leaving: bool = False
     behave: Any = None
     listener: Any = None
 
@@ -321,6 +325,7 @@
     identifier = headers.get("attempt-id", "")
     if headers.get("target-instance") != server.instance:
         head = f"HTTP/1.1 421 Misdirected\r\nInstance-Id: {server.instance}\r\n"
+        head += _build_notice_headers(server)
         sock.sendall(f"{head}Content-Length: 0\r\n\r\n".encode())
         return True
     server.runs[identifier] += 1
@@ -341,10 +346,17 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             return False
         return not override.endswith(b"!close") and override != b""
-    sock.sendall(build_answer(identifier, b"made by " + server.instance.encode()))
+    body = b"made by " + server.instance.encode()
+    sock.sendall(build_answer(identifier, body, extra=_build_notice_headers(server)))
     return True
 
 
+def _build_notice_headers(server: Server) -> str:
+    """Return the headers with which a server names its rate limit and says that it is leaving."""
+    headers = "" if server.limit is None else f"Server-Limit: {server.limit}\r\n"
+    return headers + ("Server-Leaving: 1\r\n" if server.leaving else "")
+
+
 def build_answer(identifier: str, body: bytes, status: str = "200 OK", extra: str = "") -> bytes:
     """Return the bytes of a backend server's response."""
     head = (
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import attrs
 import eventlet
 import testtools
@@ -354,6 +356,39 @@
         self.assertEqual(1, sum(server.runs["d-3"] for server in self.fleet.servers))
 
 
+class ServerNoticeTest(CallCase):
+    """Guards against servers that get work against what their responses say (incident LIMIT)."""
+
+    services = ("shop", "stock", "stock")
+
+    def test_a_limit_named_in_a_response(self) -> None:
+        for server in self.fleet.servers[1:]:
+            server.limit = "1"
+        started = time.monotonic()
+        for number in range(60):
+            send(self.fleet, number % 2, "/stock/x", f"n-{number}")
+        allowed = 1.5 * (time.monotonic() - started) + 5
+        for server in self.fleet.servers[1:]:
+            self.assertLessEqual(len(server.requests), allowed)
+
+    def test_a_server_whose_response_says_that_it_leaves(self) -> None:
+        self.stock.leaving = True
+        for number in range(30):
+            self.assertEqual(200, send(self.fleet, number % 2, "/stock/x", f"n-{number}")[0])
+        self.assertLessEqual(len(self.stock.requests), 1)
+
+    def test_a_421_of_another_server_says_nothing_of_the_one_that_was_meant(self) -> None:
+        self.stock.instance, self.stock.leaving, self.stock.limit = "i-other", True, "0.001"
+        for number in range(10):
+            send(self.fleet, 0, "/stock/x", f"n-{number}")
+        self.stock.instance, self.stock.leaving, self.stock.limit = "i-2", False, None
+        before = len(self.stock.requests)
+        for number in range(40):
+            self.assertEqual(200, send(self.fleet, number % 2, "/stock/x", f"m-{number}")[0])
+            eventlet.sleep(0.01)
+        self.assertGreater(len(self.stock.requests), before)
+
+
 class CancelTest(CallCase):
     def test_a_caller_that_left_ends_the_work(self) -> None:
         self.stock.work_s = 0.5
