Log and measure the limit that a backend server names in its responses

The headers are decoded in platform/; the gate logs a limit that appears, changes or ends (5405), a value that is no positive number (5406, the known limit stays), and has a gauge.

--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -211,6 +211,7 @@
             "mean_s",
             "time_left_s",
             "queue_s",
+            "limit_per_s",
         ),
     ),
     LogEvent.GATE_FAILED: EventEntry(
@@ -224,7 +225,7 @@
     ),
     LogEvent.SERVER_LEAVING: EventEntry(
         "The backend server accepts no new requests; the gate refuses them from now on.",
-        fields=("instance", "born", "sequence"),
+        fields=("instance", "born", "sequence", "source"),
     ),
     LogEvent.SERVER_GONE: EventEntry(
         "The backend server has left permanently.", fields=("instance", "born")
@@ -234,6 +235,18 @@
         fields=("instance", "reason"),
         reaction="look for another process that sends heartbeats if it persists",
     ),
+    LogEvent.SERVER_LIMIT_CHANGED: EventEntry(
+        "The rate limit that the backend server names in its responses appeared, changed or ended; "
+        "no `limit_per_s` means no limit. The source is `response`, or `peer` where a restarted gate "
+        "learnt it from another sidecar.",
+        fields=("instance", "born", "limit_per_s", "previous_per_s", "source", "age_s", "waiting"),
+        reaction="if it lasts, ask the service's team why the server is in need",
+    ),
+    LogEvent.SERVER_LIMIT_REFUSED: EventEntry(
+        "The backend server named a rate limit that is no positive number; the known limit stays.",
+        fields=("instance", "value", "limit_per_s"),
+        reaction="report it to the service's team",
+    ),
     LogEvent.MEMBER_CHANGED: EventEntry(
         "A sidecar's record appeared or changed.",
         fields=("member", "service", "release", "instance", "leaving", "revision"),
--- a/src/magnoliasill/mesh/backend.py
+++ b/src/magnoliasill/mesh/backend.py
@@ -57,6 +57,9 @@
         heard_at: When that heartbeat arrived, in seconds on the monotonic clock.
         leaving_at: When its announcement that it drains was acknowledged, or None.
         warm_at: When its cold start is over.
+        limit_per_s: The rate limit that it names in its responses, in requests per second, or None.
+        has_answered: Whether it has answered this process, so that `limit_per_s` is its own word.
+        bad_limit: The last value of a limit that was no positive number, or an empty string.
         ended: Keys of incarnations that have ended, in the order in which they ended.
     """
 
@@ -64,6 +67,9 @@
     heard_at: float = 0.0
     leaving_at: float | None = None
     warm_at: float = 0.0
+    limit_per_s: float | None = None
+    has_answered: bool = False
+    bad_limit: str = ""
     ended: OrderedDict[tuple[str, int], None] = attrs.field(factory=OrderedDict)
 
 
@@ -87,6 +93,9 @@
         if known is not None:
             _record_ended(backend, _incarnation_key(known))
         backend.leaving_at = None
+        backend.limit_per_s = None
+        backend.has_answered = False
+        backend.bad_limit = ""
     effect = HeartbeatEffect.RENEWED if same else HeartbeatEffect.STARTED
     backend.latest = heartbeat
     backend.heard_at = now
@@ -116,6 +125,25 @@
     return True
 
 
+def apply_limit(backend: Backend, limit_per_s: float | None, own_word: bool) -> bool:
+    """Record the rate limit that the backend server names; return whether it changed.
+
+    Args:
+        backend: The backend server's state.
+        limit_per_s: The limit in requests per second, or None if it names none.
+        own_word: Whether it comes from the server's own response and not from another sidecar.
+    """
+    backend.has_answered = backend.has_answered or own_word
+    changed = limit_per_s != backend.limit_per_s
+    backend.limit_per_s = limit_per_s
+    return changed
+
+
+def is_current(backend: Backend, instance: str, born: int) -> bool:
+    """Return whether an incarnation is the one that runs now."""
+    return backend.latest is not None and _incarnation_key(backend.latest) == (instance, born)
+
+
 def accepts_requests(backend: Backend) -> bool:
     """Return whether the backend server accepts new requests."""
     return backend.latest is not None and backend.leaving_at is None
--- a/src/magnoliasill/platform/headers.py
+++ b/src/magnoliasill/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from typing import TYPE_CHECKING
 
 import attrs
@@ -18,10 +19,14 @@
 _NOT_RUN_HEADER = "not-executed"
 _LOAD_HEADER = "server-load"
 _SIGNATURE_HEADER = "response-signature"
+_LIMIT_HEADER = "server-limit"  # requests a second, from all VMs together
+_LEAVING_HEADER = "server-leaving"
 _SIDECAR_HEADERS = frozenset(
     {_DEADLINE_HEADER.lower(), _INSTANCE_HEADER.lower(), _CALLING_SERVICE_HEADER.lower()}
 )
 _MISDIRECTED_REQUEST = 421
+_DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+_MAX_NUMBER_LENGTH = 32
 
 
 @attrs.frozen
@@ -47,6 +52,10 @@
         signed: Whether the response carries a backend server's signature header.
         running: Requests that the server is running, or None without a valid load header.
         waiting: Requests in the server's queue.
+        limit_per_s: The requests per second that the server accepts, or None if it names no limit.
+        limit_error: The value of a limit header that is no positive number, or an empty string.
+        leaving: Whether the server says that it is leaving.
+        misdirected: Whether another server than the one that was meant responded.
     """
 
     identifier: str
@@ -54,6 +63,10 @@
     signed: bool
     running: int | None = None
     waiting: int = 0
+    limit_per_s: float | None = None
+    limit_error: str = ""
+    leaving: bool = False
+    misdirected: bool = False
 
 
 def parse_caller_headers(headers: Iterable[tuple[str, str]]) -> CallerMetadata:
@@ -99,12 +112,19 @@
     """
     values = {name.lower(): value for name, value in headers}
     running, waiting = _parse_load(values.get(_LOAD_HEADER, ""))
+    limit_text = values.get(_LIMIT_HEADER)
+    limit_per_s = _parse_positive_number(limit_text) if limit_text is not None else None
+    limit_is_valid = limit_text is None or limit_per_s is not None
     return ResponseMetadata(
         identifier=values.get(_ATTEMPT_ID_HEADER.lower(), ""),
         not_run=_NOT_RUN_HEADER in values or status == _MISDIRECTED_REQUEST,
         signed=_SIGNATURE_HEADER in values,
         running=running,
         waiting=waiting,
+        limit_per_s=limit_per_s,
+        limit_error="" if limit_is_valid else repr(limit_text),
+        leaving=values.get(_LEAVING_HEADER, "").strip() == "1",
+        misdirected=status == _MISDIRECTED_REQUEST,
     )
 
 
@@ -116,6 +136,13 @@
     return milliseconds / 1000 if 0 <= milliseconds < math.inf else None
 
 
+def _parse_positive_number(text: str) -> float | None:
+    stripped = text.strip()
+    if len(stripped) > _MAX_NUMBER_LENGTH or not _DECIMAL_NUMBER.fullmatch(stripped):
+        return None
+    return float(stripped) or None
+
+
 def _parse_load(text: str) -> tuple[int | None, int]:
     parts = text.split(",")
     if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
--- a/src/magnoliasill/sidecar/control_port.py
+++ b/src/magnoliasill/sidecar/control_port.py
@@ -107,6 +107,7 @@
             instance=heartbeat.instance,
             born=heartbeat.born,
             sequence=heartbeat.sequence,
+            source="heartbeat",
         )
 
 
@@ -155,6 +156,7 @@
         "open_requests": sidecar.open_requests,
         "gate_running": gate.running,
         "gate_waiting": len(gate.waiting),
+        "server_limit_per_second": sidecar.backend.limit_per_s or 0.0,
         "ready": float(is_ready(sidecar)),
     }
 
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -32,6 +32,7 @@
 from .http_exchange import BrokenError, Message, NotSentError, Reply, TimedOutError, exchange
 from .protocol import close_if_stopping, count_open_request, list_headers, read_target, send_reply
 from .release_guard import is_withheld
+from .server_notices import record_response_notice
 from .state import is_gate_closing
 
 if TYPE_CHECKING:
@@ -265,9 +266,10 @@
 
     def matches_request(status: int, response_headers: list[tuple[str, str]]) -> bool:
         response_metadata = parse_response_headers(status, response_headers)
-        return response_metadata.identifier == call.identifier or (
-            not response_metadata.identifier and response_metadata.not_run
-        )
+        if response_metadata.identifier == call.identifier:
+            record_response_notice(sidecar, latest, response_metadata)
+            return True
+        return not response_metadata.identifier and response_metadata.not_run
 
     try:
         reply = exchange(
--- /dev/null
+++ b/src/magnoliasill/sidecar/server_notices.py
@@ -0,0 +1,69 @@
+"""Records what the local backend server says of itself in its responses."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..codes import LogEvent
+from ..mesh.backend import apply_limit, is_current
+
+if TYPE_CHECKING:
+    from ..mesh.backend import Heartbeat
+    from ..platform.headers import ResponseMetadata
+    from .state import Sidecar
+
+
+def record_response_notice(
+    sidecar: Sidecar, heartbeat: Heartbeat, response_metadata: ResponseMetadata
+) -> None:
+    """Record the rate limit that a response names, as soon as its headers have arrived.
+
+    Args:
+        sidecar: The sidecar's state.
+        heartbeat: The heartbeat of the incarnation that the request was sent to.
+        response_metadata: What the headers of its response say.
+    """
+    if response_metadata.misdirected:
+        return  # the words of another server
+    if not is_current(sidecar.backend, heartbeat.instance, heartbeat.born):
+        return
+    if response_metadata.limit_error:
+        _log_bad_limit(sidecar, response_metadata.limit_error)
+        return
+    limit_per_s = response_metadata.limit_per_s
+    if limit_per_s is None and not (response_metadata.signed or response_metadata.not_run):
+        return  # spoiled responses may lack the header
+    _change_limit(sidecar, limit_per_s, own_word=True)
+
+
+def _change_limit(
+    sidecar: Sidecar, limit_per_s: float | None, own_word: bool, age_s: float = 0.0
+) -> None:
+    backend = sidecar.backend
+    previous_per_s = backend.limit_per_s
+    if not apply_limit(backend, limit_per_s, own_word):
+        return
+    sidecar.log(
+        LogEvent.SERVER_LIMIT_CHANGED,
+        instance=backend.latest.instance,
+        born=backend.latest.born,
+        limit_per_s=limit_per_s,
+        previous_per_s=previous_per_s,
+        source="response" if own_word else "peer",
+        age_s=round(age_s, 3),
+        waiting=len(sidecar.gate.waiting),
+    )
+
+
+def _log_bad_limit(sidecar: Sidecar, value: str) -> None:
+    """Log a value once for each incarnation."""
+    backend = sidecar.backend
+    if value == backend.bad_limit:
+        return
+    backend.bad_limit = value
+    sidecar.log(
+        LogEvent.SERVER_LIMIT_REFUSED,
+        instance=backend.latest.instance,
+        value=value[:80],
+        limit_per_s=backend.limit_per_s,
+    )
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -60,3 +60,34 @@
     def test_malformed_load_says_nothing(self) -> None:
         for text in ("", "3", "3,1", "a,b,c", "-1,0,9"):
             self.assertIsNone(parse_response_headers(200, [("Server-Load", text)]).running, text)
+
+    def test_limit(self) -> None:
+        for text, limit in (("29.9", 29.9), (" 5 ", 5.0), (".5", 0.5), ("7.", 7.0)):
+            metadata = parse_response_headers(200, [("Server-Limit", text)])
+            self.assertEqual((limit, ""), (metadata.limit_per_s, metadata.limit_error), text)
+        metadata = parse_response_headers(200, [])
+        self.assertEqual((None, "", False), (metadata.limit_per_s, metadata.limit_error, False))
+
+    def test_a_limit_that_is_no_positive_number_is_an_error(self) -> None:
+        for text in (
+            "0",
+            "0.0",
+            "-1",
+            "nan",
+            "inf",
+            "1e9",
+            "",
+            "1,5",
+            "1_0",
+            "0x1",
+            "9" * 400,
+            "\u0661",
+        ):
+            metadata = parse_response_headers(200, [("Server-Limit", text)])
+            self.assertIsNone(metadata.limit_per_s, text)
+            self.assertNotEqual("", metadata.limit_error, text)
+
+    def test_leaving(self) -> None:
+        for text, leaving in (("1", True), (" 1", True), ("0", False), ("", False), ("yes", False)):
+            metadata = parse_response_headers(200, [("Server-Leaving", text)])
+            self.assertEqual(leaving, metadata.leaving, text)
