Keep to the rate limit that a backend server names, at its gate and in placement

What callers saw: nothing; the server in need did. Any rule kept by each sidecar for itself would still have allowed 16 times the limit.

Cause, as a class: what a server says of itself in its responses was passed through to the caller, and no process kept it.

Change: the gate beside the server, through which all requests pass, starts them by a token bucket; it hears the limit with the response's headers, also of one that breaks off. Requests queue for a token as for a slot, by a wait that is known, and what would wait too long is refused at once. Its reports give the limit, its age and the next turn of the sidecar that asked; placement counts the wait until that turn, so that work goes elsewhere without asking first. If all servers are limited, the request is refused without a hop and Retry-After is not before the next turn. A gate that restarted takes the limit over from the requests of sidecars that know it, until the server itself has answered; a limit belongs to an incarnation, wherever it runs. A value that is no positive number changes nothing. Equal ranks in the queue count as ahead.

The harness took 1_0 for a number, as Python does; it is none on the wire, and is one of the bad values.

--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -237,8 +237,8 @@
     ),
     LogEvent.SERVER_LIMIT_CHANGED: EventEntry(
         "The rate limit that the backend server names in its responses appeared, changed or ended; "
-        "no `limit_per_s` means no limit. The source is `response`, or `peer` where a restarted gate "
-        "learnt it from another sidecar.",
+        "no `limit_per_s` means no limit. The source is `response`, or `peer` where a restarted "
+        "gate learnt it from another sidecar.",
         fields=("instance", "born", "limit_per_s", "previous_per_s", "source", "age_s", "waiting"),
         reaction="if it lasts, ask the service's team why the server is in need",
     ),
--- a/src/magnoliasill/mesh/backend.py
+++ b/src/magnoliasill/mesh/backend.py
@@ -58,6 +58,7 @@
         leaving_at: When its announcement that it drains was acknowledged, or None.
         warm_at: When its cold start is over.
         limit_per_s: The rate limit that it names in its responses, in requests per second, or None.
+        limit_heard_at: When the limit, or that there is none, was heard of; None if it never was.
         has_answered: Whether it has answered this process, so that `limit_per_s` is its own word.
         bad_limit: The last value of a limit that was no positive number, or an empty string.
         ended: Keys of incarnations that have ended, in the order in which they ended.
@@ -68,6 +69,7 @@
     leaving_at: float | None = None
     warm_at: float = 0.0
     limit_per_s: float | None = None
+    limit_heard_at: float | None = None
     has_answered: bool = False
     bad_limit: str = ""
     ended: OrderedDict[tuple[str, int], None] = attrs.field(factory=OrderedDict)
@@ -94,6 +96,7 @@
             _record_ended(backend, _incarnation_key(known))
         backend.leaving_at = None
         backend.limit_per_s = None
+        backend.limit_heard_at = None
         backend.has_answered = False
         backend.bad_limit = ""
     effect = HeartbeatEffect.RENEWED if same else HeartbeatEffect.STARTED
@@ -125,15 +128,22 @@
     return True
 
 
-def apply_limit(backend: Backend, limit_per_s: float | None, own_word: bool) -> bool:
+def apply_limit(
+    backend: Backend, limit_per_s: float | None, heard_at: float, own_word: bool
+) -> bool:
     """Record the rate limit that the backend server names; return whether it changed.
 
     Args:
         backend: The backend server's state.
         limit_per_s: The limit in requests per second, or None if it names none.
-        own_word: Whether it comes from the server's own response and not from another sidecar.
+        heard_at: When a gate heard that, in seconds on the monotonic clock.
+        own_word: Whether it comes from the server's own response and not from another sidecar,
+            whose word no longer counts once the server itself has answered.
     """
-    backend.has_answered = backend.has_answered or own_word
+    if not own_word and backend.has_answered:
+        return False
+    backend.has_answered = own_word
+    backend.limit_heard_at = heard_at
     changed = limit_per_s != backend.limit_per_s
     backend.limit_per_s = limit_per_s
     return changed
--- a/src/magnoliasill/mesh/gate.py
+++ b/src/magnoliasill/mesh/gate.py
@@ -1,9 +1,9 @@
 """Admission control in front of a backend server: which requests run, wait or are refused.
 
-Handles more requests than the server has slots. All requests to the server pass through its gate,
-so the gate knows how many slots are in use. Requests that can still meet their latency target are
-queued before those that can't, which are called late. A request that can't finish before its
-deadline is refused at once and reported as not run.
+Handles more requests than the server has slots, or than the rate limit that it names. All requests
+to the server pass through its gate, so the gate knows how many slots are in use. Requests that can
+still meet their latency target are queued before those that can't, which are called late. A request
+that can't finish before its deadline is refused at once and reported as not run.
 """
 
 from __future__ import annotations
@@ -12,9 +12,13 @@
 
 import attrs
 
+from .rate_limits import build_limiter, change_limit, estimate_token_wait, take_token
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from .rate_limits import RateLimiter
+
 INITIAL_MEAN_S = 0.1
 SMOOTHING = 0.1
 # Time that has to be left before a request's target when it starts, in multiples of its mean
@@ -31,6 +35,9 @@
 MIN_TIME_LEFT_SHARE = 0.5
 MAX_WAITING_PER_SLOT = 4
 NEW_REQUEST_SLOT_SHARE = 1 / 3  # of the slots, kept for new requests under any load of nested ones
+# Nested requests that start in a row while others wait, under a rate limit. A limited server has
+# slots to spare, so the share of the slots says nothing there.
+MAX_NESTED_STREAK = 2
 MAX_WAIT_S = 2.5  # beyond this, it is better to refuse the request and have the caller retry
 
 
@@ -73,6 +80,8 @@
         failing: The moving average of the share of failed answers.
         late_start_share: The moving average of the share of late requests that got a slot.
         late_refused: The number of late requests refused in a row.
+        limiter: The rate limit that the server names, or None.
+        nested_streak: The number of nested requests started since the last other one.
     """
 
     slots: int = 1
@@ -84,6 +93,8 @@
     failing: float = 0.0
     late_start_share: float = 1.0
     late_refused: int = 0
+    limiter: RateLimiter | None = None
+    nested_streak: int = 0
 
 
 @attrs.frozen
@@ -115,7 +126,7 @@
     service_s = gate.route_s.get(request.route, gate.mean_s)
     if now + MIN_TIME_LEFT_SHARE * service_s >= request.deadline_at:
         return AdmissionDecision(reason="deadline")
-    if gate.running < gate.slots and not gate.waiting:
+    if not gate.waiting and _may_start(gate, now):
         _occupy_slot(gate, request)
         return AdmissionDecision(admitted=True)
     waiting_new = sum(not other.nested for other in gate.waiting)
@@ -143,6 +154,8 @@
         return now + seconds <= request.deadline_at
     if seconds > MAX_LATE_WAIT_SHARE * (request.deadline_at - now):
         return False
+    if gate.limiter is not None:
+        return True
     if sum(_is_late(gate, other, now) for other in gate.waiting) >= gate.slots:
         return False
     if gate.late_start_share >= MIN_LATE_START_SHARE or gate.late_refused >= LATE_PROBE_INTERVAL:
@@ -155,11 +168,15 @@
 def estimate_wait(gate: Gate, request: QueuedRequest, now: float) -> float:
     """Return the seconds until a request would start, given the requests queued ahead of it."""
     own_rank = _rank(gate, request, now)
-    ahead = sum(_rank(gate, other, now) < own_rank for other in gate.waiting)
+    ahead = sum(_rank(gate, other, now) <= own_rank for other in gate.waiting)
     if not request.nested:  # nested requests can't take the slots that are kept for new ones
         nested = sum(other.nested for other in gate.waiting)
         ahead = ahead - nested + min(nested, int((ahead - nested + 1) / NEW_REQUEST_SLOT_SHARE))
-    return (ahead + 1) * gate.mean_s / gate.slots
+    free_slots = max(gate.slots - gate.running, 0)
+    slot_wait_s = max(ahead + 1 - free_slots, 0) * gate.mean_s / gate.slots
+    if gate.limiter is None:
+        return slot_wait_s
+    return max(slot_wait_s, estimate_token_wait(gate.limiter, ahead, now))
 
 
 def finish_request(gate: Gate, nested: bool, now: float) -> None:
@@ -181,7 +198,7 @@
         gate.waiting.remove(request)
         _record_late_outcome(gate, False)
         request.resume(False)
-    while gate.waiting and gate.running < gate.slots:
+    while gate.waiting and _may_start(gate, now):
         request = _choose_next(gate, now)
         gate.waiting.remove(request)
         if _is_late(gate, request, now):
@@ -193,15 +210,53 @@
 def _choose_next(gate: Gate, now: float) -> QueuedRequest:
     """Return the next request to start: nested ones first, except on slots kept for new ones."""
     waiting = gate.waiting
-    if gate.running_new < NEW_REQUEST_SLOT_SHARE * gate.slots:
+    if _is_turn_of_new(gate):
         new = [found for found in waiting if not found.nested and not _is_late(gate, found, now)]
         waiting = new or waiting
     return min(waiting, key=lambda found: _rank(gate, found, now))
 
 
+def _is_turn_of_new(gate: Gate) -> bool:
+    if gate.limiter is not None:
+        return gate.nested_streak >= MAX_NESTED_STREAK
+    return gate.running_new < NEW_REQUEST_SLOT_SHARE * gate.slots
+
+
+def _may_start(gate: Gate, now: float) -> bool:
+    """Return whether there is a slot, and take a token of the rate limit if there is one."""
+    if gate.running >= gate.slots:
+        return False
+    return gate.limiter is None or take_token(gate.limiter, now)
+
+
 def _occupy_slot(gate: Gate, request: QueuedRequest) -> None:
     gate.running += 1
     gate.running_new += not request.nested
+    gate.nested_streak = gate.nested_streak + 1 if request.nested else 0
+
+
+def limit_rate(gate: Gate, limit_per_s: float | None, now: float) -> None:
+    """Apply the rate limit that the backend server names, or none.
+
+    Args:
+        gate: The gate.
+        limit_per_s: The requests per second that the server accepts, or None.
+        now: Seconds on the monotonic clock.
+    """
+    if limit_per_s is None:
+        gate.limiter = None
+        dispatch_waiting(gate, now)
+    elif gate.limiter is None:
+        gate.limiter = build_limiter(limit_per_s, now)
+    else:
+        change_limit(gate.limiter, limit_per_s, now)
+
+
+def find_next_start(gate: Gate, now: float) -> float | None:
+    """Return the seconds until a token lets a waiting request start, or None without a limit."""
+    if gate.limiter is None or not gate.waiting or gate.running >= gate.slots:
+        return None
+    return estimate_token_wait(gate.limiter, 0, now)
 
 
 def refuse_waiting(gate: Gate) -> None:
@@ -239,6 +294,8 @@
 
 
 def _is_late(gate: Gate, request: QueuedRequest, now: float) -> bool:
+    if gate.limiter is not None:  # tokens come in time for all that were queued, none overtakes
+        return False
     service_s = gate.route_s.get(request.route, gate.mean_s)
     return now + START_HEADROOM * service_s > request.target_at
 
--- a/src/magnoliasill/mesh/hop_headers.py
+++ b/src/magnoliasill/mesh/hop_headers.py
@@ -29,6 +29,9 @@
         late: Whether the request may be queued past its target.
         repeat: Whether it was sent to another backend server before.
         wait_left_s: Seconds after which it is refused if it has not started.
+        born: The start time of that incarnation in milliseconds since the epoch, or 0.
+        limit_per_s: The rate limit of the backend server that the sender knows of, or None.
+        limit_age_s: Seconds since the gate heard of it.
     """
 
     identifier: str
@@ -44,6 +47,9 @@
     late: bool
     repeat: bool = False
     wait_left_s: float = MAX_WAIT_S
+    born: int = 0
+    limit_per_s: float | None = None
+    limit_age_s: float = 0.0
 
 
 @attrs.frozen
@@ -59,6 +65,10 @@
         mean_s: The moving average of a request's duration in seconds.
         failing: The moving average of the share of failed answers.
         closed: Whether the backend server takes no new requests.
+        limit_per_s: The rate limit that the backend server names, or None.
+        limit_age_s: Seconds since the gate heard of it, or None if it has not heard of any limit or
+            of its absence since its start.
+        turn_s: Seconds after which the sender may send the next request under the limit.
     """
 
     ran: str
@@ -68,6 +78,9 @@
     mean_s: float = 0.0
     failing: float = 0.0
     closed: bool = False
+    limit_per_s: float | None = None
+    limit_age_s: float | None = None
+    turn_s: float = 0.0
 
 
 def encode_header_value(fields: HopCall | GateReport) -> str:
--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+
 import attrs
 
+from .server_notices import ServerNotice
+
 LAPSE_GRACE_S = 4.0  # a live member registers again within 2 s after the end of a store outage
 UNREACHABLE_MIN_S = 0.25  # first avoidance of a member; longer than a round trip within a region
 UNREACHABLE_MAX_S = 2.0  # longest avoidance; bounds the time to detect the end of a partition
 SILENCE_THRESHOLD_S = 0.1  # a refused connection fails sooner; only lost packets take this long
 FULL_AVOID_S = 0.05  # half a request's duration; a queue stays full about that long
+MAX_NOTICES = 4_096  # more than the incarnations of all servers while any of them may be named
 CLOSED_AVOID_S = 3.0  # how long a member is avoided after its gate reported a draining server
 
 
@@ -26,6 +31,7 @@
         slots: The number of requests that the backend server can run concurrently.
         leaving: Whether the backend server is draining and takes no new requests.
         link_mbps: The rate of the VM's network link in Mbit/s, or 0 if it is not known.
+        born: The start time of that incarnation in milliseconds since the epoch, or 0.
     """
 
     name: str
@@ -37,6 +43,7 @@
     slots: int
     leaving: bool = False
     link_mbps: float = 0.0
+    born: int = 0
 
 
 @attrs.define
@@ -76,11 +83,14 @@
         records: The members by name.
         conditions: The conditions by name and incarnation of the backend server.
         by_service: The members of each service by name.
+        notices: What backend servers said of themselves, by incarnation. They outlive records,
+            since a server may move to another VM or its sidecar may restart and forget.
     """
 
     records: dict[str, Member] = attrs.field(factory=dict)
     conditions: dict[tuple[str, str], MemberCondition] = attrs.field(factory=dict)
     by_service: dict[str, dict[str, Member]] = attrs.field(factory=dict)
+    notices: OrderedDict[tuple[str, int], ServerNotice] = attrs.field(factory=OrderedDict)
 
 
 def put_member(table: MemberTable, member: Member) -> None:
@@ -137,6 +147,16 @@
     return condition
 
 
+def find_notice(table: MemberTable, instance: str, born: int) -> ServerNotice:
+    """Return what is known of an incarnation's own words; create it if there is nothing yet."""
+    notice = table.notices.get((instance, born))
+    if notice is None:
+        notice = table.notices[instance, born] = ServerNotice()
+        while len(table.notices) > MAX_NOTICES:
+            table.notices.popitem(last=False)
+    return notice
+
+
 def record_unreachable(condition: MemberCondition, now: float) -> None:
     """Avoid an unreachable member for a time that doubles with each consecutive failure."""
     if now >= condition.avoid_until:
--- a/src/magnoliasill/mesh/placement.py
+++ b/src/magnoliasill/mesh/placement.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
-from math import ceil
+from math import ceil, inf
 from typing import TYPE_CHECKING
 
 import attrs
 
-from .members import Member, MemberCondition, MemberTable, find_condition
+from .members import Member, MemberCondition, MemberTable, find_condition, find_notice
+from .server_notices import find_turn_wait
 from .takeovers import find_share
 
 if TYPE_CHECKING:
@@ -43,6 +44,7 @@
         takeover: The service's latest takeover, or None.
         answer_bytes: The usual size of an answer.
         late: Whether the request may be served past its target.
+        finish_by: When it must be served, in seconds on the monotonic clock.
         ignore_full: Whether to include members that were recently full.
         allow_limited_release: Whether a release with a limited share may be chosen.
     """
@@ -55,6 +57,7 @@
     takeover: Takeover | None = None
     answer_bytes: float = 0.0
     late: bool = False
+    finish_by: float = inf
     ignore_full: bool = False
     allow_limited_release: bool = True
 
@@ -109,12 +112,52 @@
         condition = find_condition(table, member)
         if context.now < condition.avoid_until or _is_full(condition, context):
             continue
-        cost = estimate_seconds(member, condition, context) * (1 + JITTER * random.random())
+        service_s = condition.mean_s or DEFAULT_SECONDS
+        seconds = estimate_seconds(member, condition, context)
+        wait_s = find_turn_wait(find_notice(table, member.instance, member.born), context.now)
+        if wait_s and context.now + wait_s + service_s > context.finish_by:
+            continue
+        cost = wait_s + seconds * (1 + JITTER * random.random())
         if best is None or cost < best_cost:
             best, best_cost = member, cost
     return best
 
 
+@attrs.frozen
+class Room:
+    """When the rate limits of a service's servers allow this sidecar further requests.
+
+    Attributes:
+        wait_s: The seconds until the next request.
+        gap_s: The seconds between requests after that.
+    """
+
+    wait_s: float
+    gap_s: float
+
+
+def find_room(
+    table: MemberTable, candidates: list[Member], context: PlacementContext
+) -> Room | None:
+    """Return when a limited server has room, or None unless all usable servers are limited.
+
+    Args:
+        table: The member table.
+        candidates: From `choose_release_members`.
+        context: The other inputs of the placement.
+    """
+    waits_s, rate_per_s = [], 0.0
+    for member in candidates:
+        if context.now < find_condition(table, member).avoid_until:
+            continue
+        notice = find_notice(table, member.instance, member.born)
+        if notice.limit_per_s is None:
+            return None
+        waits_s.append(find_turn_wait(notice, context.now))
+        rate_per_s += 1 / notice.turn_gap_s
+    return Room(min(waits_s), 1 / rate_per_s) if waits_s else None
+
+
 def _is_full(condition: MemberCondition, context: PlacementContext) -> bool:
     if context.ignore_full:
         return False
--- a/src/magnoliasill/mesh/rate_limits.py
+++ b/src/magnoliasill/mesh/rate_limits.py
@@ -12,6 +12,7 @@
 BURST_S = 0.1  # of the limit's requests that may start at once after a pause; at least one
 # A server is heard only when it responds, so a lower limit would keep its own end from being heard.
 MIN_RATE_PER_S = 0.2
+TOKEN_TOLERANCE = 1e-9  # of rounding, so that a timer set for a token finds it
 MAX_TURN_S = 2.0  # bounds the time to notice a raised or ended limit; a sidecar asks again then
 
 
@@ -53,7 +54,7 @@
 def take_token(limiter: RateLimiter, now: float) -> bool:
     """Take the token of a request that starts now; return whether there was one."""
     _refill(limiter, now)
-    if limiter.tokens < 1.0:
+    if limiter.tokens < 1.0 - TOKEN_TOLERANCE:
         return False
     limiter.tokens -= 1.0
     return True
@@ -71,10 +72,17 @@
     return max(ahead + 1 - limiter.tokens, 0.0) / limiter.rate_per_s
 
 
-def assign_turn(limiter: RateLimiter, now: float) -> float:
-    """Return the seconds after which the sidecar that asks may send its next request."""
-    turn_at = max(limiter.next_turn_at, now)
-    limiter.next_turn_at = min(turn_at + 1 / limiter.rate_per_s, now + MAX_TURN_S)
+def assign_turn(limiter: RateLimiter, waiting: int, now: float) -> float:
+    """Return the seconds after which the sidecar that asks may send its next request.
+
+    Args:
+        limiter: The limiter.
+        waiting: The number of requests that wait for a token.
+        now: Seconds on the monotonic clock.
+    """
+    turn_at = max(limiter.next_turn_at, now + estimate_token_wait(limiter, waiting, now))
+    turn_at = min(turn_at, now + MAX_TURN_S)
+    limiter.next_turn_at = turn_at + 1 / limiter.rate_per_s
     return turn_at - now
 
 
--- a/src/magnoliasill/mesh/retry_after.py
+++ b/src/magnoliasill/mesh/retry_after.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from random import Random
 
+    from .placement import Room
+
 INITIAL_SPREAD_S = 0.1  # a slot becomes free within about the duration of one request
 MAX_SPREAD_S = 4.0
 INTERVAL_S = 0.5
@@ -49,15 +51,20 @@
     state.offered += 1
 
 
-def choose_retry_after(state: RetryAfterState, time_left_s: float, random: Random) -> float:
+def choose_retry_after(
+    state: RetryAfterState, time_left_s: float, random: Random, room: Room | None = None
+) -> float:
     """Count a refusal and return the seconds after which its caller may retry.
 
     Args:
         state: The service's state.
         time_left_s: Seconds until the caller stops waiting.
         random: Source of the random delay.
+        room: When rate limits allow the next request, if they are why this one was refused. The
+            delay may then be longer than the caller waits, since an earlier retry is in vain.
     """
     state.refused += 1
     max_delay_s = max(time_left_s * MAX_TIME_LEFT_SHARE, 0.0)
     delay_s = INITIAL_SPREAD_S / 2 + random.random() * state.spread_s
-    return min(delay_s, max_delay_s * (0.6 + 0.35 * random.random()))
+    delay_s = min(delay_s, max_delay_s * (0.6 + 0.35 * random.random()))
+    return delay_s if room is None else max(delay_s, room.wait_s + random.random() * room.gap_s)
--- /dev/null
+++ b/src/magnoliasill/mesh/server_notices.py
@@ -0,0 +1,60 @@
+"""What a sidecar knows of a remote backend server's own words: its rate limit, and that it leaves.
+
+The gate beside the server enforces both. Other sidecars keep them to send their requests elsewhere,
+and tell a gate that has restarted.
+"""
+
+from __future__ import annotations
+
+import attrs
+
+from .rate_limits import MIN_RATE_PER_S
+
+
+@attrs.define
+class ServerNotice:
+    """What an incarnation of a backend server said of itself, by the reports of its gate.
+
+    Attributes:
+        limit_per_s: The requests per second that it accepts, or None without a limit.
+        heard_at: When the gate heard of the limit, in seconds on the monotonic clock.
+        turn_at: When this sidecar may send it the next request.
+        turn_gap_s: The seconds between two requests of this sidecar, by the latest report.
+    """
+
+    limit_per_s: float | None = None
+    heard_at: float = 0.0
+    turn_at: float = 0.0
+    turn_gap_s: float = 0.0
+
+
+def record_limit(
+    notice: ServerNotice, limit_per_s: float | None, age_s: float, turn_s: float, now: float
+) -> None:
+    """Record the limit that a gate reports.
+
+    Args:
+        notice: What is known of the server.
+        limit_per_s: The limit in requests per second, or None.
+        age_s: The seconds since the gate heard of it.
+        turn_s: The seconds after which this sidecar may send the next request.
+        now: Seconds on the monotonic clock.
+    """
+    notice.heard_at = now - age_s
+    notice.limit_per_s = limit_per_s
+    notice.turn_at = now + turn_s
+    if limit_per_s is not None:
+        notice.turn_gap_s = max(turn_s, 1 / max(limit_per_s, MIN_RATE_PER_S))
+
+
+def use_turn(notice: ServerNotice, now: float) -> None:
+    """Count a request that is sent now, whose report has yet to assign the next turn."""
+    if notice.limit_per_s is not None:
+        notice.turn_at = max(notice.turn_at, now) + notice.turn_gap_s
+
+
+def find_turn_wait(notice: ServerNotice, now: float) -> float:
+    """Return the seconds until this sidecar may send the server a request."""
+    if notice.limit_per_s is None:
+        return 0.0
+    return max(notice.turn_at - now, 0.0)
--- a/src/magnoliasill/sidecar/control_port.py
+++ b/src/magnoliasill/sidecar/control_port.py
@@ -10,7 +10,7 @@
 from ..codes import ErrorCode, LogEvent
 from ..errors import MessageError
 from ..mesh.backend import HeartbeatEffect, apply_heartbeat, apply_leave
-from ..mesh.gate import refuse_waiting
+from ..mesh.gate import limit_rate, refuse_waiting
 from ..mesh.records import encode_record
 from ..platform.headers import READINESS_PATH
 from ..platform.heartbeats import (
@@ -121,6 +121,7 @@
 def _record_server_start(sidecar: Sidecar, heartbeat: Heartbeat) -> None:
     sidecar.gate.slots = heartbeat.slots
     sidecar.gate.failing = 0.0
+    limit_rate(sidecar.gate, sidecar.backend.limit_per_s, sidecar.clock())
     sidecar.route_counts = {}
     for idle in sidecar.server_connections.idle.values():
         while idle:
@@ -170,6 +171,10 @@
         "revision": sidecar.mirror.revision,
         "server": attrs.asdict(sidecar.backend.latest) if sidecar.backend.latest else None,
         "members": [msgspec.Raw(encode_record(member)) for member in members.records.values()],
+        "notices": {
+            f"{instance} {born}": attrs.asdict(notice)
+            for (instance, born), notice in members.notices.items()
+        },
         "conditions": {
             name: attrs.asdict(condition) for (name, _), condition in members.conditions.items()
         },
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -9,6 +9,7 @@
 
 from ..codes import ErrorCode, LogEvent
 from ..errors import CallError
+from ..mesh.gate import MAX_LATE_WAIT_SHARE
 from ..mesh.hop_headers import (
     CALL_HEADER,
     REPORT_HEADER,
@@ -20,15 +21,22 @@
 from ..mesh.members import (
     SILENCE_THRESHOLD_S,
     find_condition,
+    find_notice,
     record_closed,
     record_full,
     record_load,
     record_silent_data_centre,
     record_unreachable,
 )
-from ..mesh.placement import PlacementContext, choose_member, choose_release_members
+from ..mesh.placement import (
+    PlacementContext,
+    choose_member,
+    choose_release_members,
+    find_room,
+)
 from ..mesh.retries import try_acquire_retry
 from ..mesh.retry_after import RetryAfterState, choose_retry_after, count_arrival
+from ..mesh.server_notices import record_limit, use_turn
 from .bodies import LongBody
 from .gate_port import handle_gate_request
 from .http_exchange import BETWEEN_VMS_TIMEOUTS, BrokenError, Message, NotSentError, Reply, exchange
@@ -187,20 +195,31 @@
 
 def _build_placement(sidecar: Sidecar, request: Request, state: _AttemptState) -> PlacementContext:
     takeover, ordered_release = find_takeover(sidecar, request.service)
+    now = sidecar.clock()
     return PlacementContext(
         service=request.service,
         data_centre=sidecar.settings.data_centre,
-        now=sidecar.clock(),
+        now=now,
         tried=state.tried,
         ordered_release=ordered_release,
         takeover=takeover,
         answer_bytes=sidecar.answer_bytes.get(request.route.name, 0.0),
         late=state.late,
+        finish_by=_find_finish_time(request, state, now),
         ignore_full=request.nested,
         allow_limited_release=state.allow_limited_release,
     )
 
 
+def _find_finish_time(request: Request, state: _AttemptState, now: float) -> float:
+    """Return by when a server must be expected to finish a request for it to be sent there."""
+    if not state.late:
+        return request.target_at
+    if request.nested:
+        return request.answer_deadline
+    return now + MAX_LATE_WAIT_SHARE * (request.answer_deadline - now)
+
+
 def _may_attempt(
     sidecar: Sidecar, request: Request, message: Message, state: _AttemptState
 ) -> bool:
@@ -249,9 +268,14 @@
     if state.unknown_reason:
         raise CallError(ErrorCode.OUTCOME_UNKNOWN, state.unknown_reason)
     left_s = request.caller_deadline - sidecar.clock()
-    retry_after_s = choose_retry_after(retry_after_state, left_s, sidecar.random)
-    code = ErrorCode.OVERLOADED if request.attempted_members else ErrorCode.NO_SERVER
+    placement = _build_placement(sidecar, request, state)
+    candidates = choose_release_members(sidecar.members, placement, sidecar.random)
+    room = find_room(sidecar.members, candidates, placement)
+    retry_after_s = choose_retry_after(retry_after_state, left_s, sidecar.random, room)
+    code = ErrorCode.OVERLOADED if request.attempted_members or room else ErrorCode.NO_SERVER
     reason = state.refusal_reason or f"no backend server of {request.service} accepts requests"
+    if room is not None:
+        reason = f"all backend servers of {request.service} are at their rate limits"
     raise CallError(code, reason, max(retry_after_s, 0.001))
 
 
@@ -259,6 +283,7 @@
     sidecar: Sidecar, request: Request, message: Message, member: Member, state: _AttemptState
 ) -> AttemptResult:
     condition = find_condition(sidecar.members, member)
+    notice = find_notice(sidecar.members, member.instance, member.born)
     now = sidecar.clock()
     call = HopCall(
         identifier=request.identifier,
@@ -274,7 +299,11 @@
         late=state.late,
         repeat=request.parent_is_retry or state.servers_reached > 0,
         wait_left_s=find_wait_left(sidecar),
+        born=member.born,
+        limit_per_s=notice.limit_per_s,
+        limit_age_s=max(now - notice.heard_at, 0.0),
     )
+    use_turn(notice, now)
     condition.in_flight += 1
     try:
         if member.name == sidecar.settings.name:
@@ -341,6 +370,7 @@
     now, report = sidecar.clock(), result.report
     report_age_s = round(now - condition.reported_at, 3) if condition.reported_at > 0 else None
     if report is not None:
+        _record_notice(sidecar, member, report, now)
         record_load(condition, report.busy, report.mean_s, report.failing, now)
         if report.reason in _CAPACITY_REFUSALS:
             record_full(condition, report.reason != "target", now)
@@ -380,6 +410,15 @@
     )
 
 
+def _record_notice(sidecar: Sidecar, member: Member, report: GateReport, now: float) -> None:
+    """Record what the backend server said of itself, unless the gate fronts another one now."""
+    if report.reason == "other_instance":
+        return
+    notice = find_notice(sidecar.members, member.instance, member.born)
+    if report.limit_age_s is not None:
+        record_limit(notice, report.limit_per_s, report.limit_age_s, report.turn_s, now)
+
+
 def _record_response_size(sidecar: Sidecar, route: str, size: int) -> None:
     average = sidecar.answer_bytes.get(route, float(size))
     sidecar.answer_bytes[route] = average + RESPONSE_SIZE_SMOOTHING * (size - average)
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
+import eventlet
 from eventlet.event import Event
 
 from ..calls.cancellation import CallerDisconnectedError, watch_caller
@@ -14,6 +15,8 @@
 from ..mesh.gate import (
     MAX_WAIT_S,
     QueuedRequest,
+    dispatch_waiting,
+    find_next_start,
     finish_request,
     leave_queue,
     observe_answer,
@@ -27,12 +30,13 @@
     decode_call,
     encode_header_value,
 )
+from ..mesh.rate_limits import assign_turn
 from ..platform.headers import add_sidecar_headers, parse_response_headers
 from .bodies import read_body
 from .http_exchange import BrokenError, Message, NotSentError, Reply, TimedOutError, exchange
 from .protocol import close_if_stopping, count_open_request, list_headers, read_target, send_reply
 from .release_guard import is_withheld
-from .server_notices import record_response_notice
+from .server_notices import adopt_limit, record_response_notice
 from .state import is_gate_closing
 
 if TYPE_CHECKING:
@@ -130,6 +134,7 @@
         CallerDisconnectedError: If the caller closed its connection.
     """
     arrived_at = sidecar.clock()
+    adopt_limit(sidecar, call)
     refusal_reason = _find_refusal_reason(sidecar, call)
     if refusal_reason:
         return _refuse(sidecar, call, refusal_reason, arrived_at)
@@ -242,6 +247,7 @@
         return ""
     if not decision.queued:
         return decision.reason
+    _schedule_dispatch(sidecar)
     try:
         admitted = event.wait()
     except BaseException:
@@ -253,6 +259,20 @@
     return "" if admitted else "waited"
 
 
+def _schedule_dispatch(sidecar: Sidecar) -> None:
+    """Set a timer that starts a waiting request as soon as the rate limit allows."""
+    wait_s = find_next_start(sidecar.gate, sidecar.clock())
+    if wait_s is not None and not sidecar.dispatch_scheduled:
+        sidecar.dispatch_scheduled = True
+        eventlet.spawn_after(wait_s, _dispatch_and_reschedule, sidecar)
+
+
+def _dispatch_and_reschedule(sidecar: Sidecar) -> None:
+    sidecar.dispatch_scheduled = False
+    dispatch_waiting(sidecar.gate, sidecar.clock())
+    _schedule_dispatch(sidecar)
+
+
 def _call_server(
     sidecar: Sidecar, call: HopCall, message: Message, arrived_at: float, deadline: float
 ) -> GateResult:
@@ -329,7 +349,8 @@
 def _build_report(
     sidecar: Sidecar, ran: str, reason: str = "", arrived: bool = False
 ) -> GateReport:
-    gate = sidecar.gate
+    gate, backend, now = sidecar.gate, sidecar.backend, sidecar.clock()
+    limiter, heard_at = gate.limiter, backend.limit_heard_at
     return GateReport(
         ran=ran,
         reason=reason,
@@ -337,7 +358,10 @@
         busy=gate.running + len(gate.waiting),
         mean_s=round(gate.mean_s, 4),
         failing=round(gate.failing, 3),
-        closed=not accepts_requests(sidecar.backend) or is_gate_closing(sidecar),
+        closed=not accepts_requests(backend) or is_gate_closing(sidecar),
+        limit_per_s=backend.limit_per_s,
+        limit_age_s=None if heard_at is None else round(now - heard_at, 3),
+        turn_s=0.0 if limiter is None else assign_turn(limiter, len(gate.waiting), now),
     )
 
 
@@ -359,6 +383,7 @@
         mean_s=round(gate.mean_s, 4),
         time_left_s=round(call.time_left_s, 3),
         queue_s=round(now - arrived_at, 4),
+        limit_per_s=sidecar.backend.limit_per_s,
     )
     return GateResult(_build_report(sidecar, "no", reason, arrived))
 
--- a/src/magnoliasill/sidecar/server_notices.py
+++ b/src/magnoliasill/sidecar/server_notices.py
@@ -1,4 +1,8 @@
-"""Records what the local backend server says of itself in its responses."""
+"""Records what the local backend server says of itself: its rate limit.
+
+It says so in responses, to this process or to the one before it. What an earlier process heard is
+restored from the requests of sidecars that it told.
+"""
 
 from __future__ import annotations
 
@@ -6,9 +10,11 @@
 
 from ..codes import LogEvent
 from ..mesh.backend import apply_limit, is_current
+from ..mesh.gate import limit_rate
 
 if TYPE_CHECKING:
     from ..mesh.backend import Heartbeat
+    from ..mesh.hop_headers import HopCall
     from ..platform.headers import ResponseMetadata
     from .state import Sidecar
 
@@ -16,7 +22,7 @@
 def record_response_notice(
     sidecar: Sidecar, heartbeat: Heartbeat, response_metadata: ResponseMetadata
 ) -> None:
-    """Record the rate limit that a response names, as soon as its headers have arrived.
+    """Record what a response says of its server, as soon as its headers have arrived.
 
     Args:
         sidecar: The sidecar's state.
@@ -36,13 +42,20 @@
     _change_limit(sidecar, limit_per_s, own_word=True)
 
 
+def adopt_limit(sidecar: Sidecar, call: HopCall) -> None:
+    """Take over the limit that another sidecar knows, until the server itself has answered."""
+    if call.limit_per_s is not None and is_current(sidecar.backend, call.instance, call.born):
+        _change_limit(sidecar, call.limit_per_s, own_word=False, age_s=call.limit_age_s)
+
+
 def _change_limit(
     sidecar: Sidecar, limit_per_s: float | None, own_word: bool, age_s: float = 0.0
 ) -> None:
-    backend = sidecar.backend
+    backend, now = sidecar.backend, sidecar.clock()
     previous_per_s = backend.limit_per_s
-    if not apply_limit(backend, limit_per_s, own_word):
+    if not apply_limit(backend, limit_per_s, now - age_s, own_word):
         return
+    limit_rate(sidecar.gate, limit_per_s, now)
     sidecar.log(
         LogEvent.SERVER_LIMIT_CHANGED,
         instance=backend.latest.instance,
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -84,6 +84,7 @@
         takeovers: The newest takeover of each service, with the store revision of its item.
         backend: State of the backend server that this sidecar fronts.
         gate: Admission gate of that server: its running and waiting requests.
+        dispatch_scheduled: Whether a timer is set for the gate's next start under a rate limit.
         route_counts: Counts of that server's responses by route.
         running_requests: Requests running at that server, by identifier; True marks a retry.
         passed_attempts: Identifiers of non-idempotent attempts that were passed to that server.
@@ -123,6 +124,7 @@
     takeovers: dict[str, tuple[Takeover, int]] = attrs.field(factory=dict)
     backend: Backend = attrs.field(factory=Backend)
     gate: Gate = attrs.field(factory=Gate)
+    dispatch_scheduled: bool = False
     route_counts: dict[str, RouteCounts] = attrs.field(factory=dict)
     running_requests: dict[str, bool] = attrs.field(factory=dict)
     passed_attempts: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
@@ -214,6 +216,7 @@
         slots=latest.slots,
         leaving=sidecar.backend.leaving_at is not None or is_gate_closing(sidecar),
         link_mbps=sidecar.settings.link_mbps,
+        born=latest.born,
     )
 
 
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -15,6 +15,7 @@
     dispatch_waiting,
     finish_request,
     leave_queue,
+    limit_rate,
     observe_answer,
     refuse_waiting,
     request_admission,
@@ -237,3 +238,56 @@
             observe_answer(self.gate, "long", 0.5, failed=False)
         self.assertAlmostEqual(0.02, self.gate.route_s["short"], 3)
         self.assertAlmostEqual(0.5, self.gate.route_s["long"], 3)
+
+
+class RateLimitTest(GateCase):
+    """Guards against a server with free slots that gets more than its rate limit (LIMIT)."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.gate.slots = 9
+        limit_rate(self.gate, 10.0, 0.0)
+
+    def start_at(self, now: float) -> None:
+        dispatch_waiting(self.gate, now)
+
+    def test_free_slots_are_no_room(self) -> None:
+        self.assertTrue(self.submit("first").queued)
+        self.start_at(0.09)
+        self.assertEqual([], self.resumed)
+        self.start_at(0.1)
+        self.assertEqual([("first", True)], self.resumed)
+
+    def test_what_would_wait_too_long_is_refused_at_once(self) -> None:
+        for number in range(7):
+            self.assertTrue(self.submit(str(number)).queued, number)
+        self.assertEqual("target", self.submit("in time").reason)
+        self.assertEqual("deadline", self.submit("late", late=True).reason)
+
+    def test_what_was_queued_is_not_overtaken_by_what_came_later(self) -> None:
+        self.assertTrue(self.submit("late", target_s=0.05, late=True).queued)
+        self.assertTrue(self.submit("in time", target_s=0.9).queued)
+        self.start_at(0.1)
+        self.assertEqual([("late", True)], self.resumed)
+
+    def test_new_requests_get_their_share_beside_nested_ones(self) -> None:
+        for number in range(6):
+            self.submit(f"nested-{number}", nested=True, target_s=9.0, deadline_s=9.0)
+        self.submit("new", target_s=9.0, deadline_s=9.0)
+        for number in range(1, 4):
+            self.start_at(0.1 * number)
+        self.assertEqual(["nested-0", "nested-1", "new"], [name for name, _ in self.resumed])
+
+    def test_the_end_of_the_limit_starts_what_waits(self) -> None:
+        for number in range(4):
+            self.submit(str(number))
+        limit_rate(self.gate, None, 0.05)
+        self.assertEqual(4, len(self.resumed))
+
+    def test_a_slot_is_needed_too(self) -> None:
+        self.gate.slots = 1
+        self.submit("first")
+        self.submit("second", target_s=9.0, deadline_s=9.0)
+        self.start_at(0.5)
+        self.start_at(0.6)
+        self.assertEqual([("first", True)], self.resumed)
--- a/tests/sidecar/simulated_calls.py
+++ b/tests/sidecar/simulated_calls.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-import math
+import re
 from collections import Counter
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -192,11 +192,8 @@
 def name_limit(fleet: CallFleet, server: SimulatedServer, limit: str | None) -> None:
     """Have a backend server name a limit in its responses from now on, or none."""
     server.limit = limit
-    try:
-        value = float(limit or 0)
-    except ValueError:
-        value = 0.0
-    server.limits.append((fleet.now, value if 0 < value < math.inf else 0.0))
+    value = float(limit) if re.fullmatch(r"[0-9.]+", limit or "") else 0.0
+    server.limits.append((fleet.now, value))
 
 
 def restart_vm(fleet: CallFleet, name: str, down_s: float) -> None:
