Heed a backend server that says in its responses that it is leaving, also after a restart of its sidecar

A sidecar that was restarted after it had acknowledged that its server drains took a late heartbeat that says ready for the truth, and used the server again (test_restarts, real store and ports).

Cause: the same class as of the limit; the header was read by nobody, and what one process had heard ended with it. A closed gate was avoided for 3 s only.

Change: the gate closes with the headers of the response, refuses what waits, and writes the member record. The record says whether the server leaves, apart from a sidecar that stops. A new process takes that over from the record that it finds, or that the store shows when it refuses its first write. Other sidecars keep it for the incarnation, whatever record or VM names it later; a start under the same identifier is another.

--- a/src/magnoliasill/mesh/backend.py
+++ b/src/magnoliasill/mesh/backend.py
@@ -149,6 +149,14 @@
     return changed
 
 
+def apply_leaving(backend: Backend, now: float) -> bool:
+    """Record that the current incarnation is leaving; return whether that is new."""
+    if backend.leaving_at is not None:
+        return False
+    backend.leaving_at = now
+    return True
+
+
 def is_current(backend: Backend, instance: str, born: int) -> bool:
     """Return whether an incarnation is the one that runs now."""
     return backend.latest is not None and _incarnation_key(backend.latest) == (instance, born)
--- a/src/magnoliasill/mesh/hop_headers.py
+++ b/src/magnoliasill/mesh/hop_headers.py
@@ -65,6 +65,7 @@
         mean_s: The moving average of a request's duration in seconds.
         failing: The moving average of the share of failed answers.
         closed: Whether the backend server takes no new requests.
+        leaving: Whether that is because the server itself is leaving.
         limit_per_s: The rate limit that the backend server names, or None.
         limit_age_s: Seconds since the gate heard of it, or None if it has not heard of any limit or
             of its absence since its start.
@@ -78,6 +79,7 @@
     mean_s: float = 0.0
     failing: float = 0.0
     closed: bool = False
+    leaving: bool = False
     limit_per_s: float | None = None
     limit_age_s: float | None = None
     turn_s: float = 0.0
--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -32,6 +32,7 @@
         leaving: Whether the backend server is draining and takes no new requests.
         link_mbps: The rate of the VM's network link in Mbit/s, or 0 if it is not known.
         born: The start time of that incarnation in milliseconds since the epoch, or 0.
+        server_leaving: Whether the backend server itself is leaving, not only its sidecar.
     """
 
     name: str
@@ -44,6 +45,7 @@
     leaving: bool = False
     link_mbps: float = 0.0
     born: int = 0
+    server_leaving: bool = False
 
 
 @attrs.define
@@ -99,6 +101,8 @@
     table.records[member.name] = member
     table.by_service.setdefault(member.service, {})[member.name] = member
     find_condition(table, member).lapsed_at = None
+    if member.server_leaving:
+        find_notice(table, member.instance, member.born).leaving = True
 
 
 def remove_member(table: MemberTable, name: str) -> Member | None:
--- a/src/magnoliasill/mesh/placement.py
+++ b/src/magnoliasill/mesh/placement.py
@@ -80,7 +80,7 @@
     others: list[Member] = []
     share = 0.0
     for member in table.by_service.get(context.service, {}).values():
-        if member.leaving:
+        if member.leaving or find_notice(table, member.instance, member.born).leaving:
             continue
         share_allowed = find_share(context.takeover, context.ordered_release, member.release)
         if share_allowed >= 1.0:
--- a/src/magnoliasill/mesh/server_notices.py
+++ b/src/magnoliasill/mesh/server_notices.py
@@ -16,12 +16,14 @@
     """What an incarnation of a backend server said of itself, by the reports of its gate.
 
     Attributes:
+        leaving: Whether it is leaving; this is never taken back.
         limit_per_s: The requests per second that it accepts, or None without a limit.
         heard_at: When the gate heard of the limit, in seconds on the monotonic clock.
         turn_at: When this sidecar may send it the next request.
         turn_gap_s: The seconds between two requests of this sidecar, by the latest report.
     """
 
+    leaving: bool = False
     limit_per_s: float | None = None
     heard_at: float = 0.0
     turn_at: float = 0.0
--- a/src/magnoliasill/sidecar/control_port.py
+++ b/src/magnoliasill/sidecar/control_port.py
@@ -10,7 +10,7 @@
 from ..codes import ErrorCode, LogEvent
 from ..errors import MessageError
 from ..mesh.backend import HeartbeatEffect, apply_heartbeat, apply_leave
-from ..mesh.gate import limit_rate, refuse_waiting
+from ..mesh.gate import limit_rate
 from ..mesh.records import encode_record
 from ..platform.headers import READINESS_PATH
 from ..platform.heartbeats import (
@@ -21,6 +21,7 @@
 )
 from .metrics import format_meters
 from .protocol import close_if_stopping
+from .server_notices import restore_leaving, withdraw_server
 from .store_relay import find_store_age
 
 if TYPE_CHECKING:
@@ -101,7 +102,7 @@
     if effect is HeartbeatEffect.STARTED:
         _record_server_start(sidecar, heartbeat)
     elif effect is HeartbeatEffect.LEAVING:
-        _withdraw_server(sidecar)
+        withdraw_server(sidecar)
         sidecar.log(
             LogEvent.SERVER_LEAVING,
             instance=heartbeat.instance,
@@ -114,7 +115,7 @@
 def record_departure(sidecar: Sidecar, instance: str, born: int) -> None:
     """Record that an instance of the backend server has shut down."""
     if apply_leave(sidecar.backend, instance, born, sidecar.clock()):
-        _withdraw_server(sidecar)
+        withdraw_server(sidecar)
         sidecar.log(LogEvent.SERVER_GONE, instance=instance, born=born)
 
 
@@ -137,12 +138,10 @@
         cold_s=heartbeat.cold_s,
     )
     if heartbeat.leaving:
-        _withdraw_server(sidecar)
-
-
-def _withdraw_server(sidecar: Sidecar) -> None:
-    refuse_waiting(sidecar.gate)
-    sidecar.wake_registration()
+        withdraw_server(sidecar)
+    record = sidecar.members.records.get(sidecar.settings.name)
+    if record is not None:
+        restore_leaving(sidecar, record)
 
 
 def read_gauges(sidecar: Sidecar) -> dict[str, float]:
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -415,6 +415,7 @@
     if report.reason == "other_instance":
         return
     notice = find_notice(sidecar.members, member.instance, member.born)
+    notice.leaving = notice.leaving or report.leaving
     if report.limit_age_s is not None:
         record_limit(notice, report.limit_per_s, report.limit_age_s, report.turn_s, now)
 
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -359,6 +359,7 @@
         mean_s=round(gate.mean_s, 4),
         failing=round(gate.failing, 3),
         closed=not accepts_requests(backend) or is_gate_closing(sidecar),
+        leaving=backend.leaving_at is not None,
         limit_per_s=backend.limit_per_s,
         limit_age_s=None if heard_at is None else round(now - heard_at, 3),
         turn_s=0.0 if limiter is None else assign_turn(limiter, len(gate.waiting), now),
--- a/src/magnoliasill/sidecar/registration.py
+++ b/src/magnoliasill/sidecar/registration.py
@@ -9,14 +9,16 @@
 from eventlet.event import Event
 
 from ..codes import LogEvent
-from ..errors import ConditionFailedError, LeaseEndedError, StoreError
-from ..mesh.records import MEMBER_PREFIX, encode_record
+from ..errors import ConditionFailedError, ConfigurationError, LeaseEndedError, StoreError
+from ..mesh.records import MEMBER_PREFIX, decode_member, encode_record
 from ..mesh.store_items import Condition, Put, Transaction
+from .server_notices import restore_leaving
 from .state import STORE_DOUBT_S, build_own_record, record_store_answer
 from .store_relay import find_relay
 
 if TYPE_CHECKING:
     from ..mesh.members import Member
+    from ..mesh.store_items import Item
     from .state import Sidecar
 
 LEASE_S = 4.0  # a dead VM's record expires within this; failed requests to it reveal it sooner
@@ -66,6 +68,7 @@
             continue
         except ConditionFailedError as error:
             registration.revision = error.items[0].revision if error.items else 0
+            _restore_stored_leaving(sidecar, error.items)
             registration.stored_record = None
             registration.conflicts += 1
             sidecar.meters.count("store", "registration_conflict")
@@ -120,6 +123,19 @@
     return True
 
 
+def _restore_stored_leaving(sidecar: Sidecar, items: tuple[Item, ...]) -> None:
+    """Heed what an earlier process on this VM wrote, before its record is replaced."""
+    for item in items:
+        if item.value is None:
+            continue
+        try:
+            restore_leaving(sidecar, decode_member(item.value))
+        except ConfigurationError as error:
+            sidecar.log(
+                LogEvent.ENTRY_REFUSED, key=item.key, revision=item.revision, reason=error.message
+            )
+
+
 def _find_copied_revision(sidecar: Sidecar, key: str) -> int:
     """Return the revision of an item in the local copy, such as one that a previous process wrote.
 
--- a/src/magnoliasill/sidecar/server_notices.py
+++ b/src/magnoliasill/sidecar/server_notices.py
@@ -1,7 +1,7 @@
-"""Records what the local backend server says of itself: its rate limit.
+"""Records what the local backend server says of itself: its rate limit, and that it leaves.
 
 It says so in responses, to this process or to the one before it. What an earlier process heard is
-restored from the requests of sidecars that it told.
+restored from the member record that it wrote, and from the requests of sidecars that it told.
 """
 
 from __future__ import annotations
@@ -9,12 +9,13 @@
 from typing import TYPE_CHECKING
 
 from ..codes import LogEvent
-from ..mesh.backend import apply_limit, is_current
-from ..mesh.gate import limit_rate
+from ..mesh.backend import apply_leaving, apply_limit, is_current
+from ..mesh.gate import limit_rate, refuse_waiting
 
 if TYPE_CHECKING:
     from ..mesh.backend import Heartbeat
     from ..mesh.hop_headers import HopCall
+    from ..mesh.members import Member
     from ..platform.headers import ResponseMetadata
     from .state import Sidecar
 
@@ -33,6 +34,8 @@
         return  # the words of another server
     if not is_current(sidecar.backend, heartbeat.instance, heartbeat.born):
         return
+    if response_metadata.leaving:
+        mark_server_leaving(sidecar, "response")
     if response_metadata.limit_error:
         _log_bad_limit(sidecar, response_metadata.limit_error)
         return
@@ -48,6 +51,33 @@
         _change_limit(sidecar, call.limit_per_s, own_word=False, age_s=call.limit_age_s)
 
 
+def restore_leaving(sidecar: Sidecar, record: Member) -> None:
+    """Take over from this VM's stored record that the backend server is leaving."""
+    if record.server_leaving and is_current(sidecar.backend, record.instance, record.born):
+        mark_server_leaving(sidecar, "record")
+
+
+def mark_server_leaving(sidecar: Sidecar, source: str) -> None:
+    """Refuse new requests for the backend server from now on, and tell the other sidecars."""
+    if not apply_leaving(sidecar.backend, sidecar.clock()):
+        return
+    withdraw_server(sidecar)
+    latest = sidecar.backend.latest
+    sidecar.log(
+        LogEvent.SERVER_LEAVING,
+        instance=latest.instance,
+        born=latest.born,
+        sequence=latest.sequence,
+        source=source,
+    )
+
+
+def withdraw_server(sidecar: Sidecar) -> None:
+    """Refuse the waiting requests, and write the changed member record."""
+    refuse_waiting(sidecar.gate)
+    sidecar.wake_registration()
+
+
 def _change_limit(
     sidecar: Sidecar, limit_per_s: float | None, own_word: bool, age_s: float = 0.0
 ) -> None:
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -217,6 +217,7 @@
         leaving=sidecar.backend.leaving_at is not None or is_gate_closing(sidecar),
         link_mbps=sidecar.settings.link_mbps,
         born=latest.born,
+        server_leaving=sidecar.backend.leaving_at is not None,
     )
 
 
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -26,6 +26,7 @@
     decode_configuration,
     decode_order,
 )
+from .server_notices import restore_leaving
 from .state import (
     NEVER,
     OpenOrder,
@@ -285,6 +286,8 @@
         message = f"record of {member.name} is stored under the key of {name}"
         raise ConfigurationError(ErrorCode.FILE_INVALID, message)
     put_member(sidecar.members, member)
+    if name == sidecar.settings.name:
+        restore_leaving(sidecar, member)
     sidecar.log(
         LogEvent.MEMBER_CHANGED,
         member=name,
--- a/tests/mesh/test_backend.py
+++ b/tests/mesh/test_backend.py
@@ -13,6 +13,9 @@
     accepts_requests,
     apply_heartbeat,
     apply_leave,
+    apply_leaving,
+    apply_limit,
+    is_current,
 )
 
 FIRST = Heartbeat("i-1", 1_000, 5, "10.0.0.1:80", "certs", "v1", "a", 9, False, 0.0)
@@ -95,3 +98,41 @@
         for number in range(10 * MAX_ENDED_INCARNATIONS):
             apply_leave(backend, f"i-{number}", 0, float(number))
         self.assertEqual(MAX_ENDED_INCARNATIONS, len(backend.ended))
+
+
+class NoticeTest(testtools.TestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.backend = Backend()
+        apply_heartbeat(self.backend, FIRST, 1.0)
+
+    def test_its_own_word_counts_more_than_that_of_others(self) -> None:
+        self.assertTrue(apply_limit(self.backend, 5.0, 1.0, own_word=False))
+        self.assertTrue(apply_limit(self.backend, 7.0, 2.0, own_word=True))
+        self.assertFalse(apply_limit(self.backend, 9.0, 3.0, own_word=False))
+        self.assertEqual((7.0, 2.0), (self.backend.limit_per_s, self.backend.limit_heard_at))
+
+    def test_a_response_without_a_limit_counts_too(self) -> None:
+        self.assertFalse(apply_limit(self.backend, None, 1.0, own_word=True))
+        self.assertFalse(apply_limit(self.backend, 9.0, 2.0, own_word=False))
+        self.assertIsNone(self.backend.limit_per_s)
+
+    def test_the_next_incarnation_has_said_nothing(self) -> None:
+        apply_limit(self.backend, 5.0, 1.0, own_word=True)
+        apply_leaving(self.backend, 1.0)
+        apply_heartbeat(self.backend, attrs.evolve(FIRST, born=2_000, sequence=1), 2.0)
+        self.assertIsNone(self.backend.limit_per_s)
+        self.assertIsNone(self.backend.limit_heard_at)
+        self.assertTrue(accepts_requests(self.backend))
+        self.assertTrue(apply_limit(self.backend, 5.0, 1.0, own_word=False))
+
+    def test_leaving_is_recorded_once(self) -> None:
+        self.assertTrue(apply_leaving(self.backend, 2.0))
+        self.assertFalse(apply_leaving(self.backend, 3.0))
+        apply_heartbeat(self.backend, attrs.evolve(FIRST, sequence=9), 4.0)
+        self.assertEqual(2.0, self.backend.leaving_at)
+
+    def test_current_incarnation(self) -> None:
+        self.assertTrue(is_current(self.backend, "i-1", 1_000))
+        self.assertFalse(is_current(self.backend, "i-1", 2_000))
+        self.assertFalse(is_current(Backend(), "i-1", 1_000))
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -137,24 +137,38 @@
         store=f"{_ip(fleet, 250)}:{STORE_PORT}",
         bounds=bounds or Bounds(),
     )
-
-    def write(event: Any, **fields: Any) -> None:
-        fleet.events.append({"daemon": settings.name, "event": event.name.lower(), **fields})
-
     fleet.servers.append(server)
-    fleet.sidecars.append(start_sidecar(settings, Meters(), write))
+    fleet.sidecars.append(_start_sidecar(fleet, settings))
     if send_first_heartbeat:
         send_heartbeat(fleet, number - 1)
     return server
 
 
+def restart_sidecar(fleet: Fleet, index: int) -> None:
+    """Kill a sidecar and start another in its place; its backend server goes on."""
+    running = fleet.sidecars[index]
+    _kill_sidecar(running)
+    fleet.sidecars[index] = _start_sidecar(fleet, running.sidecar.settings)
+
+
+def _start_sidecar(fleet: Fleet, settings: SidecarSettings) -> RunningSidecar:
+    def write(event: Any, **fields: Any) -> None:
+        fleet.events.append({"daemon": settings.name, "event": event.name.lower(), **fields})
+
+    return start_sidecar(settings, Meters(), write)
+
+
+def _kill_sidecar(running: RunningSidecar) -> None:
+    for loop in (*running.loops, *running.servers):
+        loop.kill()
+    for sock in running.sockets:
+        sock.close()
+
+
 def close_fleet(fleet: Fleet) -> None:
     """Stop all threads and close all sockets without waiting."""
     for running in fleet.sidecars:
-        for loop in (*running.loops, *running.servers):
-            loop.kill()
-        for sock in running.sockets:
-            sock.close()
+        _kill_sidecar(running)
     for server in fleet.servers:
         server.listener.close()
     fleet.store.close()
