Refuse a delayed heartbeat of an earlier incarnation also after a restart of the sidecar

A restarted sidecar knew no incarnation, so that a heartbeat that had been held up took over the VM's record from the server that runs now: its callers then got 421s until the next heartbeat. The stored record names the incarnation; it is compared now. test_a_delayed_heartbeat_of_an_earlier_incarnation fails without it.

--- a/src/magnoliasill/sidecar/control_port.py
+++ b/src/magnoliasill/sidecar/control_port.py
@@ -98,6 +98,11 @@
     if heartbeat.address != settings.server or heartbeat.service != settings.service:
         message = f"heartbeat belongs to {heartbeat.service} at {heartbeat.address}"
         raise MessageError(ErrorCode.MESSAGE_INVALID, message)
+    record = sidecar.members.records.get(settings.name)
+    if record is not None and 0 < heartbeat.born < record.born:
+        reason = "delayed: an earlier process has registered a later incarnation"
+        sidecar.log(LogEvent.HEARTBEAT_REFUSED, instance=heartbeat.instance, reason=reason)
+        return
     effect = apply_heartbeat(sidecar.backend, heartbeat, sidecar.clock())
     if effect is HeartbeatEffect.STARTED:
         _record_server_start(sidecar, heartbeat)
--- a/tests/sidecar/test_restarts.py
+++ b/tests/sidecar/test_restarts.py
@@ -59,6 +59,19 @@
         self.restart(read_first=True)
         self.assert_not_used()
 
+    def test_a_delayed_heartbeat_of_an_earlier_incarnation(self) -> None:
+        harness.send_heartbeat(self.fleet, LEAVER, born=7)
+        wait_for(
+            lambda: self.fleet.sidecars[0].sidecar.members.records["vm-2"].born == 7, "not stored"
+        )
+        harness.restart_sidecar(self.fleet, LEAVER)
+        sidecar = self.fleet.sidecars[LEAVER].sidecar
+        wait_for(lambda: "vm-2" in sidecar.members.records, "the record was not read")
+        self.assertEqual(200, harness.send_heartbeat(self.fleet, LEAVER, born=3))
+        self.assertFalse(accepts_requests(sidecar.backend))
+        harness.send_heartbeat(self.fleet, LEAVER, born=7)
+        self.assertTrue(accepts_requests(sidecar.backend))
+
     def test_a_sidecar_that_stopped_as_planned_serves_again(self) -> None:
         running = self.fleet.sidecars[LEAVER]
         running.sidecar.stopping_at = running.sidecar.clock() - 60.0
