Take a rate limit or a leaving server only from signed responses, or those that say they did not run

A spoiled response (no signature) could close a sound server for good. Found by reading; with the check taken out, test_a_spoiled_response_says_nothing fails.

--- a/src/magnoliasill/sidecar/server_notices.py
+++ b/src/magnoliasill/sidecar/server_notices.py
@@ -32,6 +32,8 @@
     """
     if response_metadata.misdirected:
         return  # the words of another server
+    if not (response_metadata.signed or response_metadata.not_run):
+        return  # a spoiled response
     if not is_current(sidecar.backend, heartbeat.instance, heartbeat.born):
         return
     if response_metadata.leaving:
@@ -39,10 +41,7 @@
     if response_metadata.limit_error:
         _log_bad_limit(sidecar, response_metadata.limit_error)
         return
-    limit_per_s = response_metadata.limit_per_s
-    if limit_per_s is None and not (response_metadata.signed or response_metadata.not_run):
-        return  # spoiled responses may lack the header
-    _change_limit(sidecar, limit_per_s, own_word=True)
+    _change_limit(sidecar, response_metadata.limit_per_s, own_word=True)
 
 
 def adopt_limit(sidecar: Sidecar, call: HopCall) -> None:
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -377,6 +377,18 @@
             self.assertEqual(200, send(self.fleet, number % 2, "/stock/x", f"n-{number}")[0])
         self.assertLessEqual(len(self.stock.requests), 1)
 
+    def test_a_spoiled_response_says_nothing(self) -> None:
+        self.stock.behave = lambda server, identifier: (
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {identifier}\r\nServer-Leaving: 1\r\n"
+            "Server-Limit: 0.3\r\nContent-Length: 0\r\n\r\n"
+        ).encode()
+        for number in range(20):
+            send(self.fleet, number % 2, "/stock/x", f"s-{number}")
+        self.stock.behave = None
+        backend = self.fleet.sidecars[1].sidecar.backend
+        self.assertEqual((None, None), (backend.leaving_at, backend.limit_per_s))
+        self.assertGreater(len(self.stock.requests), 0)
+
     def test_a_421_of_another_server_says_nothing_of_the_one_that_was_meant(self) -> None:
         self.stock.instance, self.stock.leaving, self.stock.limit = "i-other", True, "0.001"
         for number in range(10):
