--- a/tests/sidecar/simulated_calls.py
+++ b/tests/sidecar/simulated_calls.py
@@ -45,6 +45,7 @@
 
 HOP_DELAY_S = 0.0015
 RECORD_DELAY_S = 0.1  # from a change of a member's record until another sidecar has it
+MEAN_ACTION_GAP_S = 0.7
 CHECK_INTERVAL_S = 0.05  # of the sidecars' periodic checks
 SERVER_QUEUE = 3  # requests that a backend server queues beyond its slots
 CONTACT_S = 3.0
@@ -254,6 +255,32 @@
     eventlet.spawn(run)
 
 
+def play_random_notices(fleet: CallFleet, until: float) -> None:
+    """Let servers name limits and leave, and sidecars restart, at random times.
+
+    Args:
+        fleet: The fleet.
+        until: When to stop, on the virtual clock.
+    """
+    generator = Random(fleet.random.random())
+    while fleet.now < until:
+        eventlet.sleep(generator.expovariate(1 / MEAN_ACTION_GAP_S))
+        name = generator.choice([name for name, vm in fleet.vms.items() if not vm.down])
+        server = fleet.vms[name].server
+        action = generator.random()
+        if action < 0.6:
+            name_limit(fleet, server, f"{10 ** generator.uniform(-1, 2):.2f}")
+        elif action < 0.75:
+            name_limit(fleet, server, None)
+        elif action < 0.9:
+            eventlet.spawn(restart_vm, fleet, name, generator.uniform(0.1, 5.0))
+        elif action < 0.95:
+            server.leaving = True
+        else:
+            successor = SimulatedServer(server.service, f"{server.instance}+", server.born + 1)
+            replace_server(fleet, name, successor)
+
+
 def send_request(
     fleet: CallFleet,
     origin: str,
--- a/tests/sidecar/test_server_notices.py
+++ b/tests/sidecar/test_server_notices.py
@@ -5,9 +5,12 @@
 
 from __future__ import annotations
 
+import eventlet
 import testtools
 from testscenarios import WithScenarios
 
+from magnoliasill.errors import CallError
+
 from . import simulated_calls as simulation
 from .simulated_calls import SimulatedServer, name_limit, run_until, start_callers
 
@@ -235,6 +238,32 @@
         served = sum(self.count_arrivals(shop, 8.0, END_S) for shop in self.shops)
         self.assertGreater(served, 0.9 * 4 * 8 * (END_S - 8.0))
 
+    def test_who_returns_as_told_is_served(self) -> None:
+        returned: list[bool] = []
+
+        def call_repeatedly(origin: str) -> None:
+
+            told = False
+            while self.fleet.now < END_S:
+                try:
+                    simulation.send_request(self.fleet, origin, "shop")
+                except CallError as error:
+                    returned.extend([False] * told)
+                    told = True
+                    eventlet.sleep(error.retry_after_s)
+                    continue
+                returned.extend([True] * told)
+                told = False
+
+        for shop in self.shops:
+            name_limit(self.fleet, shop, "5")
+        for origin in self.fleet.vms:
+            eventlet.spawn(call_repeatedly, origin)
+        run_until(self.fleet, END_S)
+        self.assert_limits_kept()
+        self.assertGreater(len(returned), 50)
+        self.assertGreater(sum(returned), 0.9 * len(returned))
+
 
 class WastedHopTest(NoticeCase):
     def test_work_goes_elsewhere_without_asking_a_limited_server_first(self) -> None:
@@ -245,3 +274,16 @@
         run_until(self.fleet, END_S)
         hops = self.fleet.hops - before
         self.assertLess(hops.total() - hops["answered"], 0.02 * hops.total())
+
+
+class RandomNoticesTest(WithScenarios, NoticeCase):
+    """Limits, leaving servers and restarts that overlap, in any order."""
+
+    scenarios = [(f"seed {seed}", {"seed": seed}) for seed in (1, 2, 3, 4)]
+
+    def test_both_rules_hold(self) -> None:
+        start_callers(self.fleet, "shop", 120.0, END_S)
+        start_callers(self.fleet, "stock", 60.0, END_S, idempotent=False)
+        simulation.play_random_notices(self.fleet, END_S)
+        self.assert_limits_kept()
+        self.assert_drained()
