--- a/bench/server_limit.py
+++ b/bench/server_limit.py
@@ -54,6 +54,7 @@
         "vms": vms,
         "limit": simulation.find_limit_violations(fleet)[:2],
         "drain": simulation.find_drain_violations(fleet)[:2],
+        "reports": simulation.find_untrue_reports(fleet)[:2],
         "failures": fleet.failures[:2],
     }
     print(json.dumps(result))
@@ -102,7 +103,9 @@
         served = pool.map(lambda case: _run_in_process("case", case, first_seed), LIMIT_CASES)
         cases = dict(zip(LIMIT_CASES, served, strict=True))
     broken = [
-        result for result in rules if any(result[key] for key in ("limit", "drain", "failures"))
+        result
+        for result in rules
+        if any(result[key] for key in ("limit", "drain", "reports", "failures"))
     ]
     print(json.dumps({"seeds": len(rules), "broken": broken, "served": cases}))
 
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -48,8 +48,8 @@
         limit: The value of the header that names its rate limit, or None if it names none.
         leaving: Whether its responses say that it is leaving.
         behave: A function that returns the bytes to send instead of the usual response, or None
-            for the usual one. A trailing `!close` closes the connection afterwards, and `!reset`
-            resets it.
+            for the usual one. A trailing `!close` closes the connection afterwards, `!end` does so
+            without being sent itself, and `!reset` resets it.
         listener: The listening socket.
     """
 
@@ -354,7 +354,9 @@
         return False
     override = server.behave(server, identifier) if server.behave else None
     if override is not None:
-        sock.sendall(override.removesuffix(b"!reset"))
+        sock.sendall(override.removesuffix(b"!reset").removesuffix(b"!end"))
+        if override.endswith(b"!end"):
+            return False
         if override.endswith(b"!reset"):
             eventlet.sleep(0.05)  # lets the other end read the data before the reset
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
--- a/tests/sidecar/simulated_calls.py
+++ b/tests/sidecar/simulated_calls.py
@@ -141,6 +141,9 @@
         records: The member records in the store by VM, with their revisions.
         revision: The store's revision.
         sent: When each request was sent and the VM where it began, by identifier.
+        once: The requests that must run at most once, by identifier.
+        runs: How often each request ran, by identifier.
+        refused: The requests that were reported as not run, by identifier.
         outcomes: How requests ended: `answered`, `in_time`, `failed`, `refused`, `gave_up`.
         refused_waits: The seconds for which each refused attempt was held.
         promises: For each refusal, when the caller was told to come back, and its service.
@@ -155,6 +158,9 @@
     records: dict[str, tuple[bytes, int]] = attrs.field(factory=dict)
     revision: int = 0
     sent: dict[str, tuple[float, str]] = attrs.field(factory=dict)
+    once: set[str] = attrs.field(factory=set)
+    runs: Counter[str] = attrs.field(factory=Counter)
+    refused: set[str] = attrs.field(factory=set)
     outcomes: Counter[str] = attrs.field(factory=Counter)
     refused_waits: list[float] = attrs.field(factory=list)
     promises: list[tuple[float, str]] = attrs.field(factory=list)
@@ -308,6 +314,8 @@
     sidecar = vm.sidecar
     identifier = f"{parent}.1" if parent else f"{origin}/{len(fleet.sent)}"
     fleet.sent[identifier] = (now, origin)
+    if not idempotent:
+        fleet.once.add(identifier)
     retry = find_parent_retry(sidecar, identifier)
     route = Route(
         f"r-{service}", "/", (Destination(service),), idempotent, deadline_s, target_s, attempts=2
@@ -331,6 +339,7 @@
         )
     except CallError as error:
         if error.code is not ErrorCode.OUTCOME_UNKNOWN:
+            fleet.refused.add(identifier)
             fleet.refused_waits.append(fleet.now - now)
             fleet.promises.append((fleet.now + error.retry_after_s, service))
         raise
@@ -374,6 +383,13 @@
     ]
 
 
+def find_untrue_reports(fleet: CallFleet) -> list[str]:
+    """Return the requests that ran although reported as not run, or ran twice against the rules."""
+    ran_twice = [name for name in fleet.once if fleet.runs[name] > 1]
+    not_run = [name for name in fleet.refused & fleet.once if fleet.runs[name]]
+    return [*ran_twice, *not_run]
+
+
 def build_heartbeat(vm: SimulatedVm, leaving: bool = False) -> Heartbeat:
     """Return the next heartbeat of a VM's backend server."""
     server, settings = vm.server, vm.sidecar.settings
@@ -540,6 +556,7 @@
     if server.running >= server.slots + SERVER_QUEUE:
         return _reply(server, 503, identifier, matches_request, ("Not-Executed", "1"))
     server.running += 1
+    fleet.runs[identifier] += 1
     try:
         eventlet.sleep(server.work_s * fleet.random.uniform(0.7, 1.4))
         status = 200 if not server.calls else _call_from_server(fleet, vm, server, identifier)
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -134,6 +134,32 @@
         )[0:1]
         self.assertIn(status[0], (502, 504))
 
+    def test_cut_short_and_closed(self) -> None:
+        status = self.respond_with(
+            lambda identifier: build_answer(identifier, b"abcdef")[:-3] + b"!end"
+        )
+        self.assertEqual(502, status[0])
+
+    def assert_no_success(self, answer: bytes) -> None:
+        try:
+            status = self.respond_with(lambda identifier: answer)[0]
+        except (EOFError, ValueError, OSError):
+            return  # the caller sees that the answer is incomplete
+        self.assertEqual(502, status)
+
+    def test_a_long_answer_that_breaks_off_does_not_look_complete(self) -> None:
+        for ending in (b"!end", b"!reset"):
+            self.assert_no_success(build_answer("s-1", b"y" * LONG_BYTES)[:-1000] + ending)
+
+    def test_a_long_chunked_answer_that_breaks_off_does_not_look_complete(self) -> None:
+        head = (
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: s-1\r\nResponse-Signature: t\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        chunk = b"%x\r\n%b\r\n" % (LONG_BYTES, b"y" * LONG_BYTES)
+        for ending in (b"!end", b"!reset"):
+            self.assert_no_success(head + chunk + ending)
+
     def test_no_http(self) -> None:
         self.assertEqual(502, self.respond_with(lambda identifier: b"\x00garbage\r\n\r\n!close")[0])
 
--- a/tests/sidecar/test_server_notices.py
+++ b/tests/sidecar/test_server_notices.py
@@ -287,3 +287,17 @@
         simulation.play_random_notices(self.fleet, END_S)
         self.assert_limits_kept()
         self.assert_drained()
+
+    def test_lost_answers_are_neither_repeated_nor_reported_as_not_run(self) -> None:
+        for server in self.fleet.servers:
+            server.work_s = 0.3
+        for service in ("shop", "stock"):
+            start_callers(self.fleet, service, 60.0, END_S, idempotent=False, target_s=0.8)
+        for number in range(12):
+            run_until(self.fleet, NAMED_AT_S + number)
+            simulation.restart_vm(self.fleet, f"vm-{number % 8:02}", 0.2)
+        run_until(self.fleet, END_S)
+        self.assertEqual([], self.fleet.failures)
+        self.assertGreater(self.fleet.outcomes["failed"], 5)
+        self.assertGreater(len(self.fleet.refused), 0)
+        self.assertEqual([], simulation.find_untrue_reports(self.fleet)[:3])
