Refuse at once what waits for a server whose limit has fallen too low for it; plainer names

Requests that had been queued by a higher limit were held until their latest start, although it was known that no token would come in time (found by reading). test_what_a_lower_limit_can_not_serve_is_refused_at_once fails without it. Renamed: own_word, Room, turn_gap_s.

--- a/src/magnoliasill/mesh/backend.py
+++ b/src/magnoliasill/mesh/backend.py
@@ -59,7 +59,7 @@
         warm_at: When its cold start is over.
         limit_per_s: The rate limit that it names in its responses, in requests per second, or None.
         limit_heard_at: When the limit, or that there is none, was heard of; None if it never was.
-        has_answered: Whether it has answered this process, so that `limit_per_s` is its own word.
+        has_answered: Whether `limit_per_s` comes from its own response to this process.
         bad_limit: The last value of a limit that was no positive number, or an empty string.
         ended: Keys of incarnations that have ended, in the order in which they ended.
     """
@@ -129,7 +129,7 @@
 
 
 def apply_limit(
-    backend: Backend, limit_per_s: float | None, heard_at: float, own_word: bool
+    backend: Backend, limit_per_s: float | None, heard_at: float, from_server: bool
 ) -> bool:
     """Record the rate limit that the backend server names; return whether it changed.
 
@@ -137,12 +137,12 @@
         backend: The backend server's state.
         limit_per_s: The limit in requests per second, or None if it names none.
         heard_at: When a gate heard that, in seconds on the monotonic clock.
-        own_word: Whether it comes from the server's own response and not from another sidecar,
-            whose word no longer counts once the server itself has answered.
+        from_server: Whether it comes from the server's own response and not from another sidecar,
+            which no longer counts once the server itself has answered.
     """
-    if not own_word and backend.has_answered:
+    if not from_server and backend.has_answered:
         return False
-    backend.has_answered = own_word
+    backend.has_answered = from_server
     backend.limit_heard_at = heard_at
     changed = limit_per_s != backend.limit_per_s
     backend.limit_per_s = limit_per_s
--- a/src/magnoliasill/mesh/gate.py
+++ b/src/magnoliasill/mesh/gate.py
@@ -246,10 +246,26 @@
     if limit_per_s is None:
         gate.limiter = None
         dispatch_waiting(gate, now)
-    elif gate.limiter is None:
+        return
+    if gate.limiter is None:
         gate.limiter = build_limiter(limit_per_s, now)
     else:
         change_limit(gate.limiter, limit_per_s, now)
+    _refuse_beyond_limit(gate, now)
+
+
+def _refuse_beyond_limit(gate: Gate, now: float) -> None:
+    """Refuse the waiting requests that were queued by a higher limit and are too many for this."""
+    kept = 0
+    for request in sorted(gate.waiting, key=lambda found: _rank(gate, found, now)):
+        start_at = now + estimate_token_wait(gate.limiter, kept, now)
+        service_s = gate.route_s.get(request.route, gate.mean_s)
+        latest_start = min(request.start_by, request.deadline_at - MIN_TIME_LEFT_SHARE * service_s)
+        if start_at < latest_start:
+            kept += 1
+            continue
+        gate.waiting.remove(request)
+        request.resume(False)
 
 
 def find_next_start(gate: Gate, now: float) -> float | None:
--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -85,7 +85,7 @@
         records: The members by name.
         conditions: The conditions by name and incarnation of the backend server.
         by_service: The members of each service by name.
-        notices: What backend servers said of themselves, by incarnation. They outlive records,
+        notices: What backend servers announced, by incarnation. They outlive the records,
             since a server may move to another VM or its sidecar may restart and forget.
     """
 
@@ -152,7 +152,7 @@
 
 
 def find_notice(table: MemberTable, instance: str, born: int) -> ServerNotice:
-    """Return what is known of an incarnation's own words; create it if there is nothing yet."""
+    """Return what an incarnation announced; create an empty notice if there is none yet."""
     notice = table.notices.get((instance, born))
     if notice is None:
         notice = table.notices[instance, born] = ServerNotice()
--- a/src/magnoliasill/mesh/placement.py
+++ b/src/magnoliasill/mesh/placement.py
@@ -124,22 +124,22 @@
 
 
 @attrs.frozen
-class Room:
+class LimitWait:
     """When the rate limits of a service's servers allow this sidecar further requests.
 
     Attributes:
         wait_s: The seconds until the next request.
-        gap_s: The seconds between requests after that.
+        interval_s: The seconds between requests after that.
     """
 
     wait_s: float
-    gap_s: float
+    interval_s: float
 
 
-def find_room(
+def find_limit_wait(
     table: MemberTable, candidates: list[Member], context: PlacementContext
-) -> Room | None:
-    """Return when a limited server has room, or None unless all usable servers are limited.
+) -> LimitWait | None:
+    """Return when a limited server accepts a request; None unless all usable ones are limited.
 
     Args:
         table: The member table.
@@ -154,8 +154,8 @@
         if notice.limit_per_s is None:
             return None
         waits_s.append(find_turn_wait(notice, context.now))
-        rate_per_s += 1 / notice.turn_gap_s
-    return Room(min(waits_s), 1 / rate_per_s) if waits_s else None
+        rate_per_s += 1 / notice.turn_interval_s
+    return LimitWait(min(waits_s), 1 / rate_per_s) if waits_s else None
 
 
 def _is_full(condition: MemberCondition, context: PlacementContext) -> bool:
--- a/src/magnoliasill/mesh/rate_limits.py
+++ b/src/magnoliasill/mesh/rate_limits.py
@@ -90,7 +90,7 @@
     elapsed_s = max(now - limiter.updated_at, 0.0)
     gained = limiter.tokens + elapsed_s * limiter.rate_per_s
     limiter.tokens = min(gained, _compute_capacity(limiter))
-    limiter.updated_at = now
+    limiter.updated_at = max(now, limiter.updated_at)
 
 
 def _compute_capacity(limiter: RateLimiter) -> float:
--- a/src/magnoliasill/mesh/retry_after.py
+++ b/src/magnoliasill/mesh/retry_after.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from .placement import Room
+    from .placement import LimitWait
 
 INITIAL_SPREAD_S = 0.1  # a slot becomes free within about the duration of one request
 MAX_SPREAD_S = 4.0
@@ -52,7 +52,10 @@
 
 
 def choose_retry_after(
-    state: RetryAfterState, time_left_s: float, random: Random, room: Room | None = None
+    state: RetryAfterState,
+    time_left_s: float,
+    random: Random,
+    limit_wait: LimitWait | None = None,
 ) -> float:
     """Count a refusal and return the seconds after which its caller may retry.
 
@@ -60,11 +63,13 @@
         state: The service's state.
         time_left_s: Seconds until the caller stops waiting.
         random: Source of the random delay.
-        room: When rate limits allow the next request, if they are why this one was refused. The
-            delay may then be longer than the caller waits, since an earlier retry is in vain.
+        limit_wait: When rate limits allow the next request, if they are why this one was refused.
+            The delay may then exceed what callers heed, since an earlier retry would be in vain.
     """
     state.refused += 1
     max_delay_s = max(time_left_s * MAX_TIME_LEFT_SHARE, 0.0)
     delay_s = INITIAL_SPREAD_S / 2 + random.random() * state.spread_s
     delay_s = min(delay_s, max_delay_s * (0.6 + 0.35 * random.random()))
-    return delay_s if room is None else max(delay_s, room.wait_s + random.random() * room.gap_s)
+    if limit_wait is None:
+        return delay_s
+    return max(delay_s, limit_wait.wait_s + random.random() * limit_wait.interval_s)
--- a/src/magnoliasill/mesh/server_notices.py
+++ b/src/magnoliasill/mesh/server_notices.py
@@ -1,4 +1,4 @@
-"""What a sidecar knows of a remote backend server's own words: its rate limit, and that it leaves.
+"""What backend servers announce in their responses: a rate limit, and that they leave.
 
 The gate beside the server enforces both. Other sidecars keep them to send their requests elsewhere,
 and tell a gate that has restarted.
@@ -13,21 +13,21 @@
 
 @attrs.define
 class ServerNotice:
-    """What an incarnation of a backend server said of itself, by the reports of its gate.
+    """What an incarnation of a backend server announced, by the reports of its gate.
 
     Attributes:
         leaving: Whether it is leaving; this is never taken back.
         limit_per_s: The requests per second that it accepts, or None without a limit.
         heard_at: When the gate heard of the limit, in seconds on the monotonic clock.
         turn_at: When this sidecar may send it the next request.
-        turn_gap_s: The seconds between two requests of this sidecar, by the latest report.
+        turn_interval_s: The seconds between two requests of this sidecar, by the latest report.
     """
 
     leaving: bool = False
     limit_per_s: float | None = None
     heard_at: float = 0.0
     turn_at: float = 0.0
-    turn_gap_s: float = 0.0
+    turn_interval_s: float = 0.0
 
 
 def record_limit(
@@ -46,13 +46,13 @@
     notice.limit_per_s = limit_per_s
     notice.turn_at = now + turn_s
     if limit_per_s is not None:
-        notice.turn_gap_s = max(turn_s, 1 / max(limit_per_s, MIN_RATE_PER_S))
+        notice.turn_interval_s = max(turn_s, 1 / max(limit_per_s, MIN_RATE_PER_S))
 
 
 def use_turn(notice: ServerNotice, now: float) -> None:
     """Count a request that is sent now, whose report has yet to assign the next turn."""
     if notice.limit_per_s is not None:
-        notice.turn_at = max(notice.turn_at, now) + notice.turn_gap_s
+        notice.turn_at = max(notice.turn_at, now) + notice.turn_interval_s
 
 
 def find_turn_wait(notice: ServerNotice, now: float) -> float:
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -32,7 +32,7 @@
     PlacementContext,
     choose_member,
     choose_release_members,
-    find_room,
+    find_limit_wait,
 )
 from ..mesh.retries import try_acquire_retry
 from ..mesh.retry_after import RetryAfterState, choose_retry_after, count_arrival
@@ -270,11 +270,11 @@
     left_s = request.caller_deadline - sidecar.clock()
     placement = _build_placement(sidecar, request, state)
     candidates = choose_release_members(sidecar.members, placement, sidecar.random)
-    room = find_room(sidecar.members, candidates, placement)
-    retry_after_s = choose_retry_after(retry_after_state, left_s, sidecar.random, room)
-    code = ErrorCode.OVERLOADED if request.attempted_members or room else ErrorCode.NO_SERVER
+    limit_wait = find_limit_wait(sidecar.members, candidates, placement)
+    retry_after_s = choose_retry_after(retry_after_state, left_s, sidecar.random, limit_wait)
+    code = ErrorCode.OVERLOADED if request.attempted_members or limit_wait else ErrorCode.NO_SERVER
     reason = state.refusal_reason or f"no backend server of {request.service} accepts requests"
-    if room is not None:
+    if limit_wait is not None:
         reason = f"all backend servers of {request.service} are at their rate limits"
     raise CallError(code, reason, max(retry_after_s, 0.001))
 
@@ -411,7 +411,7 @@
 
 
 def _record_notice(sidecar: Sidecar, member: Member, report: GateReport, now: float) -> None:
-    """Record what the backend server said of itself, unless the gate fronts another one now."""
+    """Record what the backend server announced, unless the gate fronts another one now."""
     if report.reason == "other_instance":
         return
     notice = find_notice(sidecar.members, member.instance, member.born)
--- a/src/magnoliasill/sidecar/server_notices.py
+++ b/src/magnoliasill/sidecar/server_notices.py
@@ -1,7 +1,7 @@
-"""Records what the local backend server says of itself: its rate limit, and that it leaves.
+"""Records what the local backend server announces in responses: a rate limit, and that it leaves.
 
-It says so in responses, to this process or to the one before it. What an earlier process heard is
-restored from the member record that it wrote, and from the requests of sidecars that it told.
+What an earlier process on this VM received is restored from the member record that it wrote, and
+from the requests of other sidecars, which had it in a report.
 """
 
 from __future__ import annotations
@@ -31,7 +31,7 @@
         response_metadata: What the headers of its response say.
     """
     if response_metadata.misdirected:
-        return  # the words of another server
+        return  # another server responded
     if not (response_metadata.signed or response_metadata.not_run):
         return  # a spoiled response
     if not is_current(sidecar.backend, heartbeat.instance, heartbeat.born):
@@ -41,13 +41,13 @@
     if response_metadata.limit_error:
         _log_bad_limit(sidecar, response_metadata.limit_error)
         return
-    _change_limit(sidecar, response_metadata.limit_per_s, own_word=True)
+    _change_limit(sidecar, response_metadata.limit_per_s, from_server=True)
 
 
 def adopt_limit(sidecar: Sidecar, call: HopCall) -> None:
     """Take over the limit that another sidecar knows, until the server itself has answered."""
     if call.limit_per_s is not None and is_current(sidecar.backend, call.instance, call.born):
-        _change_limit(sidecar, call.limit_per_s, own_word=False, age_s=call.limit_age_s)
+        _change_limit(sidecar, call.limit_per_s, from_server=False, age_s=call.limit_age_s)
 
 
 def restore_leaving(sidecar: Sidecar, record: Member) -> None:
@@ -78,11 +78,11 @@
 
 
 def _change_limit(
-    sidecar: Sidecar, limit_per_s: float | None, own_word: bool, age_s: float = 0.0
+    sidecar: Sidecar, limit_per_s: float | None, from_server: bool, age_s: float = 0.0
 ) -> None:
     backend, now = sidecar.backend, sidecar.clock()
     previous_per_s = backend.limit_per_s
-    if not apply_limit(backend, limit_per_s, now - age_s, own_word):
+    if not apply_limit(backend, limit_per_s, now - age_s, from_server):
         return
     limit_rate(sidecar.gate, limit_per_s, now)
     sidecar.log(
@@ -91,7 +91,7 @@
         born=backend.latest.born,
         limit_per_s=limit_per_s,
         previous_per_s=previous_per_s,
-        source="response" if own_word else "peer",
+        source="response" if from_server else "peer",
         age_s=round(age_s, 3),
         waiting=len(sidecar.gate.waiting),
     )
--- a/tests/mesh/test_backend.py
+++ b/tests/mesh/test_backend.py
@@ -107,24 +107,24 @@
         apply_heartbeat(self.backend, FIRST, 1.0)
 
     def test_its_own_word_counts_more_than_that_of_others(self) -> None:
-        self.assertTrue(apply_limit(self.backend, 5.0, 1.0, own_word=False))
-        self.assertTrue(apply_limit(self.backend, 7.0, 2.0, own_word=True))
-        self.assertFalse(apply_limit(self.backend, 9.0, 3.0, own_word=False))
+        self.assertTrue(apply_limit(self.backend, 5.0, 1.0, from_server=False))
+        self.assertTrue(apply_limit(self.backend, 7.0, 2.0, from_server=True))
+        self.assertFalse(apply_limit(self.backend, 9.0, 3.0, from_server=False))
         self.assertEqual((7.0, 2.0), (self.backend.limit_per_s, self.backend.limit_heard_at))
 
     def test_a_response_without_a_limit_counts_too(self) -> None:
-        self.assertFalse(apply_limit(self.backend, None, 1.0, own_word=True))
-        self.assertFalse(apply_limit(self.backend, 9.0, 2.0, own_word=False))
+        self.assertFalse(apply_limit(self.backend, None, 1.0, from_server=True))
+        self.assertFalse(apply_limit(self.backend, 9.0, 2.0, from_server=False))
         self.assertIsNone(self.backend.limit_per_s)
 
     def test_the_next_incarnation_has_said_nothing(self) -> None:
-        apply_limit(self.backend, 5.0, 1.0, own_word=True)
+        apply_limit(self.backend, 5.0, 1.0, from_server=True)
         apply_leaving(self.backend, 1.0)
         apply_heartbeat(self.backend, attrs.evolve(FIRST, born=2_000, sequence=1), 2.0)
         self.assertIsNone(self.backend.limit_per_s)
         self.assertIsNone(self.backend.limit_heard_at)
         self.assertTrue(accepts_requests(self.backend))
-        self.assertTrue(apply_limit(self.backend, 5.0, 1.0, own_word=False))
+        self.assertTrue(apply_limit(self.backend, 5.0, 1.0, from_server=False))
 
     def test_leaving_is_recorded_once(self) -> None:
         self.assertTrue(apply_leaving(self.backend, 2.0))
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -291,3 +291,19 @@
         self.start_at(0.5)
         self.start_at(0.6)
         self.assertEqual([("first", True)], self.resumed)
+
+    def test_what_a_lower_limit_can_not_serve_is_refused_at_once(self) -> None:
+        for number in range(5):
+            self.submit(str(number), target_s=1.0 + number, deadline_s=2.0)
+        limit_rate(self.gate, 1.0, 0.0)
+        self.assertEqual([(str(n), False) for n in range(1, 5)], self.resumed)
+        self.start_at(1.0)
+        self.assertIn(("0", True), self.resumed)
+
+    def test_what_waits_when_a_limit_appears_is_refused_if_it_can_not_be_served(self) -> None:
+        limit_rate(self.gate, None, 0.0)
+        self.gate.slots = 2
+        for number in range(6):
+            self.submit(str(number), target_s=3.0, deadline_s=3.0)
+        limit_rate(self.gate, 0.5, 0.0)
+        self.assertEqual(3, [admitted for _, admitted in self.resumed].count(False))
