Wait for membership before the tests of the tool begin

test_who_is_behind and test_teams_and_operators were red beside load: the set-up waited for both start events, so the commands could begin while the first daemon had not heard of the second. Shown with the first daemon paused until the second was killed: 'convergence' then reports one daemon and exits with 0, as was seen. The set-up waits until both daemons list each other, which the commands presuppose; no check changes.

--- a/src/magnoliasill/sidecar/server_notices.py
+++ b/src/magnoliasill/sidecar/server_notices.py
@@ -98,7 +98,7 @@
 
 
 def _log_bad_limit(sidecar: Sidecar, value: str) -> None:
-    """Log a value once for each incarnation."""
+    """Log a value unless it is the one that was logged last."""
     backend = sidecar.backend
     if value == backend.bad_limit:
         return
--- a/tests/test_processes_administration.py
+++ b/tests/test_processes_administration.py
@@ -56,6 +56,11 @@
         self.daemons = [first, start_daemon(self.fleet, "b-1", "b", seed)]
         for daemon in self.daemons:
             wait_for_event(daemon, 1001)
+        wait_until(self._know_each_other, TIMEOUT_S, "membership")
+
+    def _know_each_other(self) -> bool:
+        members = [read_json(daemon.admin, "/v1/members") for daemon in self.daemons]
+        return all({record["name"] for record in records} == {"a-1", "b-1"} for records in members)
 
     def _succeed(self, *arguments: str, **environment: str) -> str:
         result = run_tool(*arguments, **environment)
