--- a/tests/sidecar/test_malformed_input.py
+++ b/tests/sidecar/test_malformed_input.py
@@ -44,11 +44,15 @@
 class MalformedInputTest(testtools.TestCase):
     """Guards against one malformed message that takes a whole process down."""
 
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = open_fleet(["shop", "stock"])
+        self.addCleanup(harness.close_fleet, self.fleet)
+        put_configuration(self.fleet, 3, build_rule("shop"), build_rule("stock"))
+        harness.wait_ready(self.fleet)
+
     def test_a_sidecar_serves_on(self) -> None:
-        fleet = open_fleet(["shop", "stock"])
-        self.addCleanup(harness.close_fleet, fleet)
-        put_configuration(fleet, 3, build_rule("shop"), build_rule("stock"))
-        harness.wait_ready(fleet)
+        fleet = self.fleet
         generator = random.Random(1)
         running = fleet.sidecars[1]
         settings = running.sidecar.settings
@@ -67,10 +71,7 @@
         self.assertEqual(200, harness.send_heartbeat(fleet, 1))
 
     def test_malformed_answers_of_a_server(self) -> None:
-        fleet = open_fleet(["shop", "stock"])
-        self.addCleanup(harness.close_fleet, fleet)
-        put_configuration(fleet, 3, build_rule("shop"), build_rule("stock"))
-        harness.wait_ready(fleet)
+        fleet = self.fleet
         generator = random.Random(2)
         stock = fleet.servers[1]
 
