--- a/tests/mesh/test_members.py
+++ b/tests/mesh/test_members.py
@@ -16,6 +16,7 @@
     Member,
     MemberTable,
     find_condition,
+    find_notice,
     mark_lapsed,
     put_member,
     record_closed,
@@ -26,7 +27,13 @@
     remove_lapsed,
     remove_member,
 )
-from magnoliasill.mesh.placement import PlacementContext, choose_member, choose_release_members
+from magnoliasill.mesh.placement import (
+    PlacementContext,
+    choose_member,
+    choose_release_members,
+    find_limit_wait,
+)
+from magnoliasill.mesh.server_notices import record_limit
 from magnoliasill.mesh.takeovers import Phase, Takeover
 
 
@@ -232,3 +239,59 @@
         self.add(build_member("new", release="v2"))
         takeover = Takeover("shop", "v2", 1, share=0.06)
         self.assertEqual("new", self.choose(takeover=takeover).name)
+
+
+class LimitedServerTest(TableCase):
+    """Guards against requests that a limited or leaving server is asked for in vain."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.add(build_member("m"), build_member("other"))
+
+    def limit(self, name: str, limit_per_s: float, turn_s: float) -> None:
+        member = self.table.records[name]
+        notice = find_notice(self.table, member.instance, member.born)
+        record_limit(notice, limit_per_s, 0.0, turn_s, 10.0)
+
+    def find_wait(self, now: float = 10.0) -> float | None:
+        context = PlacementContext("shop", "a", now)
+        candidates = choose_release_members(self.table, context, self.random)
+        found = find_limit_wait(self.table, candidates, context)
+        return found.wait_s if found else None
+
+    def test_others_are_preferred_until_its_turn(self) -> None:
+        self.limit("m", 5.0, 0.4)
+        self.assertEqual({"other"}, {self.choose().name for _ in range(50)})
+        self.report("other", 9)
+        self.assertIn("m", {self.choose(now=10.4).name for _ in range(50)})
+
+    def test_it_is_not_asked_for_what_it_could_not_finish_in_time(self) -> None:
+        self.limit("m", 5.0, 0.4)
+        self.assertIsNone(self.choose(tried=("other",), finish_by=10.45))
+        self.assertEqual("m", self.choose(tried=("other",), finish_by=10.6).name)
+
+    def test_the_wait_is_that_of_the_first_turn_if_all_are_limited(self) -> None:
+        self.limit("m", 5.0, 0.4)
+        self.assertIsNone(self.find_wait())
+        self.limit("other", 5.0, 0.3)
+        self.assertAlmostEqual(0.3, self.find_wait())
+        self.assertEqual(0.0, self.find_wait(now=11.0))
+
+    def test_unreachable_servers_do_not_count(self) -> None:
+        self.limit("m", 5.0, 0.4)
+        record_unreachable(find_condition(self.table, self.table.records["other"]), 10.0)
+        self.assertAlmostEqual(0.4, self.find_wait())
+
+    def test_one_that_left_is_not_chosen_by_any_later_record(self) -> None:
+        self.add(build_member("m", leaving=True, server_leaving=True))
+        self.add(build_member("m"))
+        self.assertEqual({"other"}, {self.choose().name for _ in range(50)})
+        self.add(build_member("elsewhere", instance="i-m"))
+        self.assertEqual({"other"}, {self.choose().name for _ in range(50)})
+        self.add(build_member("m", born=2))
+        self.assertIn("m", {self.choose().name for _ in range(50)})
+
+    def test_one_whose_sidecar_stopped_is_chosen_when_it_is_back(self) -> None:
+        self.add(build_member("m", leaving=True))
+        self.add(build_member("m"))
+        self.assertIn("m", {self.choose().name for _ in range(50)})
--- a/tests/mesh/test_retries.py
+++ b/tests/mesh/test_retries.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from magnoliasill.mesh.placement import LimitWait
 from magnoliasill.mesh.retries import RetryBudget, count_request, try_acquire_retry
 from magnoliasill.mesh.retry_after import (
     INITIAL_SPREAD_S,
@@ -72,6 +73,17 @@
     def test_within_what_callers_heed(self) -> None:
         self.assertLess(max(self.refuse(RetryAfterState(), 6.0, 1.2)), 1.2 / 3)
 
+    def test_never_before_a_rate_limit_has_a_turn(self) -> None:
+        generator, state = random.Random(1), RetryAfterState()
+        for left_s in (0.1, 1.2, 9.0):
+            for _ in range(100):
+                delay_s = choose_retry_after(state, left_s, generator, LimitWait(1.5, 0.5))
+                self.assert_between(delay_s, 1.5, max(2.0, left_s / 3))
+
+    def assert_between(self, value: float, low: float, high: float) -> None:
+        self.assertGreaterEqual(value, low)
+        self.assertLessEqual(value, high)
+
     def test_narrow_again_once_it_is_over(self) -> None:
         state = RetryAfterState()
         self.refuse(state, 6.0, 99.0)
