--- a/tests/sidecar/test_stops.py
+++ b/tests/sidecar/test_stops.py
@@ -29,9 +29,9 @@
         self.ends: Counter[str] = Counter()
         self.stopped = False
 
-    def call_until_closed(self, caller: int) -> None:
-        """Send requests on kept connections, as long as the process accepts any."""
-        address = self.fleet.sidecars[0].sidecar.settings.callers
+    def call_until_closed(self, caller: int, index: int) -> None:
+        """Send requests through a sidecar on kept connections, as long as it accepts any."""
+        address = self.fleet.sidecars[index].sidecar.settings.callers
         number = 0
         while not self.stopped:
             try:
@@ -45,6 +45,7 @@
                 while not closing:
                     number += 1
                     closing = self.call_once(sock, file, f"{caller}-{number}")
+                    closing = closing or (self.stopped and index > 0)
 
     def call_once(self, sock: object, file: object, identifier: str) -> bool:
         path = "/shop/x" if identifier.endswith(("0", "5")) else "/stock/x"
@@ -60,7 +61,7 @@
         return headers.get("connection", "").lower() == "close"
 
     def test_every_request_that_was_read_is_answered(self) -> None:
-        callers = [eventlet.spawn(self.call_until_closed, number) for number in range(CALLERS)]
+        callers = [eventlet.spawn(self.call_until_closed, number, 0) for number in range(CALLERS)]
         eventlet.sleep(0.3)
         stop_sidecar(self.fleet.sidecars[0])
         self.stopped = True
@@ -72,3 +73,15 @@
         )
         self.assertGreater(self.ends["200"], CALLERS)
         self.assertEqual(0, self.fleet.sidecars[0].sidecar.open_requests)
+
+    def test_requests_of_other_sidecars_to_its_gate_are_answered(self) -> None:
+        callers = [eventlet.spawn(self.call_until_closed, number, 1) for number in range(CALLERS)]
+        eventlet.sleep(0.3)
+        stop_sidecar(self.fleet.sidecars[0])
+        self.stopped = True
+        for caller in callers:
+            caller.wait()
+        self.assertEqual(set(), set(self.ends) - {"200", "503"}, self.ends)
+        self.assertGreater(self.ends["200"], CALLERS)
+        runs = sum(self.fleet.servers[0].runs.values())
+        self.assertGreater(runs, 0)
