--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -43,14 +43,34 @@
 ROUTES = 110  # makes a configuration longer than what relays send in one piece
 
 
+class _TimerEntry(tuple[float, Any]):
+    """A timer and its time; entries of the same time are ordered by insertion."""
+
+    insertion: int
+
+    def __lt__(self, other: tuple[float, Any]) -> bool:
+        """Return whether this timer fires before another."""
+        assert isinstance(other, _TimerEntry)
+        return (self[0], self.insertion) < (other[0], other.insertion)
+
+
 class VirtualHub(BaseHub):
     """Event hub whose clock jumps to the next timer instead of waiting for it."""
 
     def __init__(self) -> None:
         """Create a hub whose clock starts at 0."""
         self.now_s = 0.0
+        self._insertions = 0
         super().__init__(clock=lambda: self.now_s)
 
+    def add_timer(self, timer: Any) -> float:
+        """Schedule a timer; those of the same time fire in the order in which they were added."""
+        entry = _TimerEntry((self.now_s + timer.seconds, timer))
+        self._insertions += 1
+        entry.insertion = self._insertions
+        self.next_timers.append(entry)
+        return entry[0]
+
     @staticmethod
     def is_available() -> bool:
         """Return that the hub works on every platform."""
