--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -26,6 +26,7 @@
 from magnoliasill.sidecar.registration import Registration, keep_registered
 from magnoliasill.sidecar.state import Sidecar
 from magnoliasill.sidecar.store_relay import handle_follower_poll
+from magnoliasill.sidecar.takeover_leader import COUNTS_PATH, describe_counts, run_takeover_leader
 from magnoliasill.sidecar.store_sync import follow_store, remove_lapsed_members
 
 if TYPE_CHECKING:
@@ -40,6 +41,8 @@
 ITEM_OVERHEAD_BYTES = 150
 FAST_LINK_BYTES_PER_S = 1_800_000.0
 SLOW_LINK_BYTES_PER_S = 90_000.0  # a configuration of this simulation takes about 0.3 s
+PROCESS_START_S = (0.4, 1.2)  # until a started process can be reached
+HEARTBEAT_S = 1.5
 ROUTES = 110  # makes a configuration longer than what relays send in one piece
 
 
@@ -86,12 +89,16 @@
     """A simulated VM.
 
     Attributes:
+        settings: The settings of its sidecar.
         sidecar: The sidecar that runs on it.
         link_bytes_per_s: The rate of its link.
+        release: The release of its backend server.
         link_free_at: When its link has delivered all that was sent so far.
         refused: Whether the store answers this VM with 503.
         silent: Whether the store does not answer this VM.
         down: Whether the VM is without power.
+        starting: Whether its process is not yet reachable after a start.
+        running_since: Since when its process has run without interruption.
         served_since: Since when the store has served this VM.
         late_s: The longest time for which it lacked an accepted configuration, while the store
             had served it for the fleet's `contact_s`.
@@ -101,12 +108,16 @@
         loops: The green threads of its loops.
     """
 
-    sidecar: Sidecar
+    settings: SidecarSettings
     link_bytes_per_s: float
+    release: str
+    sidecar: Sidecar | None = None
     link_free_at: float = 0.0
     refused: bool = False
     silent: bool = False
     down: bool = False
+    starting: bool = False
+    running_since: float = 0.0
     served_since: float = 0.0
     late_s: float = 0.0
     late_while_refused_s: float = 0.0
@@ -165,7 +176,7 @@
     for data_centre in range(data_centres):
         for number in range(vms):
             rate = FAST_LINK_BYTES_PER_S if number in fast else slow_link_bytes_per_s
-            _start_vm(fleet, f"dc-{data_centre}", f"vm-{data_centre}-{number:02}", rate)
+            start_vm(fleet, f"dc-{data_centre}", f"vm-{data_centre}-{number:02}", rate)
     eventlet.spawn(_check_versions, fleet)
     return fleet
 
@@ -181,7 +192,9 @@
             vm = fleet.vms[member.name]
             if vm.down:
                 eventlet.sleep(timeout_s)
-            body = handle_follower_poll(vm.sidecar, target)
+            if vm.starting:
+                return None
+            body = _answer_member(vm.sidecar, target)
             _transfer(fleet, vm, len(body))
             _transfer(fleet, fleet.vms[sidecar.settings.name], len(body))
             return msgspec.json.decode(body, type=response_type)
@@ -190,6 +203,19 @@
     return ask
 
 
+def _answer_member(sidecar: Sidecar, target: str) -> bytes:
+    if target.startswith(COUNTS_PATH):
+        return msgspec.json.encode(describe_counts(sidecar))
+    return handle_follower_poll(sidecar, target)
+
+
+def is_in_touch(fleet: SimulatedFleet, vm: Vm) -> bool:
+    """Return whether a VM has run and been served by the store for long enough."""
+    if vm.refused or vm.silent or vm.down or vm.starting:
+        return False
+    return fleet.now - max(vm.running_since, vm.served_since) >= fleet.contact_s
+
+
 def publish(fleet: SimulatedFleet) -> int:
     """Write a new configuration in which one route differs from the last; return its version."""
     version = len(fleet.accepted) + 1
@@ -216,9 +242,14 @@
 
 
 def interrupt_store(
-    fleet: SimulatedFleet, names: list[str], start: float, duration_s: float, silent: bool
+    fleet: SimulatedFleet,
+    names: list[str],
+    start: float,
+    duration_s: float,
+    silent: bool,
+    leases_pause: bool = False,
 ) -> None:
-    """Turn VMs away from the store for a time, and end their leases, in the background.
+    """Turn VMs away from the store for a time, in the background.
 
     Args:
         fleet: The fleet.
@@ -226,6 +257,7 @@
         start: When that begins, on the virtual clock.
         duration_s: How long it lasts, in seconds.
         silent: Whether the store leaves them without an answer instead of refusing.
+        leases_pause: Whether leases last longer by that time instead of ending.
     """
 
     def run() -> None:
@@ -234,6 +266,9 @@
         for vm in affected:
             vm.refused, vm.silent = not silent, silent
         eventlet.sleep(duration_s)
+        if leases_pause:
+            for lease in fleet.fake_store.leases.values():
+                lease.expires_at += duration_s
         for vm in affected:
             vm.refused = vm.silent = False
             vm.served_since = fleet.now
@@ -266,6 +301,43 @@
     vm.down = True
     for loop in vm.loops:
         loop.kill()
+    vm.loops.clear()
+
+
+def restart_vm(fleet: SimulatedFleet, name: str, down_s: float) -> None:
+    """Cut the power of a VM for a time, in the background; its sidecar starts again empty."""
+    stop_vm(fleet, name)
+
+    def run() -> None:
+        eventlet.sleep(down_s)
+        vm = fleet.vms[name]
+        vm.down, vm.starting = False, True
+        eventlet.sleep(fleet.random.uniform(*PROCESS_START_S))
+        vm.starting = False
+        vm.running_since = vm.served_since = fleet.now
+        _start_sidecar(fleet, vm, fleet.random.uniform(0.0, HEARTBEAT_S))
+
+    eventlet.spawn(run)
+
+
+def play_restarts_without_store(fleet: SimulatedFleet, share: float, silent: bool) -> None:
+    """Let the store fail for seconds, most VMs lose power meanwhile, then publish in succession.
+
+    Args:
+        fleet: The fleet, at most 5 s after its start.
+        share: The share of all VMs that lose power.
+        silent: Whether the store leaves all without an answer instead of refusing.
+    """
+    names = sorted(fleet.vms)
+    start, duration_s = 6.0, fleet.random.uniform(6.0, 9.0)
+    interrupt_store(fleet, names, start, duration_s, silent, leases_pause=True)
+    run_until(fleet, start + fleet.random.uniform(2.0, 4.0))
+    for name in fleet.random.sample(names, round(share * len(names))):
+        restart_vm(fleet, name, down_s=1.0)
+    run_until(fleet, start + duration_s + fleet.random.uniform(0.2, 0.6))
+    for gap_s in (0.26, 0.26, 0.26, 0.26, 0.5, 2.0, 2.0):
+        publish(fleet)
+        eventlet.sleep(gap_s)
 
 
 def run_until(fleet: SimulatedFleet, moment: float) -> None:
@@ -301,8 +373,18 @@
     )
 
 
-def _start_vm(fleet: SimulatedFleet, data_centre: str, name: str, rate: float) -> None:
-    events: list[dict[str, Any]] = []
+def start_vm(
+    fleet: SimulatedFleet, data_centre: str, name: str, rate: float, release: str = "v1"
+) -> None:
+    """Add a VM to the fleet.
+
+    Args:
+        fleet: The fleet.
+        data_centre: The VM's data centre.
+        name: Its name.
+        rate: The rate of its link, in bytes per second.
+        release: The release of its backend server.
+    """
     settings = SidecarSettings(
         name=name,
         data_centre=data_centre,
@@ -320,37 +402,57 @@
     def write(event: Any, **fields: Any) -> None:
         events.append({"at": fleet.now, "event": event.name.lower(), **fields})
 
-    sidecar = Sidecar(
+    fleet.vms[name] = Vm(settings, rate, release)
+    _start_sidecar(fleet, fleet.vms[name], 0.0)
+
+
+def _start_sidecar(fleet: SimulatedFleet, vm: Vm, heartbeat_delay_s: float) -> None:
+    """Start a sidecar without any state; its backend server's first heartbeat comes later."""
+    settings = vm.settings
+
+    def write(event: Any, **fields: Any) -> None:
+        vm.events.append({"at": fleet.now, "event": event.name.lower(), **fields})
+
+    sidecar = vm.sidecar = Sidecar(
         settings,
-        StoreClient(lambda request: _call_store(fleet, fleet.vms[name], request)),
+        StoreClient(lambda request: _call_store(fleet, vm, request)),
         Meters(),
         write,
-        start_id=name,
+        start_id=f"{settings.name} {fleet.now}",
         random=Random(fleet.random.random()),
         clock=lambda: fleet.now,
     )
-    vm = fleet.vms[name] = Vm(sidecar, rate, events=events)
-    heartbeat = Heartbeat(
-        instance=f"i-{name}",
-        address=settings.server,
-        service="shop",
-        release="v1",
-        slots=9,
-        data_centre=data_centre,
-        leaving=False,
-        sequence=1,
-        cold_s=0.0,
-        born=1,
-    )
-    apply_heartbeat(sidecar.backend, heartbeat, fleet.now)
     registration = Registration()
     sidecar.wake_registration = registration.wake
     for loop in (
         lambda: follow_store(sidecar),
         lambda: keep_registered(sidecar, registration),
+        lambda: run_takeover_leader(sidecar),
         lambda: _remove_lapsed(sidecar),
     ):
         vm.loops.append(eventlet.spawn_after(fleet.random.random() * 0.3, _run, fleet, loop))
+    if heartbeat_delay_s:
+        vm.loops.append(eventlet.spawn_after(heartbeat_delay_s, _send_heartbeat, fleet, vm))
+    else:
+        _send_heartbeat(fleet, vm)
+
+
+def _send_heartbeat(fleet: SimulatedFleet, vm: Vm) -> None:
+    settings, born = vm.settings, vm.sidecar.start_id
+    heartbeat = Heartbeat(
+        instance=f"i-{born}",
+        address=settings.server,
+        service="shop",
+        release=vm.release,
+        slots=9,
+        data_centre=settings.data_centre,
+        leaving=False,
+        sequence=1,
+        cold_s=0.0,
+        born=1 + int(fleet.now),
+    )
+    apply_heartbeat(vm.sidecar.backend, heartbeat, fleet.now)
+    vm.sidecar.wake_registration()
 
 
 def _run(fleet: SimulatedFleet, loop: Callable[[], None]) -> None:
@@ -396,7 +498,8 @@
     while True:
         if vm.refused:
             return 503, {}
-        expire_leases(fleet.fake_store, fleet.now)
+        if not vm.silent:
+            expire_leases(fleet.fake_store, fleet.now)
         status, body = handle_read(fleet.fake_store, path, query)
         if status != 200 or body["events"] or fleet.now >= until:
             return status, body
@@ -422,7 +525,7 @@
         for vm in fleet.vms.values():
             version = vm.sidecar.table.version if vm.sidecar.table else 0
             accepted_at = fleet.accepted.get(version + 1)
-            if vm.down or accepted_at is None:
+            if vm.down or vm.starting or accepted_at is None:
                 continue
             late_s = fleet.now - accepted_at
             if vm.refused or vm.silent:
--- /dev/null
+++ b/tests/sidecar/simulated_takeover.py
@@ -0,0 +1,260 @@
+"""Simulates takeovers with callers, on the virtual clock of `simulated_fleet`.
+
+The sidecars follow the fake store, elect a leader and decide with their real loops. A request only
+takes the decisions that a takeover is about: which release its VM chooses, whether the gate refuses
+it, and how the answer is counted.
+"""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING
+
+import attrs
+import eventlet
+import msgspec
+
+from fakes.store import put_item
+from magnoliasill.mesh.evidence import count_answer
+from magnoliasill.mesh.placement import PlacementContext, choose_release_members
+from magnoliasill.mesh.records import LEADER_KEY
+from magnoliasill.sidecar.release_guard import is_withheld
+from magnoliasill.sidecar.state import find_takeover
+
+from . import simulated_fleet as simulation
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .simulated_fleet import SimulatedFleet, Vm
+
+SERVICE = "shop"
+NEW = "v2"  # the established release of the simulated fleet is v1
+ROUTE = "r-1"
+DATA_CENTRES = 2
+ORDER_AT = 5.0
+MAX_HOPS = 3
+WORK_S = (0.05, 0.15)
+
+
+@attrs.frozen
+class Arrival:
+    """A request that reached a backend server.
+
+    Attributes:
+        sent_at: When its caller sent it.
+        release: The release of the server.
+        in_touch: Whether the VM where it began was undisturbed, and served by the store.
+    """
+
+    sent_at: float
+    release: str
+    in_touch: bool
+
+
+@attrs.define
+class TakeoverPlay:
+    """A takeover and what callers saw of it.
+
+    Attributes:
+        fleet: The VMs and their store.
+        duration_s: Seconds within which the takeover has to be decided.
+        failure_rate: Returns the share of failing answers by release and time since the order.
+        arrivals: The requests that reached a server.
+        bad_answers: When the new release gave each failure.
+    """
+
+    fleet: SimulatedFleet
+    duration_s: float
+    failure_rate: Callable[[str, float], float]
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    bad_answers: list[float] = attrs.field(factory=list)
+
+
+def open_play(
+    seed: int,
+    failure_rate: Callable[[str, float], float],
+    old: int = 6,
+    new: int = 4,
+    per_s: float = 80.0,
+    duration_s: float = 16.0,
+) -> TakeoverPlay:
+    """Start a fleet with callers, and order a takeover 5 s later.
+
+    Args:
+        seed: Seed of all random choices.
+        failure_rate: Returns the share of failing answers by release and time since the order.
+        old: The number of servers of the established release in each data centre.
+        new: The same of the new release.
+        per_s: Requests per second.
+        duration_s: Seconds within which the takeover has to be decided.
+    """
+    fleet = simulation.open_simulated_fleet(seed, DATA_CENTRES, old, range(old))
+    play = TakeoverPlay(fleet, duration_s, failure_rate)
+    eventlet.spawn(_send_requests, play, per_s)
+    simulation.run_until(fleet, ORDER_AT)
+    order = {"service_name": SERVICE, "target_version": NEW, "duration_s": duration_s}
+    put_item(fleet.fake_store, f"op/rollout/{SERVICE}", msgspec.json.encode(order))
+    for data_centre in range(DATA_CENTRES):
+        for number in range(old, old + new):
+            name = f"vm-{data_centre}-{number:02}"
+            rate = simulation.FAST_LINK_BYTES_PER_S
+            simulation.start_vm(fleet, f"dc-{data_centre}", name, rate, NEW)
+    return play
+
+
+def finish_play(play: TakeoverPlay, extra_s: float = 8.0) -> None:
+    """Let the play run until some time after the deadline of the takeover."""
+    simulation.run_until(play.fleet, ORDER_AT + play.duration_s + extra_s)
+
+
+def find_status(play: TakeoverPlay) -> str:
+    """Return the state that operators see, or an empty string."""
+    value = _read_value(play.fleet, f"status/rollout/{SERVICE}")
+    return msgspec.json.decode(value)["state"] if value else ""
+
+
+def find_leader(fleet: SimulatedFleet) -> str:
+    """Return the name of the VM that leads, or an empty string."""
+    value = _read_value(fleet, LEADER_KEY)
+    return value.decode().split()[0] if value else ""
+
+
+def find_end(play: TakeoverPlay) -> float:
+    """Return the seconds from the order until the last write of a state that operators see."""
+    key = f"status/rollout/{SERVICE}"
+    revision = play.fleet.fake_store.items[key]["revision"]
+    events = (event for vm in play.fleet.vms.values() for event in vm.events)
+    # the record of the takeover is written with the state, as the next item
+    return min(
+        event["at"] - ORDER_AT
+        for event in events
+        if event["event"] == "takeover_changed" and event["revision"] >= revision
+    )
+
+
+def _read_value(fleet: SimulatedFleet, key: str) -> bytes:
+    row = fleet.fake_store.items.get(key)
+    return base64.b64decode(row["value"]) if row else b""
+
+
+def count_late_arrivals(play: TakeoverPlay, bad_answers: int, allowed_s: float) -> int:
+    """Return the requests of undisturbed VMs that the new release got too late.
+
+    Args:
+        play: The play.
+        bad_answers: The number of bad answers after which it has to be stopped.
+        allowed_s: The seconds that this may take.
+    """
+    if len(play.bad_answers) < bad_answers:
+        return 0
+    limit = play.bad_answers[bad_answers - 1] + allowed_s
+    return sum(
+        arrival.sent_at > limit and arrival.release == NEW and arrival.in_touch
+        for arrival in play.arrivals
+    )
+
+
+def find_exposure(play: TakeoverPlay) -> tuple[int, int]:
+    """Return how many requests the new release got until the deadline, and how many all got."""
+    until = ORDER_AT + play.duration_s
+    counted = [a for a in play.arrivals if ORDER_AT <= a.sent_at <= until and a.in_touch]
+    return sum(arrival.release == NEW for arrival in counted), len(counted)
+
+
+def _send_requests(play: TakeoverPlay, per_s: float) -> None:
+    fleet = play.fleet
+    while True:
+        eventlet.sleep(fleet.random.expovariate(per_s))
+        origins = [vm for vm in fleet.vms.values() if _is_running(vm) and vm.sidecar.table]
+        if origins:
+            eventlet.spawn(_send_request, play, fleet.random.choice(origins))
+
+
+def _is_running(vm: Vm) -> bool:
+    return not (vm.down or vm.starting)
+
+
+def _send_request(play: TakeoverPlay, origin: Vm) -> None:
+    fleet, sent_at = play.fleet, play.fleet.now
+    sidecar, tried = origin.sidecar, set[str]()
+    for _ in range(MAX_HOPS):
+        takeover, ordered_release = find_takeover(sidecar, SERVICE)
+        context = PlacementContext(
+            SERVICE,
+            sidecar.settings.data_centre,
+            fleet.now,
+            ordered_release=ordered_release,
+            takeover=takeover,
+            allow_limited_release=not tried,
+        )
+        candidates = choose_release_members(sidecar.members, context, fleet.random)
+        names = sorted(member.name for member in candidates if member.name not in tried)
+        if not names:
+            continue
+        target = fleet.vms[fleet.random.choice(names)]
+        tried.add(target.settings.name)
+        if _is_running(target) and not is_withheld(target.sidecar, SERVICE, target.release):
+            _run_on_server(play, origin, target, sent_at)
+            return
+
+
+def _run_on_server(play: TakeoverPlay, origin: Vm, target: Vm, sent_at: float) -> None:
+    fleet, gate = play.fleet, target.sidecar
+    play.arrivals.append(Arrival(sent_at, target.release, simulation.is_in_touch(fleet, origin)))
+    seconds = fleet.random.uniform(*WORK_S)
+    eventlet.sleep(seconds)
+    failed = fleet.random.random() < play.failure_rate(target.release, fleet.now - ORDER_AT)
+    if failed and target.release == NEW:
+        play.bad_answers.append(fleet.now)
+    count_answer(gate.route_counts, ROUTE, failed, seconds, cold=False)
+
+
+def refuse_leader(play: TakeoverPlay, at: float, silent: bool, share: float = 0.4) -> None:
+    """Turn the leader and other VMs away from the store for 12 s.
+
+    Args:
+        play: The play.
+        at: When that begins, in seconds since the order.
+        silent: Whether the store leaves them without an answer instead of refusing.
+        share: The share of all VMs that are turned away.
+    """
+    fleet = play.fleet
+    simulation.run_until(fleet, ORDER_AT + at)
+    leader = find_leader(fleet)
+    others = [name for name in sorted(fleet.vms) if name != leader]
+    chosen = fleet.random.sample(others, round(share * len(fleet.vms)) - 1)
+    simulation.interrupt_store(fleet, [leader, *chosen], fleet.now, 12.0, silent)
+
+
+def refuse_all(play: TakeoverPlay, at: float, silent: bool) -> None:
+    """Turn all VMs away from the store until the end of the play."""
+    fleet = play.fleet
+    names = sorted(fleet.vms)
+    simulation.run_until(fleet, ORDER_AT + at)
+    simulation.interrupt_store(fleet, names, fleet.now, 60.0, silent)
+
+
+def restart_leaders(play: TakeoverPlay, at: float, times: int = 3) -> None:
+    """Let each leader in turn lose power, 2 s after the one before it."""
+    fleet = play.fleet
+    simulation.run_until(fleet, ORDER_AT + at)
+    for _ in range(times):
+        leader = find_leader(fleet)
+        if leader and _is_running(fleet.vms[leader]):
+            simulation.restart_vm(fleet, leader, down_s=1.0)
+        simulation.run_until(fleet, fleet.now + 2.0)
+
+
+def restart_most(play: TakeoverPlay, at: float, share: float = 0.6, times: int = 2) -> None:
+    """Let the leader and most VMs lose power at the same moment, again 2.5 s later."""
+    fleet = play.fleet
+    simulation.run_until(fleet, ORDER_AT + at)
+    for _ in range(times):
+        leader = find_leader(fleet)
+        others = [name for name in sorted(fleet.vms) if name != leader]
+        chosen = fleet.random.sample(others, round(share * len(fleet.vms)))
+        for name in filter(None, (leader, *chosen)):
+            if _is_running(fleet.vms[name]):
+                simulation.restart_vm(fleet, name, down_s=1.0)
+        simulation.run_until(fleet, fleet.now + 2.5)
--- /dev/null
+++ b/tests/sidecar/test_takeover_faults.py
@@ -0,0 +1,138 @@
+"""Tests of takeovers while the store, the leader or many VMs fail."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import eventlet
+import testtools
+from testscenarios import WithScenarios
+
+from magnoliasill.sidecar import store_relay, takeover_leader
+
+from . import simulated_fleet as simulation
+from . import simulated_takeover as takeover
+
+if TYPE_CHECKING:
+    from .simulated_takeover import TakeoverPlay
+
+MAX_BAD_ANSWERS = 50  # the users' bound: no request is sent to a release later than
+ROLL_BACK_S = 5.0  # this after so many bad answers of it
+EXPOSURE_SHARE = 0.1
+EXPOSURE_TOLERANCE = 50
+SEEDS = (1, 3)
+
+BEFORE_RAMP_S = 6.0
+IN_RAMP_S = 13.2
+FAULTS = [
+    ("no-fault", {"fault": lambda play, at: None}),
+    ("leader-refused", {"fault": lambda play, at: takeover.refuse_leader(play, at, silent=False)}),
+    ("leader-unheard", {"fault": lambda play, at: takeover.refuse_leader(play, at, silent=True)}),
+    ("all-refused", {"fault": lambda play, at: takeover.refuse_all(play, at, silent=False)}),
+    ("all-unheard", {"fault": lambda play, at: takeover.refuse_all(play, at, silent=True)}),
+    ("leaders-restart", {"fault": takeover.restart_leaders}),
+    ("most-restart", {"fault": takeover.restart_most}),
+]
+
+
+class TakeoverCase(testtools.TestCase):
+    """Plays a takeover on the virtual clock."""
+
+    def play(self, seed: int, failures: float, since_s: float, at: float) -> TakeoverPlay:
+        """Play a takeover with the scenario's fault.
+
+        Args:
+            seed: The seed.
+            failures: The share of failing answers of the new release.
+            since_s: Since when it fails, in seconds since the order.
+            at: When the fault begins, in seconds since the order.
+        """
+        self.addCleanup(eventlet.hubs.use_hub, None)
+
+        def rate(release: str, elapsed_s: float) -> float:
+            is_bad = release == takeover.NEW and elapsed_s > since_s
+            return failures if is_bad else 0.01
+
+        play = takeover.open_play(seed, rate)
+        ask = simulation.ask_simulated_member(play.fleet)
+        for module in (store_relay, takeover_leader):
+            self.patch(module, "request_from_member", ask)
+        self.fault(play, at)
+        takeover.finish_play(play)
+        self.assertEqual([], play.fleet.failures)
+        return play
+
+
+class BadReleaseTest(WithScenarios, TakeoverCase):
+    """A release that fails a part of its requests, from the start, or only shortly before the end."""
+
+    scenarios = [
+        (f"{name}-{kind}-{seed}", {**fault, **fields, "seed": seed})
+        for name, fault in FAULTS
+        for kind, fields in (
+            ("early", {"failures": 0.5, "since_s": 3.0, "at": 4.0}),
+            ("in-the-ramp", {"failures": 0.2, "since_s": 13.5, "at": IN_RAMP_S}),
+        )
+        for seed in SEEDS
+    ]
+    fault: Any
+
+    # a new leader completed it by the clock, with evidence of nobody while its share rose
+    def test_it_gets_no_request_5_s_after_its_50th_bad_answer(self) -> None:
+        play = self.play(self.seed, self.failures, self.since_s, self.at)
+        late = takeover.count_late_arrivals(play, MAX_BAD_ANSWERS, ROLL_BACK_S)
+        self.assertEqual(0, late)
+        self.assertNotEqual("completed", takeover.find_status(play))
+        exposed, total = takeover.find_exposure(play)
+        self.assertLessEqual(exposed, EXPOSURE_SHARE * total + EXPOSURE_TOLERANCE)
+
+
+class UnheardVerdictTest(WithScenarios, TakeoverCase):
+    """Nobody can write to the store after a bad release began to fail."""
+
+    scenarios = [
+        (f"{name}-{kind}-{seed}", {**fault, **fields, "seed": seed})
+        for name, fault in FAULTS
+        if name.startswith("all")
+        for kind, fields in (
+            ("early", {"failures": 0.2, "since_s": 3.0, "at": 3.0}),
+            ("in-the-ramp", {"failures": 0.2, "since_s": 13.5, "at": 13.4}),
+        )
+        for seed in SEEDS
+    ]
+    fault: Any
+
+    # without a leader, a release was stopped only by a dozen failures of one server
+    def test_its_servers_get_no_requests_soon_after(self) -> None:
+        play = self.play(self.seed, self.failures, self.since_s, self.at)
+        # a sequential test needs about 20 failures of 100 answers; the bound is 50 and 5 s
+        self.assertLessEqual(len(play.bad_answers), MAX_BAD_ANSWERS)
+        sent_at = [found.sent_at for found in play.arrivals if found.release == takeover.NEW]
+        enough = play.bad_answers[min(20, len(play.bad_answers)) - 1]
+        self.assertLessEqual(max(sent_at), enough + ROLL_BACK_S)
+
+
+class GoodReleaseTest(WithScenarios, TakeoverCase):
+    """A release that fails as few requests as the one before it."""
+
+    scenarios = [
+        (f"{name}-{seed}", {**fault, "seed": seed}) for name, fault in FAULTS for seed in SEEDS
+    ]
+    fault: Any
+
+    # what stops bad releases must not stop good ones
+    def test_it_is_completed_in_time_if_the_leader_fails_before_its_share_rises(self) -> None:
+        play = self.play(self.seed, 0.01, 0.0, BEFORE_RAMP_S)
+        if "all" in self.id():
+            self.assertEqual("running", takeover.find_status(play))
+        else:
+            self.assertEqual("completed", takeover.find_status(play))
+            self.assertLessEqual(takeover.find_end(play), play.duration_s)
+
+    # a leader that was lost while the share rose delays the end, and does not change it
+    def test_it_is_not_taken_back_if_the_leader_fails_while_its_share_rises(self) -> None:
+        play = self.play(self.seed, 0.01, 0.0, IN_RAMP_S)
+        expected = "running" if "all" in self.id() else "completed"
+        self.assertEqual(expected, takeover.find_status(play))
+        answered = [found.sent_at for found in play.arrivals if found.release == takeover.NEW]
+        self.assertGreater(max(answered), play.fleet.now - 1.0)
