Do not count a failure of a release when a call of its own failed

Change: nested requests pass through the server's own sidecar; while one of them failed or is open, a failed answer of the request it belongs to is not counted.

--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -18,7 +18,7 @@
 from .forwarding import Request, forward_request
 from .http_exchange import Message, Reply
 from .protocol import close_if_stopping, count_open_request, list_headers, read_target, send_reply
-from .state import find_parent_retry, is_closing
+from .state import find_parent, find_parent_retry, is_closing
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -39,7 +39,7 @@
         count_open_request(sidecar, environ)
         log_context = _RequestLogContext(sidecar.clock())
         try:
-            reply = _handle_request(sidecar, environ, log_context)
+            reply = _handle_and_track_request(sidecar, environ, log_context)
         except CallError as error:
             close_if_stopping(sidecar, environ)
             _log_refused(sidecar, log_context, error)
@@ -66,6 +66,20 @@
     identifier: str = ""
 
 
+def _handle_and_track_request(
+    sidecar: Sidecar, environ: dict[str, Any], log_context: _RequestLogContext
+) -> Reply:
+    """Handle a request; count it at the request that it belongs to while it is not served."""
+    parent = find_parent(sidecar, parse_caller_headers(list_headers(environ)).identifier)
+    if parent is None:
+        return _handle_request(sidecar, environ, log_context)
+    sidecar.unserved_calls[parent] += 1
+    reply = _handle_request(sidecar, environ, log_context)
+    if reply.status < 500 and parent in sidecar.unserved_calls:
+        sidecar.unserved_calls[parent] -= 1
+    return reply
+
+
 def _handle_request(
     sidecar: Sidecar, environ: dict[str, Any], log_context: _RequestLogContext
 ) -> Reply:
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -163,6 +163,7 @@
         return gate_result
     finally:
         sidecar.running_requests.pop(call.identifier, None)
+        sidecar.unserved_calls.pop(call.identifier, None)
         if holds_slot:
             finish_request(sidecar.gate, call.nested, sidecar.clock())
 
@@ -337,6 +338,8 @@
 def _record_outcome(sidecar: Sidecar, call: HopCall, failed: bool, seconds: float) -> None:
     now = sidecar.clock()
     observe_answer(sidecar.gate, call.route, seconds, failed)
+    if failed and sidecar.unserved_calls[call.identifier] > 0:
+        return  # another service failed; that says nothing of this release
     count_answer(sidecar.route_counts, call.route, failed, seconds, now < sidecar.backend.warm_at)
 
 
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING, Any
@@ -25,10 +25,11 @@
     from ..calls.cancellation import WatchedCall
     from ..mesh.earlier_waits import TimeLeftSamples
     from ..mesh.evidence import RouteCounts
+    from ..mesh.gate_counts import CollectedCounts
     from ..mesh.retry_after import RetryAfterState
     from ..mesh.routes import RouteTable
     from ..mesh.settings import SidecarSettings
-    from ..mesh.takeovers import Order, Takeover
+    from ..mesh.takeovers import Order, ReleaseStop, Takeover
     from ..platform.store import StoreClient
     from .metrics import Meters
 
@@ -82,11 +83,19 @@
         members: All registered sidecars with their backend servers.
         orders: The newest order of each service.
         takeovers: The newest takeover of each service, with the store revision of its item.
+        stops: The newest stop of a release of each service that was decided without its record.
+        collected_counts: The counts of the gates of services with an order, if this sidecar judges
+            a release of theirs.
+        counts_collected_at: When the counts of this gate were last collected to judge a release.
+        watches_release: Whether this sidecar judges the release of its own server, since no leader
+            does.
         backend: State of the backend server that this sidecar fronts.
         gate: Admission gate of that server: its running and waiting requests.
         dispatch_scheduled: Whether a timer is set for the gate's next start under a rate limit.
         route_counts: Counts of that server's responses by route.
         running_requests: Requests running at that server, by identifier; True marks a retry.
+        unserved_calls: How many of their nested requests failed or are open, by the identifier of
+            the running request.
         passed_attempts: Identifiers of non-idempotent attempts that were passed to that server.
         server_connections: Connections to that server.
         peer_connections: Connections to other sidecars.
@@ -122,11 +131,16 @@
     members: MemberTable = attrs.field(factory=MemberTable)
     orders: dict[str, OpenOrder] = attrs.field(factory=dict)
     takeovers: dict[str, tuple[Takeover, int]] = attrs.field(factory=dict)
+    stops: dict[str, ReleaseStop] = attrs.field(factory=dict)
+    collected_counts: dict[str, CollectedCounts] = attrs.field(factory=dict)
+    counts_collected_at: float = NEVER
+    watches_release: bool = False
     backend: Backend = attrs.field(factory=Backend)
     gate: Gate = attrs.field(factory=Gate)
     dispatch_scheduled: bool = False
     route_counts: dict[str, RouteCounts] = attrs.field(factory=dict)
     running_requests: dict[str, bool] = attrs.field(factory=dict)
+    unserved_calls: Counter[str] = attrs.field(factory=Counter)
     passed_attempts: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
     server_connections: ConnectionPool = attrs.field(factory=ConnectionPool)
     peer_connections: ConnectionPool = attrs.field(factory=ConnectionPool)
@@ -243,15 +257,21 @@
     return stopping_at is not None and sidecar.clock() - stopping_at >= seconds
 
 
-def find_parent_retry(sidecar: Sidecar, identifier: str) -> bool | None:
-    """Return whether the request that a nested request belongs to is a retry.
+def find_parent(sidecar: Sidecar, identifier: str) -> str | None:
+    """Return the identifier of the request that a nested request belongs to.
 
     The identifier of a nested request begins with that of its parent.
 
     Returns:
         None if no parent request is running at the local backend server.
     """
-    for parent, is_retry in sidecar.running_requests.items():
+    for parent in sidecar.running_requests:
         if identifier != parent and identifier.startswith(parent):
-            return is_retry
+            return parent
     return None
+
+
+def find_parent_retry(sidecar: Sidecar, identifier: str) -> bool | None:
+    """Return whether the request that a nested request belongs to is a retry, or None."""
+    parent = find_parent(sidecar, identifier)
+    return None if parent is None else sidecar.running_requests[parent]
