Raise a release's share by what was published, not by the clock

Callers saw requests at a bad release later than 5 s after its 50th bad answer: a leader that began late raised the share to 1 at once and completed the takeover 0.4 s later, with answers at that share from nobody.

--- a/src/magnoliasill/mesh/evidence.py
+++ b/src/magnoliasill/mesh/evidence.py
@@ -19,6 +19,7 @@
 FALSE_ALARM_ODDS = 2_000.0  # a good release is rolled back less often than once in 2000 takeovers
 BASELINE_RATE_FACTOR = 1.5  # margin, since the old release's failure rate is only an estimate
 FAILURE_SCORE_LIMIT = log(FALSE_ALARM_ODDS)
+DOUBT_SCORE_LIMIT = log(50.0)  # far below the other limits, and above what single failures reach
 # Corrected for multiple testing: each alternative may fit a good release by chance.
 SLOWNESS_SCORE_LIMIT = log(FALSE_ALARM_ODDS * ALTERNATIVE_COUNT)
 
@@ -27,8 +28,14 @@
     """The result of comparing a release with the one before it."""
 
     UNCLEAR = "unclear"
+    DOUBTFUL = "doubtful"  # the evidence is too weak to roll the release back, and points to it
     BAD = "bad"
 
+    @property
+    def rank(self) -> int:
+        """The position in the order from good to bad."""
+        return list(Verdict).index(self)
+
 
 @attrs.define
 class RouteCounts:
@@ -91,27 +98,32 @@
     Returns:
         The verdict, and a human-readable reason.
     """
-    before, after = _sum_counts(old), _sum_counts(new)
+    before, after = sum_counts(old), sum_counts(new)
     total = 0.0
+    highest = 0.0
     for route, route_counts in after.items():
         baseline = before.get(route, RouteCounts())
         score = score_failures(
-            route_counts.failures, route_counts.answers, _estimate_baseline_rate(baseline)
+            route_counts.failures, route_counts.answers, estimate_baseline_rate(baseline)
         )
         if score >= FAILURE_SCORE_LIMIT:
             reason = f"{route_counts.failures} of {route_counts.answers} failed on route {route}"
             return Verdict.BAD, f"{reason}, {baseline.failures} of {baseline.answers} before"
         total += score
+        highest = max(highest, score)
         score = score_slowness(_list_durations(old, route), _list_durations(new, route))
         if score >= SLOWNESS_SCORE_LIMIT:
             reason = f"{sum(route_counts.seconds)} answers were slow on route {route}"
             return Verdict.BAD, f"{reason}, score {score:.1f}"
     if total >= FAILURE_SCORE_LIMIT:
         return Verdict.BAD, "answers failed on several routes"
+    if max(highest, total) >= DOUBT_SCORE_LIMIT:
+        return Verdict.DOUBTFUL, f"some answers failed, score {max(highest, total):.1f}"
     return Verdict.UNCLEAR, ""
 
 
-def _sum_counts(servers: Sequence[Counts]) -> dict[str, RouteCounts]:
+def sum_counts(servers: Sequence[Counts]) -> dict[str, RouteCounts]:
+    """Return the counts of all of a release's backend servers, by route."""
     total: dict[str, RouteCounts] = {}
     for counts in servers:
         add_counts(total, counts)
@@ -142,6 +154,11 @@
     return best + log(sum(exp(score - best) for score in scores) / len(scores))
 
 
-def _estimate_baseline_rate(baseline: RouteCounts) -> float:
+def estimate_baseline_rate(baseline: RouteCounts) -> float:
+    """Return the failure rate that is no evidence against a release.
+
+    Args:
+        baseline: All answers of the established releases on the route.
+    """
     rate = BASELINE_RATE_FACTOR * baseline.failures / baseline.answers if baseline.answers else 0.0
     return min(max(TOLERATED_FAILURE_RATE, rate), MAX_FAILURE_RATE - max(RATE_INCREASES))
--- a/src/magnoliasill/mesh/takeovers.py
+++ b/src/magnoliasill/mesh/takeovers.py
@@ -18,6 +18,9 @@
 RAMP_S = sum(seconds for _, seconds in RAMP)
 MARGIN_S = 0.9  # before the deadline, for a slow write to the store and the operator's read of it
 MARGIN_SHARE = 0.1  # of the duration, if that is less than `MARGIN_S`
+# Part of a ramp step that must have passed since its share was published. Without it, a leader that
+# begins late would raise the share and complete the takeover before answers at that share arrive.
+MIN_STEP_SHARE = 0.7
 
 
 @attrs.frozen
@@ -69,6 +72,23 @@
     reason: str = ""
 
 
+@attrs.frozen
+class ReleaseStop:
+    """The stop of a release that its gates keep to before the record of the takeover says so.
+
+    Attributes:
+        service: The service.
+        release: The release that gets no more requests.
+        order_revision: The store revision of the order that it was to take over by.
+        reason: The human-readable reason.
+    """
+
+    service: str
+    release: str
+    order_revision: int
+    reason: str = ""
+
+
 @attrs.frozen
 class TakeoverObservation:
     """The inputs of a decision on a takeover.
@@ -97,7 +117,7 @@
         elapsed_s: Seconds since the order.
     """
     left_s = duration_s - _find_margin(duration_s) - elapsed_s
-    scale = min(1.0, 0.4 * duration_s / RAMP_S)
+    scale = _find_ramp_scale(duration_s)
     for share, seconds in reversed(RAMP):
         if left_s <= seconds * scale:
             return share
@@ -105,6 +125,10 @@
     return OBSERVATION_SHARE
 
 
+def _find_ramp_scale(duration_s: float) -> float:
+    return min(1.0, 0.4 * duration_s / RAMP_S)
+
+
 def decide_takeover(takeover: Takeover, order: Order, observation: TakeoverObservation) -> Takeover:
     """Return the next state of a takeover.
 
@@ -124,10 +148,27 @@
                 takeover, Phase.TAKEN_BACK, observation, "no backend server of it came in time"
             )
         return attrs.evolve(takeover, share=0.0, elapsed_s=observation.elapsed_s)
+    if takeover.share > 0.0 and observation.verdict is Verdict.DOUBTFUL:
+        return takeover
+    if not _has_step_passed(takeover, order, observation):
+        return takeover
     if due and takeover.share >= 1.0:
         return _finish(takeover, Phase.COMPLETED, observation, "nothing spoke against it in time")
-    share = plan_share(order.duration_s, observation.elapsed_s)
-    return attrs.evolve(takeover, share=max(share, takeover.share), elapsed_s=observation.elapsed_s)
+    share = min(plan_share(order.duration_s, observation.elapsed_s), _find_next_share(takeover))
+    if share <= takeover.share:
+        return takeover
+    return attrs.evolve(takeover, share=share, elapsed_s=observation.elapsed_s)
+
+
+def _has_step_passed(takeover: Takeover, order: Order, observation: TakeoverObservation) -> bool:
+    """Return whether the current share has been published for long enough to be raised."""
+    seconds = dict(RAMP).get(takeover.share, 0.0) * _find_ramp_scale(order.duration_s)
+    return observation.elapsed_s - takeover.elapsed_s >= MIN_STEP_SHARE * seconds
+
+
+def _find_next_share(takeover: Takeover) -> float:
+    steps = (OBSERVATION_SHARE, *(share for share, _ in RAMP))
+    return next((share for share in steps if share > takeover.share), 1.0)
 
 
 def _finish(
