Stop a bad release without the leader and without the store

Callers saw a bad release go on getting requests while nobody led, or the leader could not write: counts were collected by the leader only, and its verdict reached the gates through the store only. Change: a gate of the new release whose counts nobody asks for collects those of its service and judges by the same tests; whoever finds the release bad tells all gates of the service with the next request for counts, before it writes to the store; a later leader hears of the stop from them. Not without a baseline of the established release.

--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -283,6 +283,11 @@
         fields=("service", "release", "phase", "share", "elapsed_s", "reason", "revision"),
         reaction="if it was rolled back, read the reason",
     ),
+    LogEvent.RELEASE_STOPPED: EventEntry(
+        "The gates of a release refuse its requests, before the record of the takeover says so.",
+        fields=("service", "release", "reason", "revision"),
+        reaction="read the reason; the takeover is rolled back as soon as the store can be written",
+    ),
     LogEvent.RANGE_ACQUIRED: EventEntry(
         "This daemon is now the holder of a range of idempotency keys.", fields=("range",)
     ),
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -8,6 +8,7 @@
 from functools import partial
 from time import monotonic, time_ns
 from typing import TYPE_CHECKING, Any
+from urllib.parse import urlsplit
 
 import attrs
 import eventlet
@@ -33,10 +34,12 @@
 from .metrics import Meters
 from .protocol import IDLE_SLACK_S, PEER_IDLE_S, build_protocol, serve_port
 from .registration import Registration, keep_registered
+from .release_counts import COUNTS_PATH, answer_counts_request
+from .release_watch import run_release_watch
 from .state import CALLER_LINGER_S, GATE_LINGER_S, Sidecar
 from .store_relay import CHANGES_PATH, handle_follower_poll
 from .store_sync import follow_store, remove_lapsed_members
-from .takeover_leader import COUNTS_PATH, describe_counts, run_takeover_leader
+from .takeover_leader import run_takeover_leader
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -148,6 +151,7 @@
             lambda: follow_store(sidecar),
             lambda: keep_registered(sidecar, registration),
             lambda: run_takeover_leader(sidecar),
+            lambda: run_release_watch(sidecar),
             lambda: _run_periodic_checks(sidecar),
         )
     ]
@@ -178,8 +182,8 @@
     peers = build_protocol(lambda: PEER_IDLE_S)
 
     def handle_sidecar_request(target: str, environ: dict[str, Any]) -> bytes | None:
-        if target == COUNTS_PATH:
-            return msgspec.json.encode(describe_counts(sidecar))
+        if urlsplit(target).path == COUNTS_PATH:
+            return msgspec.json.encode(answer_counts_request(sidecar, target))
         if target.startswith(CHANGES_PATH):
             return handle_follower_poll(sidecar, target)
         return None
--- /dev/null
+++ b/src/magnoliasill/sidecar/release_counts.py
@@ -0,0 +1,148 @@
+"""Collects the response counts of a service's gates, and tells the gates which releases to stop.
+
+Whoever judges a release asks all gates of its service for their counts, over the gates' own port.
+The request carries the verdict, if there is one, so that it reaches the gates also while the store
+or the leader fails.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs, urlencode, urlsplit
+
+import eventlet
+
+from ..codes import LogEvent
+from ..mesh.evidence import judge_release, sum_counts
+from ..mesh.failure_trends import judge_trends
+from ..mesh.gate_counts import CollectedCounts, GateCounts
+from ..mesh.takeovers import ReleaseStop
+from .member_requests import request_from_member
+
+if TYPE_CHECKING:
+    from ..mesh.evidence import Verdict
+    from ..mesh.members import Member
+    from .state import OpenOrder, Sidecar
+
+COUNTS_PATH = "/mesh/counts"
+COUNTS_TIMEOUT_S = 0.5
+
+
+def answer_counts_request(sidecar: Sidecar, target: str) -> GateCounts:
+    """Return this sidecar's counts, and adopt the stop that the request carries.
+
+    Args:
+        sidecar: State of this sidecar.
+        target: Request target; its query names the service that the counts are collected for.
+    """
+    query = {name: values[0] for name, values in parse_qs(urlsplit(target).query).items()}
+    latest = sidecar.backend.latest
+    if latest is not None and query.get("service") == latest.service:
+        sidecar.counts_collected_at = sidecar.clock()
+    if "stopped" in query and query.get("order", "").isdecimal():
+        stop = ReleaseStop(
+            query.get("service", ""), query["stopped"], int(query["order"]), query.get("reason", "")
+        )
+        record_stop(sidecar, stop)
+    return describe_counts(sidecar)
+
+
+def describe_counts(sidecar: Sidecar) -> GateCounts:
+    """Return the response counts and order ages of this sidecar."""
+    latest = sidecar.backend.latest
+    now = sidecar.clock()
+    ages = {
+        service: (order.revision, now - order.seen_at) for service, order in sidecar.orders.items()
+    }
+    return GateCounts(
+        sidecar.start_id,
+        latest.release if latest else "",
+        sidecar.route_counts,
+        ages,
+        sidecar.stops.get(latest.service) if latest else None,
+    )
+
+
+def record_stop(sidecar: Sidecar, stop: ReleaseStop) -> None:
+    """Stop a release here, unless the stop belongs to an older order than the known one."""
+    known = sidecar.stops.get(stop.service)
+    if known is not None and known.order_revision >= stop.order_revision:
+        return
+    sidecar.stops[stop.service] = stop
+    sidecar.log(
+        LogEvent.RELEASE_STOPPED,
+        service=stop.service,
+        release=stop.release,
+        reason=stop.reason,
+        revision=stop.order_revision,
+    )
+
+
+def find_stop(sidecar: Sidecar, open_order: OpenOrder) -> ReleaseStop | None:
+    """Return the stop of the release that an order asks for, or None."""
+    stop = sidecar.stops.get(open_order.order.service)
+    if stop is None or stop.order_revision != open_order.revision:
+        return None
+    return stop if stop.release == open_order.order.release else None
+
+
+def collect_counts(sidecar: Sidecar, open_order: OpenOrder) -> CollectedCounts:
+    """Ask all gates of an order's service for their counts; tell them of a stop.
+
+    Returns:
+        The counts, together with those that were collected before for the same order.
+    """
+    service = open_order.order.service
+    collected = sidecar.collected_counts.get(service)
+    if collected is None or collected.order_revision != open_order.revision:
+        collected = sidecar.collected_counts[service] = CollectedCounts(open_order.revision)
+    target = _build_target(open_order, find_stop(sidecar, open_order))
+    members = list(sidecar.members.by_service.get(service, {}).values())
+    pool = eventlet.GreenPool()
+    for member, counts in pool.imap(
+        lambda member: (member, _fetch_counts(sidecar, member, target)), members
+    ):
+        if counts is None:
+            continue
+        collected.by_process[(member.name, counts.start_id + counts.release)] = counts
+        if counts.stop is not None and counts.stop.service == service:
+            record_stop(sidecar, counts.stop)
+    return collected
+
+
+def _build_target(open_order: OpenOrder, stop: ReleaseStop | None) -> str:
+    query = {"service": open_order.order.service}
+    if stop is not None:
+        query |= {"stopped": stop.release, "order": str(stop.order_revision), "reason": stop.reason}
+    return f"{COUNTS_PATH}?{urlencode(query)}"
+
+
+def _fetch_counts(sidecar: Sidecar, member: Member, target: str) -> GateCounts | None:
+    if member.name == sidecar.settings.name:
+        return describe_counts(sidecar)
+    counts = request_from_member(sidecar, member, target, COUNTS_TIMEOUT_S, GateCounts)
+    if counts is None:
+        sidecar.meters.count("attempts", "counts_unread")
+    return counts
+
+
+def evaluate_release(collected: CollectedCounts, release: str) -> tuple[Verdict, str]:
+    """Judge a release by the counts of its gates and of the other releases' gates."""
+    gates = collected.by_process.values()
+    old = [gate.counts for gate in gates if gate.release != release]
+    new = [gate.counts for gate in gates if gate.release == release]
+    verdict, reason = judge_release(old, new)
+    trend_verdict, trend_reason = judge_trends(collected.trends, sum_counts(old), sum_counts(new))
+    return max((verdict, reason), (trend_verdict, trend_reason), key=lambda found: found[0].rank)
+
+
+def find_order_age(sidecar: Sidecar, open_order: OpenOrder, collected: CollectedCounts) -> float:
+    """Return the seconds since any member first saw the order.
+
+    This sidecar's own age of the order is too low if its process started after the order was
+    placed.
+    """
+    service = open_order.order.service
+    ages = [gate.order_ages.get(service) for gate in collected.by_process.values()]
+    reported = [age[1] for age in ages if age is not None and age[0] == open_order.revision]
+    return max([sidecar.clock() - open_order.seen_at, *reported])
--- a/src/magnoliasill/sidecar/takeover_leader.py
+++ b/src/magnoliasill/sidecar/takeover_leader.py
@@ -9,47 +9,38 @@
 
 from ..codes import LogEvent
 from ..errors import ConditionFailedError, LeaseEndedError, StoreError
-from ..mesh.evidence import RouteCounts, Verdict, judge_release
+from ..mesh.evidence import Verdict
 from ..mesh.records import LEADER_KEY, TAKEOVER_PREFIX, encode_record
 from ..mesh.store_items import Condition, Put, Transaction
-from ..mesh.takeovers import Phase, TakeoverObservation, decide_takeover, start_takeover
+from ..mesh.takeovers import (
+    Phase,
+    ReleaseStop,
+    TakeoverObservation,
+    decide_takeover,
+    start_takeover,
+)
 from ..platform.operator_configuration import STATUS_PREFIX, encode_status
-from .member_requests import request_from_member
+from .release_counts import (
+    collect_counts,
+    evaluate_release,
+    find_order_age,
+    find_stop,
+    record_stop,
+)
 from .state import find_takeover, log_takeover
 
 if TYPE_CHECKING:
-    from ..mesh.members import Member
     from ..mesh.takeovers import Takeover
     from .state import OpenOrder, Sidecar
 
 DECISION_INTERVAL_S = 0.4  # between two evaluations of a release's responses
-COUNTS_TIMEOUT_S = 0.5
 LEASE_S = 1.5  # how soon another sidecar can lead after the leader died; renewed every decision
-COUNTS_PATH = "/mesh/counts"
 # Delay before competing for leadership, per position in the members' name order: most sidecars
 # then find that another one leads and send no requests to the store.
 RANK_DELAY_S = 0.15
 MAX_RANK = 8
 
 
-@attrs.frozen
-class GateCounts:
-    """What a gate reports about its backend server's responses.
-
-    Attributes:
-        start_id: Identifies the sidecar process that counted.
-        release: The release that the counts belong to.
-        counts: Response counts by route.
-        order_ages: By service, the revision of its newest order and the seconds since this
-            sidecar first saw it.
-    """
-
-    start_id: str
-    release: str
-    counts: dict[str, RouteCounts]
-    order_ages: dict[str, tuple[int, float]] = attrs.field(factory=dict)
-
-
 @attrs.define
 class Leadership:
     """This sidecar's leadership of takeover decisions.
@@ -57,13 +48,11 @@
     Attributes:
         revision: The revision of the leader item while this sidecar leads, or 0.
         lease: The lease of that item, or 0.
-        counts: The latest counts by service, then by member name and by process and release.
         statuses: By service, the order's revision and the phase last published for operators.
     """
 
     revision: int = 0
     lease: int = 0
-    counts: dict[str, dict[tuple[str, str], GateCounts]] = attrs.field(factory=dict)
     statuses: dict[str, tuple[int, Phase]] = attrs.field(factory=dict)
 
 
@@ -157,30 +146,40 @@
     takeover = (
         start_takeover(order, open_order.revision, before, releases) if pending_release else before
     )
-    _collect_counts(sidecar, leadership, order.service, members)
-    verdict, reason = _evaluate_release(leadership, order.service, order.release)
-    elapsed_s = max(_find_order_age(sidecar, leadership, open_order), takeover.elapsed_s)
+    verdict, reason = _judge(sidecar, open_order)
+    age_s = find_order_age(sidecar, open_order, sidecar.collected_counts[order.service])
+    elapsed_s = max(age_s, takeover.elapsed_s)
     servers = sum(m.release == order.release and not m.leaving for m in members)
     observation = TakeoverObservation(elapsed_s, servers, verdict, reason)
     decided = decide_takeover(takeover, order, observation)
     changed = pending_release or (decided.phase, decided.share) != (takeover.phase, takeover.share)
-    published = leadership.statuses.get(order.service) == (open_order.revision, decided.phase)
-    if changed or not published:
+    if changed or not _is_published(sidecar, leadership, open_order, decided):
         _publish(sidecar, leadership, open_order, attrs.evolve(decided, elapsed_s=elapsed_s))
 
 
-def _find_order_age(sidecar: Sidecar, leadership: Leadership, open_order: OpenOrder) -> float:
-    """Return the seconds since any member first saw the order.
+def _is_published(
+    sidecar: Sidecar, leadership: Leadership, open_order: OpenOrder, takeover: Takeover
+) -> bool:
+    if leadership.statuses.get(takeover.service) == (open_order.revision, takeover.phase):
+        return True
+    status = sidecar.mirror.items.get(STATUS_PREFIX + takeover.service)
+    return status is not None and status.value == encode_status(takeover.release, takeover.phase)
 
-    The leader's own age of the order is too low if its process started after the order was placed.
-    """
-    service = open_order.order.service
-    ages = [
-        gate_counts.order_ages.get(service)
-        for gate_counts in leadership.counts.get(service, {}).values()
-    ]
-    reported = [age[1] for age in ages if age is not None and age[0] == open_order.revision]
-    return max([sidecar.clock() - open_order.seen_at, *reported])
+
+def _judge(sidecar: Sidecar, open_order: OpenOrder) -> tuple[Verdict, str]:
+    """Collect the counts and judge the ordered release; tell the gates if it is to be stopped."""
+    order = open_order.order
+    collected = collect_counts(sidecar, open_order)
+    sidecar.counts_collected_at = sidecar.clock()
+    stop = find_stop(sidecar, open_order)
+    if stop is not None:
+        return Verdict.BAD, stop.reason
+    verdict, reason = evaluate_release(collected, order.release)
+    if verdict is Verdict.BAD:
+        stop = ReleaseStop(order.service, order.release, open_order.revision, reason)
+        record_stop(sidecar, stop)
+        eventlet.spawn(collect_counts, sidecar, open_order)  # does not wait for the store
+    return verdict, reason
 
 
 def _publish(
@@ -203,41 +202,3 @@
     leadership.statuses[service] = (open_order.revision, takeover.phase)
     sidecar.takeovers[service] = (takeover, revision)
     log_takeover(sidecar, takeover, revision)
-
-
-def _evaluate_release(leadership: Leadership, service: str, release: str) -> tuple[Verdict, str]:
-    gate_counts = leadership.counts.get(service, {}).values()
-    old = [gate.counts for gate in gate_counts if gate.release != release]
-    return judge_release(old, [gate.counts for gate in gate_counts if gate.release == release])
-
-
-def _collect_counts(
-    sidecar: Sidecar, leadership: Leadership, service: str, members: list[Member]
-) -> None:
-    known = leadership.counts.setdefault(service, {})
-    pool = eventlet.GreenPool()
-    for name, gate_counts in pool.imap(
-        lambda member: (member.name, _fetch_counts(sidecar, member)), members
-    ):
-        if gate_counts is not None:
-            known[(name, gate_counts.start_id + gate_counts.release)] = gate_counts
-
-
-def _fetch_counts(sidecar: Sidecar, member: Member) -> GateCounts | None:
-    if member.name == sidecar.settings.name:
-        return describe_counts(sidecar)
-    counts = request_from_member(sidecar, member, COUNTS_PATH, COUNTS_TIMEOUT_S, GateCounts)
-    if counts is None:
-        sidecar.meters.count("attempts", "counts_unread")
-    return counts
-
-
-def describe_counts(sidecar: Sidecar) -> GateCounts:
-    """Return the response counts and order ages of this sidecar, as sent to the leader."""
-    latest = sidecar.backend.latest
-    release = latest.release if latest else ""
-    now = sidecar.clock()
-    ages = {
-        service: (order.revision, now - order.seen_at) for service, order in sidecar.orders.items()
-    }
-    return GateCounts(sidecar.start_id, release, sidecar.route_counts, ages)
--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -16,7 +16,14 @@
 import msgspec
 from eventlet.hubs.hub import BaseHub
 
-from fakes.store import FakeStore, expire_leases, handle_read, handle_request, put_item
+from fakes.store import (
+    UNANSWERED,
+    FakeStore,
+    expire_leases,
+    handle_read,
+    handle_request,
+    put_item,
+)
 from magnoliasill.errors import StoreError
 from magnoliasill.mesh.backend import Heartbeat, apply_heartbeat
 from magnoliasill.mesh.settings import Bounds, SidecarSettings
@@ -24,10 +31,12 @@
 from magnoliasill.sidecar.daemon import STORE_TIMEOUT_S
 from magnoliasill.sidecar.metrics import Meters
 from magnoliasill.sidecar.registration import Registration, keep_registered
+from magnoliasill.sidecar.release_counts import COUNTS_PATH, answer_counts_request
+from magnoliasill.sidecar.release_watch import run_release_watch
 from magnoliasill.sidecar.state import Sidecar
 from magnoliasill.sidecar.store_relay import handle_follower_poll
-from magnoliasill.sidecar.takeover_leader import COUNTS_PATH, describe_counts, run_takeover_leader
 from magnoliasill.sidecar.store_sync import follow_store, remove_lapsed_members
+from magnoliasill.sidecar.takeover_leader import run_takeover_leader
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection
@@ -205,7 +214,7 @@
 
 def _answer_member(sidecar: Sidecar, target: str) -> bytes:
     if target.startswith(COUNTS_PATH):
-        return msgspec.json.encode(describe_counts(sidecar))
+        return msgspec.json.encode(answer_counts_request(sidecar, target))
     return handle_follower_poll(sidecar, target)
 
 
@@ -398,10 +407,6 @@
         link_mbps=rate * 8 / 1e6,
         bounds=Bounds(),
     )
-
-    def write(event: Any, **fields: Any) -> None:
-        events.append({"at": fleet.now, "event": event.name.lower(), **fields})
-
     fleet.vms[name] = Vm(settings, rate, release)
     _start_sidecar(fleet, fleet.vms[name], 0.0)
 
@@ -427,10 +432,11 @@
     for loop in (
         lambda: follow_store(sidecar),
         lambda: keep_registered(sidecar, registration),
-        lambda: run_takeover_leader(sidecar),
         lambda: _remove_lapsed(sidecar),
     ):
         vm.loops.append(eventlet.spawn_after(fleet.random.random() * 0.3, _run, fleet, loop))
+    for loop in (lambda: run_takeover_leader(sidecar), lambda: run_release_watch(sidecar)):
+        vm.loops.append(eventlet.spawn(_run, fleet, loop))
     if heartbeat_delay_s:
         vm.loops.append(eventlet.spawn_after(heartbeat_delay_s, _send_heartbeat, fleet, vm))
     else:
@@ -484,7 +490,7 @@
         status, body = handle_request(
             fleet.fake_store, fleet.now, request.method, parts.path, query, request.body
         )
-    if vm.silent:
+    if vm.silent or status == UNANSWERED:
         _lose_answer(fleet, deadline)
     rows = body.get("items") or body.get("events") or [body]
     _transfer(fleet, vm, sum(len(row.get("value", "")) + ITEM_OVERHEAD_BYTES for row in rows))
--- a/tests/sidecar/test_takeover_faults.py
+++ b/tests/sidecar/test_takeover_faults.py
@@ -8,7 +8,7 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.sidecar import store_relay, takeover_leader
+from magnoliasill.sidecar import release_counts, store_relay
 
 from . import simulated_fleet as simulation
 from . import simulated_takeover as takeover
@@ -55,7 +55,7 @@
 
         play = takeover.open_play(seed, rate)
         ask = simulation.ask_simulated_member(play.fleet)
-        for module in (store_relay, takeover_leader):
+        for module in (store_relay, release_counts):
             self.patch(module, "request_from_member", ask)
         self.fault(play, at)
         takeover.finish_play(play)
@@ -64,7 +64,7 @@
 
 
 class BadReleaseTest(WithScenarios, TakeoverCase):
-    """A release that fails a part of its requests, from the start, or only shortly before the end."""
+    """A release that fails a part of its requests, from early on or only shortly before the end."""
 
     scenarios = [
         (f"{name}-{kind}-{seed}", {**fault, **fields, "seed": seed})
@@ -112,6 +112,23 @@
         self.assertLessEqual(max(sent_at), enough + ROLL_BACK_S)
 
 
+class LostAnswerTest(TakeoverCase):
+    """The store executes a write of the leader, and the answer is lost."""
+
+    def fault(self, play: TakeoverPlay, at: float) -> None:
+        simulation.run_until(play.fleet, takeover.ORDER_AT + at)
+        play.fleet.fake_store.faults.lose_answers = 1
+
+    # a leader that loses an answer must not give up the takeover
+    def test_the_leader_goes_on_from_what_it_hears_of_the_write(self) -> None:
+        play = self.play(1, 0.01, 0.0, 12.0)
+        events = [event for vm in play.fleet.vms.values() for event in vm.events]
+        acquired = [event for event in events if event["event"] == "control_acquired"]
+        self.assertEqual(1, len(acquired))
+        self.assertEqual("completed", takeover.find_status(play))
+        self.assertLessEqual(takeover.find_end(play), play.duration_s)
+
+
 class GoodReleaseTest(WithScenarios, TakeoverCase):
     """A release that fails as few requests as the one before it."""
 
