Bound a watch by the time that is allowed to apply a configuration

Callers would see an outdated configuration for up to 4 s: a relay's watch whose response was lost ended after 3 + 1 s, and its renewed lease confirmed the copy meanwhile, also to its followers. Change: a watch waits half of config_apply_s and counts as lost a quarter of it later.

--- a/src/magnoliasill/platform/store.py
+++ b/src/magnoliasill/platform/store.py
@@ -41,12 +41,14 @@
         path: The path with its query.
         body: The content to send as JSON, or None.
         wait_s: Seconds for which the store may hold the request open, on top of the read timeout.
+        read_timeout_s: The read timeout in seconds, or None for that of the client.
     """
 
     method: str
     path: str
     body: Any = None
     wait_s: float = 0.0
+    read_timeout_s: float | None = None
 
 
 SendRequest: TypeAlias = Callable[[StoreRequest], tuple[int, Any]]
@@ -68,7 +70,10 @@
     pool = urllib3.PoolManager(maxsize=MAX_CONNECTIONS, retries=False, socket_options=options)
 
     def send_request(store_request: StoreRequest) -> tuple[int, Any]:
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s + store_request.wait_s)
+        read_timeout_s = store_request.read_timeout_s or timeout_s
+        timeout = urllib3.Timeout(
+            connect=CONNECT_TIMEOUT_S, read=read_timeout_s + store_request.wait_s
+        )
         data = msgspec.json.encode(store_request.body) if store_request.body is not None else None
         headers = {"Content-Type": "application/json"} if data else {}
         started = monotonic()
@@ -139,13 +144,17 @@
         status, fields = self._read("/-/kv-range", query)
         return _convert_decode_errors(lambda: _decode_page(_require_ok(status, fields), "items"))
 
-    def watch(self, prefix: str, after: int, wait_s: float) -> Page:
+    def watch(
+        self, prefix: str, after: int, wait_s: float, read_timeout_s: float | None = None
+    ) -> Page:
         """Wait for changes after a revision; return an empty page if there are none in time.
 
         Args:
             prefix: The beginning of the keys.
             after: The revision after which changes are wanted.
             wait_s: The longest wait, in seconds.
+            read_timeout_s: Seconds after that until the response counts as lost, or None for the
+                client's read timeout.
 
         Raises:
             HistoryLostError: If the store no longer has the changes since that revision.
@@ -153,7 +162,7 @@
         """
         wait_ms = min(int(wait_s * 1000), MAX_WATCH_WAIT_MS)
         query = {"prefix": prefix, "after": after, "wait_ms": wait_ms}
-        status, fields = self._read("/-/kv-watch", query, wait_ms / 1000)
+        status, fields = self._read("/-/kv-watch", query, wait_ms / 1000, read_timeout_s)
         if status == _GONE:
             message = f"the store's history after revision {after} is gone"
             raise HistoryLostError(ErrorCode.STORE_UNAVAILABLE, message)
@@ -209,8 +218,17 @@
         if status != _NOT_FOUND:
             _require_ok(status, fields)
 
-    def _read(self, path: str, query: dict[str, Any], wait_s: float = 0.0) -> tuple[int, Any]:
-        return self._send_request(StoreRequest("GET", f"{path}?{urlencode(query)}", wait_s=wait_s))
+    def _read(
+        self,
+        path: str,
+        query: dict[str, Any],
+        wait_s: float = 0.0,
+        read_timeout_s: float | None = None,
+    ) -> tuple[int, Any]:
+        target = f"{path}?{urlencode(query)}"
+        return self._send_request(
+            StoreRequest("GET", target, wait_s=wait_s, read_timeout_s=read_timeout_s)
+        )
 
     def _write(self, method: str, path: str, body: Any) -> tuple[int, Any]:
         return self._send_request(StoreRequest(method, path, body))
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -44,8 +44,11 @@
     from ..mesh.members import Member
     from .state import Sidecar
 
-WATCH_TIMEOUT_S = 3.0  # a lost response delays a change by at most this
-SHORT_WATCH_TIMEOUT_S = 0.4  # while it is in doubt whether the store answers
+# Shares of the time allowed to apply a change. A watch waits for the first; its response counts as
+# lost after the second, which leaves time to read the change and to send it to followers.
+WATCH_SHARE = 0.5
+RESPONSE_SHARE = 0.25
+SHORT_WATCH_S = 0.4  # while it is in doubt whether the store answers
 # Batches changes that arrive close together into one call; well below the time allowed to apply
 # a change.
 BATCH_DELAY_S = 0.5
@@ -145,11 +148,13 @@
     silent too. The next waits are short then: each of their answers confirms the local copy.
     """
     in_doubt = sidecar.clock() < sidecar.store_doubtful_until
-    wait_s = SHORT_WATCH_TIMEOUT_S if in_doubt else WATCH_TIMEOUT_S
+    allowed_s = sidecar.settings.bounds.config_apply_s
+    wait_s = SHORT_WATCH_S if in_doubt else WATCH_SHARE * allowed_s
+    lost_after_s = RESPONSE_SHARE * allowed_s
 
     def watch() -> Page | StoreError | None:
         try:
-            return sidecar.store.watch(ALL_KEYS, sidecar.mirror.revision, wait_s)
+            return sidecar.store.watch(ALL_KEYS, sidecar.mirror.revision, wait_s, lost_after_s)
         except StoreError as error:
             return error
 
--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -107,6 +107,7 @@
         silent: Whether the store does not answer this VM.
         down: Whether the VM is without power.
         starting: Whether its process is not yet reachable after a start.
+        lost_watches: How many of its next watches of the store get no response.
         running_since: Since when its process has run without interruption.
         served_since: Since when the store has served this VM.
         late_s: The longest time for which it lacked an accepted configuration, while the store
@@ -126,6 +127,7 @@
     silent: bool = False
     down: bool = False
     starting: bool = False
+    lost_watches: int = 0
     running_since: float = 0.0
     served_since: float = 0.0
     late_s: float = 0.0
@@ -476,7 +478,7 @@
 
 def _call_store(fleet: SimulatedFleet, vm: Vm, request: StoreRequest) -> tuple[int, Any]:
     """Answer a store request of a VM, after the time that its link takes."""
-    deadline = fleet.now + STORE_TIMEOUT_S + request.wait_s
+    deadline = fleet.now + (request.read_timeout_s or STORE_TIMEOUT_S) + request.wait_s
     eventlet.sleep(STORE_DELAY_S)
     parts = urlsplit(request.path)
     query = dict(parse_qsl(parts.query, keep_blank_values=True))
@@ -484,6 +486,9 @@
         return 503, {}
     if vm.silent:
         _lose_answer(fleet, deadline)
+    if parts.path == "/-/kv-watch" and vm.lost_watches:
+        vm.lost_watches -= 1
+        _lose_answer(fleet, deadline)
     if parts.path == "/-/kv-watch":
         status, body = _wait_for_events(fleet, vm, parts.path, query, request.wait_s)
     else:
--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -167,6 +167,24 @@
         self.assertEqual(2, len(reads))
 
 
+class LostWatchTest(WithScenarios, OutageCase):
+    """A relay's watch gets no response, while the store answers all its other calls."""
+
+    scenarios = [(f"seed-{seed}", {"seed": seed}) for seed in range(1, 5)]
+
+    # renewals confirmed the copy of the relay, and with it those of its followers, for 4 s
+    def test_configurations_are_applied_in_time_everywhere(self) -> None:
+        fleet = self.open_fleet(self.seed, vms=4, fast=(0, 1, 2, 3))
+        for vm in fleet.vms.values():
+            vm.lost_watches = 1
+        simulation.run_until(fleet, 5.0 + 3 * fleet.random.random())
+        for gap_s in (0.3, 0.8, 2.0):
+            simulation.publish(fleet)
+            eventlet.sleep(gap_s)
+        simulation.run_until(fleet, fleet.now + 3.0)
+        self.assert_in_time(fleet)
+
+
 class RegistrationTest(OutageCase):
     """The lease of a sidecar's record ends while its copy of the store is outdated."""
 
