End an answer at its deadline also while its bytes keep coming, within bounded memory

A backend server in trouble may send bytes without end, in a head, an interim response, a body or trailers. The deadline was a timeout of each read: such an answer lasted for as long as bytes came, a response of another request was read whole into memory, and a fast server kept all other requests of the process waiting. Change: each read checks the deadline of the whole answer and yields now and then; the head is limited to 64 KiB in all, the body of an answer that belongs to no request to 256 KiB.

--- a/src/magnoliasill/sidecar/header_parser.py
+++ b/src/magnoliasill/sidecar/header_parser.py
@@ -13,6 +13,7 @@
 # The same limits as in `http.client`.
 MAX_LINE_BYTES = 65_536
 MAX_HEADERS = 100
+MAX_HEAD_BYTES = 65_536  # of all lines, as the library's HTTP server allows
 _END_OF_HEADERS = (b"\r\n", b"\n", b"")
 
 
@@ -27,9 +28,11 @@
         HTTPException: If a line is malformed, folded or too long, or there are too many headers.
     """
     message = _class()
+    size = 0
     for _ in range(MAX_HEADERS + 1):
         line = file.readline(MAX_LINE_BYTES + 1)
-        if len(line) > MAX_LINE_BYTES:
+        size += len(line)
+        if len(line) > MAX_LINE_BYTES or size > MAX_HEAD_BYTES:
             raise LineTooLong("header line")
         if line in _END_OF_HEADERS:
             return message
--- a/src/magnoliasill/sidecar/http_exchange.py
+++ b/src/magnoliasill/sidecar/http_exchange.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
+import eventlet
 from eventlet.hubs import trampoline
 
 from ..balancing.idle_bounds import IdleBound
@@ -38,6 +39,7 @@
 
 MAX_BUFFERED_RESPONSE_BYTES = 262_144  # a longer response is streamed
 READ_SIZE_BYTES = 65_536
+READS_BETWEEN_YIELDS = 16  # from a server that sends faster than is read, which would block others
 MIN_TIMEOUT_S = 0.001
 TIMER_TOLERANCE_S = 0.02  # a socket timeout that fires earlier than this was set by the kernel
 SAFE_IDLE_S = 1.0  # the other end has not closed a connection that was used this recently
@@ -101,11 +103,17 @@
 
     It reads the file descriptor directly because eventlet's green sockets treat a connection reset
     as the end of the stream, so a truncated response without a length would look complete.
+
+    Attributes:
+        deadline: When reading fails, also while bytes keep arriving, in seconds on the monotonic
+            clock.
     """
 
     def __init__(self, sock: Any) -> None:
         self.sock = sock
         self.paused = False
+        self.deadline = 0.0
+        self._reads = 0
 
     def readable(self) -> bool:
         return True
@@ -113,12 +121,17 @@
     def readinto(self, buffer: Any) -> int | None:
         if self.paused:
             return None
+        self._reads += 1
+        if self._reads % READS_BETWEEN_YIELDS == 0:
+            eventlet.sleep(0)
         while True:
+            left_s = self.deadline - monotonic()
+            if left_s <= 0:
+                raise TimeoutError("the response did not end before the deadline")
             try:
                 return self.sock.fd.recv_into(buffer)
             except BlockingIOError:
-                timeout_s = self.sock.gettimeout()
-                trampoline(self.sock, read=True, timeout=timeout_s, timeout_exc=TimeoutError)
+                trampoline(self.sock, read=True, timeout=left_s, timeout_exc=TimeoutError)
 
 
 class _ResponseReader:
@@ -270,7 +283,7 @@
 def _send(connection: PooledConnection, message: Message, deadline: float) -> bool:
     """Send a request; return whether all of it was sent before the response arrived."""
     http_connection, body = connection.http, message.body
-    _set_socket_timeout(connection, deadline)
+    _set_deadline(connection, deadline)
     http_connection.putrequest(
         message.method, message.target, skip_host=True, skip_accept_encoding=True
     )
@@ -296,7 +309,7 @@
     for chunk in read_chunks(body):
         if wait_readable(connection, 0):
             return False
-        _set_socket_timeout(connection, deadline)
+        _set_deadline(connection, deadline)
         try:
             connection.http.send(b"%x\r\n%b\r\n" % (len(chunk), chunk) if chunked else chunk)
         except BrokenPipeError:
@@ -310,7 +323,8 @@
     return ("Content-Length", str(body.length))
 
 
-def _set_socket_timeout(connection: PooledConnection, deadline: float) -> None:
+def _set_deadline(connection: PooledConnection, deadline: float) -> None:
+    connection.reader.source.deadline = deadline
     connection.http.sock.settimeout(max(deadline - monotonic(), MIN_TIMEOUT_S))
 
 
@@ -321,7 +335,7 @@
     matches_request: Callable[[int, list[tuple[str, str]]], bool],
 ) -> _Response:
     """Return the response to this request, skipping complete responses to earlier requests."""
-    _set_socket_timeout(connection, deadline)
+    _set_deadline(connection, deadline)
     connection.http.response_class = lambda sock, **options: _Response(connection.reader, **options)
     response = BaseConnection.getresponse(connection.http)
     for _ in range(MAX_STALE_RESPONSES):
@@ -329,8 +343,8 @@
             return response
         if response.closes:
             break
-        response.read()
-        _set_socket_timeout(connection, deadline)
+        _skip_body(response)
+        _set_deadline(connection, deadline)
         response = _Response(connection.reader, method=method)
         response.begin()
     if matches_request(response.status, response.getheaders()):
@@ -338,6 +352,19 @@
     raise http.client.HTTPException("the response belongs to another request")
 
 
+def _skip_body(response: _Response) -> None:
+    """Read the body of a response that belongs to no request.
+
+    Raises:
+        HTTPException: If it is long.
+    """
+    size = 0
+    while chunk := response.read(READ_SIZE_BYTES):
+        size += len(chunk)
+        if size > MAX_BUFFERED_RESPONSE_BYTES:
+            raise http.client.HTTPException("a response that belongs to no request does not end")
+
+
 def _read_reply(
     pool: ConnectionPool,
     address: str,
@@ -382,7 +409,7 @@
     closes = response.closes or not fully_sent
     try:
         while True:
-            _set_socket_timeout(connection, deadline)
+            _set_deadline(connection, deadline)
             chunk = response.read(READ_SIZE_BYTES)
             if not chunk:
                 break
