Complete a takeover only if the release has answered on each route; decide for all services at once

Change: a route on which the release has answered less than a third of its part of the traffic is doubt, as is evidence below the verdict: the share does not rise, and in doubt at the end the release is rolled back. The leader decides for all services at the same time and subtracts what an evaluation took.

--- a/src/magnoliasill/mesh/gate_counts.py
+++ b/src/magnoliasill/mesh/gate_counts.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from .coverage import RouteCoverage  # noqa: TC001 - msgspec evaluates it
 from .evidence import RouteCounts  # noqa: TC001 - msgspec evaluates it
 from .failure_trends import FailureTrend  # noqa: TC001 - msgspec evaluates it
 from .takeovers import ReleaseStop  # noqa: TC001 - msgspec evaluates it
@@ -36,10 +37,12 @@
     Attributes:
         order_revision: The store revision of the order that they are collected for.
         trends: The state of the test for late faults, by route.
+        coverages: How much of the traffic the release has answered, by route.
         by_process: The counts by member name and by process and release. Those of processes that
             have ended are kept, since their successors count from zero.
     """
 
     order_revision: int
     trends: dict[str, FailureTrend] = attrs.field(factory=dict)
+    coverages: dict[str, RouteCoverage] = attrs.field(factory=dict)
     by_process: dict[tuple[str, str], GateCounts] = attrs.field(factory=dict)
--- a/src/magnoliasill/mesh/takeovers.py
+++ b/src/magnoliasill/mesh/takeovers.py
@@ -149,7 +149,10 @@
             )
         return attrs.evolve(takeover, share=0.0, elapsed_s=observation.elapsed_s)
     if takeover.share > 0.0 and observation.verdict is Verdict.DOUBTFUL:
-        return takeover
+        if observation.elapsed_s < order.duration_s - _find_margin(order.duration_s) / 2:
+            return takeover
+        reason = f"not proven good in time: {observation.reason}"
+        return _finish(takeover, Phase.TAKEN_BACK, observation, reason)
     if not _has_step_passed(takeover, order, observation):
         return takeover
     if due and takeover.share >= 1.0:
--- a/src/magnoliasill/sidecar/release_counts.py
+++ b/src/magnoliasill/sidecar/release_counts.py
@@ -13,14 +13,14 @@
 import eventlet
 
 from ..codes import LogEvent
-from ..mesh.evidence import judge_release, sum_counts
+from ..mesh.coverage import find_uncovered_route
+from ..mesh.evidence import Verdict, judge_release, sum_counts
 from ..mesh.failure_trends import judge_trends
 from ..mesh.gate_counts import CollectedCounts, GateCounts
 from ..mesh.takeovers import ReleaseStop
 from .member_requests import request_from_member
 
 if TYPE_CHECKING:
-    from ..mesh.evidence import Verdict
     from ..mesh.members import Member
     from .state import OpenOrder, Sidecar
 
@@ -131,9 +131,14 @@
     gates = collected.by_process.values()
     old = [gate.counts for gate in gates if gate.release != release]
     new = [gate.counts for gate in gates if gate.release == release]
-    verdict, reason = judge_release(old, new)
-    trend_verdict, trend_reason = judge_trends(collected.trends, sum_counts(old), sum_counts(new))
-    return max((verdict, reason), (trend_verdict, trend_reason), key=lambda found: found[0].rank)
+    before, after = sum_counts(old), sum_counts(new)
+    uncovered = find_uncovered_route(collected.coverages, before, after)
+    findings = (
+        judge_release(old, new),
+        judge_trends(collected.trends, before, after),
+        (Verdict.DOUBTFUL if uncovered else Verdict.UNCLEAR, uncovered),
+    )
+    return max(findings, key=lambda finding: finding[0].rank)
 
 
 def find_order_age(sidecar: Sidecar, open_order: OpenOrder, collected: CollectedCounts) -> float:
--- a/src/magnoliasill/sidecar/takeover_leader.py
+++ b/src/magnoliasill/sidecar/takeover_leader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 import attrs
@@ -34,6 +35,7 @@
     from .state import OpenOrder, Sidecar
 
 DECISION_INTERVAL_S = 0.4  # between two evaluations of a release's responses
+MIN_PAUSE_S = 0.1  # after an evaluation that took long, since some gates did not answer
 LEASE_S = 1.5  # how soon another sidecar can lead after the leader died; renewed every decision
 # Delay before competing for leadership, per position in the members' name order: most sidecars
 # then find that another one leads and send no requests to the store.
@@ -59,8 +61,11 @@
 def run_takeover_leader(sidecar: Sidecar) -> None:
     """Decide on open takeovers while this sidecar is the leader, until the process ends."""
     leadership = Leadership()
+    pool = eventlet.GreenPool()
+    spent_s = 0.0
     while True:
-        eventlet.sleep(DECISION_INTERVAL_S)
+        eventlet.sleep(max(DECISION_INTERVAL_S - spent_s, MIN_PAUSE_S))
+        started = sidecar.clock()
         open_orders = list_open_orders(sidecar)
         try:
             if not open_orders or sidecar.stopping_at is not None:
@@ -68,12 +73,14 @@
                 continue
             if not _acquire_or_renew(sidecar, leadership):
                 continue
-            for open_order in open_orders:
-                _advance_takeover(sidecar, leadership, open_order)
+            advance = partial(_advance_takeover, sidecar, leadership)
+            for _ in pool.imap(advance, open_orders):
+                pass
         except (ConditionFailedError, LeaseEndedError) as error:
             _record_leadership_loss(sidecar, leadership, error)
         except StoreError:
             sidecar.meters.count("store", "takeover_failed")
+        spent_s = sidecar.clock() - started
 
 
 def list_open_orders(sidecar: Sidecar) -> list[OpenOrder]:
--- a/tests/mesh/test_takeovers.py
+++ b/tests/mesh/test_takeovers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from itertools import pairwise
 
 import attrs
 import testtools
@@ -16,6 +17,7 @@
 )
 from magnoliasill.mesh.takeovers import (
     OBSERVATION_SHARE,
+    RAMP,
     Order,
     Phase,
     Takeover,
@@ -94,6 +96,48 @@
         self.assertEqual(OBSERVATION_SHARE, plan_share(14.0, 0.5 * 14.0))
 
 
+class DoubtTest(testtools.TestCase):
+    """Evidence that points to a bad release, or its absence, without a verdict."""
+
+    def decide(self, elapsed_s: float, share: float) -> Takeover:
+        takeover = Takeover("lessons", "v2", 7, share=share, elapsed_s=elapsed_s - 2.0)
+        observation = TakeoverObservation(elapsed_s, 3, Verdict.DOUBTFUL, "2 of 9 failed")
+        return decide_takeover(takeover, ORDER, observation)
+
+    # a release in doubt was given all requests because its time had come
+    def test_the_share_does_not_rise_while_a_release_is_in_doubt(self) -> None:
+        for elapsed_s in (5.0, 11.5, 13.0):
+            decided = self.decide(elapsed_s, OBSERVATION_SHARE)
+            self.assertEqual((Phase.RUNNING, OBSERVATION_SHARE), (decided.phase, decided.share))
+
+    def test_a_release_in_doubt_at_the_end_is_taken_back(self) -> None:
+        for share in (OBSERVATION_SHARE, 1.0):
+            decided = self.decide(ORDER.duration_s - 0.2, share)
+            self.assertIs(Phase.TAKEN_BACK, decided.phase)
+            self.assertIn("2 of 9 failed", decided.reason)
+
+
+class StepTest(testtools.TestCase):
+    """A leader that begins when the time of the takeover is nearly over."""
+
+    # it raised the share to 1 at once, and completed the takeover with its next decision
+    def test_each_share_lasts_for_most_of_its_step(self) -> None:
+        takeover = Takeover("lessons", "v2", 7, share=OBSERVATION_SHARE, elapsed_s=1.0)
+        changes = []
+        for step in range(30):
+            elapsed_s = 12.9 + step * 0.1
+            decided = decide_takeover(takeover, ORDER, TakeoverObservation(elapsed_s, 3))
+            if (decided.phase, decided.share) != (takeover.phase, takeover.share):
+                changes.append((decided.phase, decided.share, elapsed_s))
+            takeover = decided
+        self.assertEqual([0.2, 0.6, 1.0, 1.0], [share for _, share, _ in changes])
+        self.assertIs(Phase.COMPLETED, changes[-1][0])
+        times = [elapsed_s for _, _, elapsed_s in changes]
+        steps = [after - before for before, after in pairwise(times)]
+        for seconds, (_, planned_s) in zip(steps, RAMP, strict=True):
+            self.assertGreaterEqual(seconds, 0.6 * planned_s)
+
+
 class ShareTest(testtools.TestCase):
     def setUp(self) -> None:
         super().setUp()
