--- a/src/magnoliasill/sidecar/member_requests.py
+++ b/src/magnoliasill/sidecar/member_requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from http.client import HTTPException
 from typing import TYPE_CHECKING, TypeVar
 
 import msgspec
@@ -32,6 +33,7 @@
     deadline = sidecar.clock() + timeout_s
     try:
         response = exchange(sidecar.peer_connections, member.gate, message, deadline, True)
-        return msgspec.json.decode(response.body, type=response_type)
-    except (MagnoliasillError, msgspec.MsgspecError):
+        body = b"".join((response.body, *(response.remaining_chunks or ())))
+        return msgspec.json.decode(body, type=response_type)
+    except (MagnoliasillError, msgspec.MsgspecError, HTTPException, OSError):
         return None  # the caller of this function counts the failure and decides what to do
