Ask for counts as before where there is no stop, so that older sidecars answer

During a rolling upgrade an older gate would have refused the new query, and nobody would have judged its release. A request for counts names no service: a gate has one only. Mixed builds were not run.

--- a/src/magnoliasill/sidecar/release_counts.py
+++ b/src/magnoliasill/sidecar/release_counts.py
@@ -33,12 +33,10 @@
 
     Args:
         sidecar: State of this sidecar.
-        target: Request target; its query names the service that the counts are collected for.
+        target: Request target, with the stop in its query if there is one.
     """
+    sidecar.counts_collected_at = sidecar.clock()
     query = {name: values[0] for name, values in parse_qs(urlsplit(target).query).items()}
-    latest = sidecar.backend.latest
-    if latest is not None and query.get("service") == latest.service:
-        sidecar.counts_collected_at = sidecar.clock()
     if "stopped" in query and query.get("order", "").isdecimal():
         stop = ReleaseStop(
             query.get("service", ""), query["stopped"], int(query["order"]), query.get("reason", "")
@@ -96,7 +94,7 @@
     collected = sidecar.collected_counts.get(service)
     if collected is None or collected.order_revision != open_order.revision:
         collected = sidecar.collected_counts[service] = CollectedCounts(open_order.revision)
-    target = _build_target(open_order, find_stop(sidecar, open_order))
+    target = _build_target(find_stop(sidecar, open_order))
     members = list(sidecar.members.by_service.get(service, {}).values())
     pool = eventlet.GreenPool()
     for member, counts in pool.imap(
@@ -110,10 +108,15 @@
     return collected
 
 
-def _build_target(open_order: OpenOrder, stop: ReleaseStop | None) -> str:
-    query = {"service": open_order.order.service}
-    if stop is not None:
-        query |= {"stopped": stop.release, "order": str(stop.order_revision), "reason": stop.reason}
+def _build_target(stop: ReleaseStop | None) -> str:
+    if stop is None:
+        return COUNTS_PATH
+    query = {
+        "service": stop.service,
+        "stopped": stop.release,
+        "order": str(stop.order_revision),
+        "reason": stop.reason,
+    }
     return f"{COUNTS_PATH}?{urlencode(query)}"
 
 
