--- a/src/magnoliasill/sidecar/takeover_leader.py
+++ b/src/magnoliasill/sidecar/takeover_leader.py
@@ -73,9 +73,10 @@
                 continue
             if not _acquire_or_renew(sidecar, leadership):
                 continue
-            advance = partial(_advance_takeover, sidecar, leadership)
-            for _ in pool.imap(advance, open_orders):
-                pass
+            advance = partial(_try_to_advance, sidecar, leadership)
+            for error in list(pool.imap(advance, open_orders)):
+                if error is not None:
+                    raise error
         except (ConditionFailedError, LeaseEndedError) as error:
             _record_leadership_loss(sidecar, leadership, error)
         except StoreError:
@@ -145,6 +146,17 @@
     sidecar.meters.count("store", type(error).__name__)
 
 
+def _try_to_advance(
+    sidecar: Sidecar, leadership: Leadership, open_order: OpenOrder
+) -> StoreError | None:
+    """Decide on one takeover; return the error if the decision could not be published."""
+    try:
+        _advance_takeover(sidecar, leadership, open_order)
+    except StoreError as error:
+        return error
+    return None
+
+
 def _advance_takeover(sidecar: Sidecar, leadership: Leadership, open_order: OpenOrder) -> None:
     order = open_order.order
     before, pending_release = find_takeover(sidecar, order.service)
