--- a/tests/sidecar/simulated_takeover.py
+++ b/tests/sidecar/simulated_takeover.py
@@ -246,15 +246,17 @@
         simulation.run_until(fleet, fleet.now + 2.0)
 
 
-def restart_most(play: TakeoverPlay, at: float, share: float = 0.6, times: int = 2) -> None:
-    """Let the leader and most VMs lose power at the same moment, again 2.5 s later."""
+def restart_most(
+    play: TakeoverPlay, at: float, share: float = 0.6, times: int = 2, spare_leader: bool = False
+) -> None:
+    """Let most VMs, the leader among them or not, lose power together, again 2.5 s later."""
     fleet = play.fleet
     simulation.run_until(fleet, ORDER_AT + at)
     for _ in range(times):
         leader = find_leader(fleet)
         others = [name for name in sorted(fleet.vms) if name != leader]
         chosen = fleet.random.sample(others, round(share * len(fleet.vms)))
-        for name in filter(None, (leader, *chosen)):
+        for name in filter(None, ("" if spare_leader else leader, *chosen)):
             if _is_running(fleet.vms[name]):
                 simulation.restart_vm(fleet, name, down_s=1.0)
         simulation.run_until(fleet, fleet.now + 2.5)
--- a/tests/sidecar/test_takeover_faults.py
+++ b/tests/sidecar/test_takeover_faults.py
@@ -32,6 +32,10 @@
     ("all-unheard", {"fault": lambda play, at: takeover.refuse_all(play, at, silent=True)}),
     ("leaders-restart", {"fault": takeover.restart_leaders}),
     ("most-restart", {"fault": takeover.restart_most}),
+    (
+        "others-restart",
+        {"fault": lambda play, at: takeover.restart_most(play, at, spare_leader=True)},
+    ),
 ]
 
 
