Log under which request a backend server ended

What operators saw: gate_failed told that a connection broke, but each copy of a request has an identifier of its own, and no line said whether the server had ended. So the hypotheses of the postmortem could not be told apart in the logs.

Change: gate_failed gives the fingerprint of the request, equal for equal requests to a service, and whether the server's process has ended. A broken connection alone says nothing, so an open idle connection or a new one that stays open shows that it runs. No decision uses either yet.

--- a/src/magnoliasill/calls/connections.py
+++ b/src/magnoliasill/calls/connections.py
@@ -69,7 +69,7 @@
     limit_s = pool.bounds.get(address, DEFAULT_IDLE_BOUND).seconds
     while idle and not force_new:
         connection = idle.pop()
-        if monotonic() - connection.idle_since < limit_s and _is_open(connection):
+        if monotonic() - connection.idle_since < limit_s and is_open(connection):
             connection.http.timeout = timeout_s
             connection.http.sock.settimeout(timeout_s)
             return connection
@@ -138,7 +138,7 @@
     older = [
         connection
         for connection in idle
-        if connection.opened_at < opened_before and _is_open(connection)
+        if connection.opened_at < opened_before and is_open(connection)
     ]
     if not older:
         return None
@@ -194,7 +194,7 @@
     return BaseConnection.getresponse(connection.http)
 
 
-def _is_open(connection: PooledConnection) -> bool:
+def is_open(connection: PooledConnection) -> bool:
     """Return whether an idle connection is reusable: the peer has neither closed it nor sent data.
 
     Only then would reading from its socket block.
--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -215,9 +215,21 @@
         ),
     ),
     LogEvent.GATE_FAILED: EventEntry(
-        "A request may have run on the backend server and there is no response.",
-        fields=("id", "route", "instance", "release", "reason", "queue_s", "server_s"),
-        reaction="check whether that backend server exited",
+        "A request may have run on the backend server and there is no response. If its connection "
+        "broke, `fingerprint` is the same for equal requests, and `server_ended` says whether the "
+        "server's process has ended.",
+        fields=(
+            "id",
+            "route",
+            "instance",
+            "release",
+            "reason",
+            "queue_s",
+            "server_s",
+            "fingerprint",
+            "server_ended",
+        ),
+        reaction="if one fingerprint recurs with ended servers, look at that request",
     ),
     LogEvent.SERVER_STARTED: EventEntry(
         "The first heartbeat arrived from an incarnation of the backend server beside this daemon.",
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -33,9 +33,11 @@
 from ..mesh.rate_limits import assign_turn
 from ..platform.headers import add_sidecar_headers, parse_response_headers
 from .bodies import read_body
+from .crash_guard import fingerprint_request
 from .http_exchange import BrokenError, Message, NotSentError, Reply, TimedOutError, exchange
 from .protocol import close_if_stopping, count_open_request, list_headers, read_target, send_reply
 from .release_guard import is_withheld
+from .server_liveness import has_server_ended
 from .server_notices import adopt_limit, record_response_notice
 from .state import is_gate_closing
 
@@ -306,8 +308,13 @@
         observe_answer(sidecar.gate, call.route, 0.0, True)
         return _refuse(sidecar, call, f"unreachable: {error.message}", arrived_at)
     except BrokenError as error:
+        server_ended = not isinstance(error, TimedOutError) and has_server_ended(sidecar)
+        fields = {
+            "fingerprint": fingerprint_request(call.service, message).hex(),
+            "server_ended": server_ended,
+        }
         return _report_unknown_outcome(
-            sidecar, call, type(error).__name__, error.message, arrived_at, started_at
+            sidecar, call, type(error).__name__, error.message, arrived_at, started_at, **fields
         )
     response_metadata = parse_response_headers(reply.status, reply.headers)
     if response_metadata.not_run:
@@ -393,7 +400,13 @@
 
 
 def _report_unknown_outcome(
-    sidecar: Sidecar, call: HopCall, kind: str, reason: str, arrived_at: float, started_at: float
+    sidecar: Sidecar,
+    call: HopCall,
+    kind: str,
+    reason: str,
+    arrived_at: float,
+    started_at: float,
+    **fields: Any,
 ) -> GateResult:
     now = sidecar.clock()
     if kind == TimedOutError.__name__:
@@ -411,5 +424,6 @@
         reason=f"{kind}: {reason}",
         queue_s=round(started_at - arrived_at, 4),
         server_s=round(now - started_at, 4),
+        **fields,
     )
     return GateResult(_build_report(sidecar, "unknown", f"{kind}: {reason}", arrived=True))
--- a/tests/calls/test_exchange.py
+++ b/tests/calls/test_exchange.py
@@ -16,7 +16,7 @@
 from magnoliasill.calls.call import Call
 from magnoliasill.calls.caller_application import build_application
 from magnoliasill.calls.caller_protocol import CallerProtocol
-from magnoliasill.calls.connections import CONNECT_TIMEOUT_S, ConnectionPool, _is_open
+from magnoliasill.calls.connections import CONNECT_TIMEOUT_S, ConnectionPool, is_open
 from magnoliasill.calls.exchange import PROBE_TIMEOUT_S, SILENCE_TIMEOUT_S, exchange_call
 from magnoliasill.core.outcomes import OutcomeKind
 
@@ -142,7 +142,7 @@
         with eventlet.Timeout(TIMEOUT_S):
             first = exchange_call(pool, address, build_call(), DEADLINE_S)
             (connection,) = pool.idle[address]
-            while _is_open(connection):
+            while is_open(connection):
                 eventlet.sleep(0.01)
             second = exchange_call(pool, address, build_call(), DEADLINE_S)
         self.assertEqual((b"1", b"2"), (first.response.body, second.response.body))
