--- /dev/null
+++ b/tests/sidecar/test_crashing_requests.py
@@ -0,0 +1,33 @@
+"""Tests of requests that end each backend server that runs them, and of those beside them.
+
+Real sidecars on a virtual clock.
+"""
+
+from __future__ import annotations
+
+import testtools
+from testscenarios import WithScenarios
+
+from . import simulated_crashes as simulation
+
+MAX_ENDED = 4
+LATE_S = 1.0
+LARGE_CASES = ("one_request", "data_centres_cut")
+
+
+class ResentRequestTest(WithScenarios, testtools.TestCase):
+    """Guards against a request that is sent on after servers ended under it (incident BUDGET)."""
+
+    scenarios = [
+        (f"{case}-{vms}", {"case": case, "vms": vms})
+        for vms, cases in ((16, simulation.CASES), (80, LARGE_CASES))
+        for case in cases
+    ]
+
+    def test_few_servers_end_and_no_other_request_is_refused(self) -> None:
+        play = simulation.play_case(self.case, self.vms, seed=1)
+        self.assertEqual([], play.fleet.failures)
+        self.assertLessEqual(simulation.count_ended(play), MAX_ENDED)
+        self.assertEqual(0, simulation.count_late_runs(play, LATE_S))
+        self.assertEqual([], play.refused)
+        self.assertEqual([], simulation.find_untrue_refusals(play))
