Keep ends and clearances of suspect requests apart, in a rule that sidecars can share

What callers saw: on the own interface a request that had been answered was forgotten by the daemon that saw the answer, and a peer's late notice of the old crash brought it back, so that the next unrelated crash blocked it.

Change: the rule (what counts against a request, when it is blocked and for how long) moves to crash_table; it marks ends as cleared instead of forgetting them, so reports can be merged in any order.

The tests use BlockRule's values where they used the module's constants; nothing else in them changed.

--- a/src/magnoliasill/calls/crash_guard.py
+++ b/src/magnoliasill/calls/crash_guard.py
@@ -7,7 +7,8 @@
 from ..codes import ErrorCode
 from ..core.outcomes import OutcomeKind
 from ..errors import CallError
-from .crashes import compute_fingerprint, is_blocked, record_crash, remove_suspect
+from .crash_table import compute_fingerprint, is_blocked
+from .crashes import record_answer, record_crash
 from .exchange import probe_server
 from .uploads import sample_body
 
@@ -47,7 +48,7 @@
                 for action in record_crash(node, clock(), _fingerprint(call), address):
                     execute_action(action)
         elif result.response is not None and node.crashes.suspects:
-            remove_suspect(node.crashes, _fingerprint(call))
+            record_answer(node.crashes, clock(), _fingerprint(call))
         return result
 
     return exchange_guarded
--- a/src/magnoliasill/calls/crashes.py
+++ b/src/magnoliasill/calls/crashes.py
@@ -13,40 +13,17 @@
 from ..core.actions import Action, Log, SendMessage
 from ..core.messages import CrashNotice
 from ..spreading.gossip import choose_peers
-from .crash_table import CrashTable, SuspectRequest
+from .crash_table import FINGERPRINT_BYTES, add_ends, clear_ends, find_block_left
 
 if TYPE_CHECKING:
     from ..core.node import Node
+    from .crash_table import CrashTable, SuspectRequest
 
-BLOCK_AFTER_SERVERS = 2
-MAX_SUSPECTS = 1_000
 MAX_NOTICE_SERVERS = 16
-RETENTION_S = 600.0
-FIRST_BLOCK_S = 60.0
-MAX_BLOCK_S = 3_600.0
 NOTICE_FANOUT = 6
-FINGERPRINT_BYTES = 12
 SERVER_DIGEST_BYTES = 4
 
 
-def compute_fingerprint(method: str, target: str, body: bytes) -> bytes:
-    """Return a hash that identifies equal requests, regardless of their idempotency keys.
-
-    It does not include the service and the route, since these follow from the path.
-    """
-    state = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (method.encode(), target.encode(), body):
-        state.update(len(part).to_bytes(8))
-        state.update(part)
-    return state.digest()
-
-
-def is_blocked(table: CrashTable, now: float, fingerprint: bytes) -> bool:
-    """Return whether a request is currently blocked."""
-    suspect = table.suspects.get(fingerprint)
-    return suspect is not None and now < suspect.blocked_until
-
-
 def record_crash(node: Node, now: float, fingerprint: bytes, address: str) -> list[Action]:
     """Record that a backend server crashed while it was running a request.
 
@@ -68,46 +45,28 @@
     return _add_servers(node, now, notice.fingerprint, set(notice.servers[:MAX_NOTICE_SERVERS]))
 
 
-def remove_suspect(table: CrashTable, fingerprint: bytes) -> None:
-    """Remove a request that has since got a response: it was running at a crash only by chance."""
-    table.suspects.pop(fingerprint, None)
+def record_answer(table: CrashTable, now: float, fingerprint: bytes) -> None:
+    """Clear a request that has since got a response: it was running at a crash only by chance."""
+    clear_ends(table, now, fingerprint)
 
 
 def _add_servers(node: Node, now: float, fingerprint: bytes, servers: set[bytes]) -> list[Action]:
-    table = node.crashes
-    suspect = table.suspects.get(fingerprint)
-    if suspect is None or now - suspect.seen_at > _retention_s(suspect):
-        suspect = table.suspects[fingerprint] = SuspectRequest()
-    if servers <= suspect.servers:
+    blocked_before = find_block_left(node.crashes, now, fingerprint)
+    suspect = add_ends(node.crashes, now, fingerprint, servers)
+    if suspect is None:
         return []
-    suspect.servers |= servers
-    suspect.seen_at = now
-    table.suspects.move_to_end(fingerprint)
-    while len(table.suspects) > MAX_SUSPECTS:
-        table.suspects.popitem(last=False)
     actions = _notify_peers(node, fingerprint, suspect)
-    if len(suspect.servers) >= BLOCK_AFTER_SERVERS and now >= suspect.blocked_until:
-        actions.append(_block(now, fingerprint, suspect))
+    seconds = find_block_left(node.crashes, now, fingerprint)
+    if seconds and not blocked_before:
+        fields = {
+            "fingerprint": fingerprint.hex(),
+            "servers": len(suspect.counted),
+            "seconds": seconds,
+        }
+        actions.append(Log(LogEvent.REQUEST_BLOCKED, fields))
     return actions
 
 
-def _retention_s(suspect: SuspectRequest) -> float:
-    return RETENTION_S + MAX_BLOCK_S if suspect.blocks else RETENTION_S
-
-
-def _block(now: float, fingerprint: bytes, suspect: SuspectRequest) -> Action:
-    seconds = min(FIRST_BLOCK_S * 2**suspect.blocks, MAX_BLOCK_S)
-    suspect.blocks += 1
-    suspect.blocked_until = now + seconds
-    fields = {
-        "fingerprint": fingerprint.hex(),
-        "servers": len(suspect.servers),
-        "seconds": seconds,
-    }
-    return Log(LogEvent.REQUEST_BLOCKED, fields)
-
-
 def _notify_peers(node: Node, fingerprint: bytes, suspect: SuspectRequest) -> list[Action]:
-    servers = sorted(suspect.servers)[:MAX_NOTICE_SERVERS]
-    notice = CrashNotice(fingerprint, servers)
+    notice = CrashNotice(fingerprint, sorted(suspect.counted)[:MAX_NOTICE_SERVERS])
     return [SendMessage(peer.peer_address, notice) for peer in choose_peers(node, NOTICE_FANOUT, 0)]
--- a/src/magnoliasill/sidecar/crash_guard.py
+++ b/src/magnoliasill/sidecar/crash_guard.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from ..calls.crashes import compute_fingerprint
+from ..calls.crash_table import compute_fingerprint
 from .bodies import MAX_BUFFERED_BYTES, LongBody
 
 if TYPE_CHECKING:
--- a/tests/calls/test_crashes.py
+++ b/tests/calls/test_crashes.py
@@ -13,16 +13,13 @@
 from magnoliasill.calls.call import Call
 from magnoliasill.calls.connections import ConnectionPool
 from magnoliasill.calls.crash_guard import guard_exchange
-from magnoliasill.calls.crashes import (
-    BLOCK_AFTER_SERVERS,
-    FIRST_BLOCK_S,
-    MAX_BLOCK_S,
+from magnoliasill.calls.crash_table import (
     MAX_SUSPECTS,
+    BlockRule,
     compute_fingerprint,
     is_blocked,
-    receive_crash_notice,
-    record_crash,
 )
+from magnoliasill.calls.crashes import receive_crash_notice, record_crash
 from magnoliasill.calls.exchange import exchange_call
 from magnoliasill.codes import ErrorCode, LogEvent
 from magnoliasill.core.actions import Log, SendMessage
@@ -32,6 +29,7 @@
 
 from ..http_helpers import read_request, serve_bytes
 
+RULE = BlockRule()
 DAEMONS = 170
 FINGERPRINT = compute_fingerprint("PUT", "/fees", b"x")
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -83,7 +81,7 @@
             crashed += 1
             actions = record_crash(node, 1.0, FINGERPRINT, f"10.1.0.{crashed}:80")
             self.assertLess(deliver_messages(nodes, 1.0, actions), DAEMONS * 10)
-        self.assertLessEqual(crashed, BLOCK_AFTER_SERVERS + 1)
+        self.assertLessEqual(crashed, RULE.servers + 1)
         informed = sum(is_blocked(node.crashes, 1.0, FINGERPRINT) for node in local)
         self.assertGreater(informed, DAEMONS * 0.97)
         others = [node for node in nodes.values() if node.own.data_centre == "b"]
@@ -98,7 +96,7 @@
         (self.node,) = build_nodes(1, ["a-1"]).values()
 
     def test_each_trial_costs_one_server_and_blocks_for_longer(self) -> None:
-        now, seconds = 1.0, FIRST_BLOCK_S
+        now, seconds = 1.0, RULE.first_s
         record_crash(self.node, now, FINGERPRINT, "10.0.0.0:1")
         for number in range(1, 10):
             self.assertFalse(is_blocked(self.node.crashes, now, FINGERPRINT))
@@ -106,7 +104,7 @@
             self.assertEqual([LogEvent.REQUEST_BLOCKED], [action.event for action in actions])
             now += seconds
             self.assertTrue(is_blocked(self.node.crashes, now - 0.1, FINGERPRINT))
-            seconds = min(seconds * 2, MAX_BLOCK_S)
+            seconds = min(seconds * 2, RULE.max_s)
 
     def test_same_server_twice_is_one(self) -> None:
         for _ in range(5):
@@ -161,7 +159,7 @@
 
     def test_refused_after_the_bound(self) -> None:
         results = [self._send(self._start_crashing()) for _ in range(4)]
-        crashes = ["BROKEN"] * BLOCK_AFTER_SERVERS
+        crashes = ["BROKEN"] * RULE.servers
         self.assertEqual([*crashes, *[ErrorCode.REQUEST_CRASHES] * 2], results)
         self.assertEqual([LogEvent.REQUEST_BLOCKED], self.logged)
 
