Refuse a request under which three backend servers ended, at every gate of its service

Cause: the product's own interface blocks such requests (calls/crashes); the sidecars on the platform had nothing of it. A broken connection ended in 502 and was forgotten.

Evidence: the failing cases of test_crashing_requests; no hypothesis but the first was needed.

Change: the gate finds out whether its server ended and keeps that for the fingerprint of each request that had no response; a sidecar whose hop broke keeps the incarnation that may have ended. Both tell all gates of the service at once, and write it to the store for gates that are cut off and for later processes; what a sender or a gate knows also travels with the request and its report; a gate that starts asks two others; one that is about to run a suspect asks the store. After three ends that no answer has cleared, the request is refused with 503 and a Retry-After, on the same rule as the own interface (calls/crash_table; there 2 servers and 60 s, here 3 and 600 s). Those of which one more end decides don't run beside each other, and a request answered within 30 s is cleared, so that one which only ran beside is not refused.

--- a/src/magnoliasill/calls/crash_table.py
+++ b/src/magnoliasill/calls/crash_table.py
@@ -1,8 +1,8 @@
 """Requests that were running on backend servers when these ended, and when they are blocked.
 
 A request that ends each server that runs it is blocked once it has ended several. One that only
-ran beside it is answered sooner or later, and an answer clears it of all ends known until then. Ends
-and clearances are only ever added, so that reports of them can be merged in any order.
+ran beside it is answered sooner or later, and an answer clears it of all ends known until then.
+Ends and clearances are only ever added, so that reports of them can be merged in any order.
 """
 
 from __future__ import annotations
@@ -97,6 +97,11 @@
     return max(suspect.blocked_until - now, 0.0)
 
 
+def list_blocked(table: CrashTable, now: float) -> set[bytes]:
+    """Return the fingerprints of the requests that are currently blocked."""
+    return {fingerprint for fingerprint in table.suspects if is_blocked(table, now, fingerprint)}
+
+
 def count_ends(table: CrashTable, fingerprint: bytes) -> int:
     """Return the number of ended servers that count against a request."""
     suspect = table.suspects.get(fingerprint)
--- a/src/magnoliasill/calls/error_responses.py
+++ b/src/magnoliasill/calls/error_responses.py
@@ -32,6 +32,7 @@
     ErrorCode.CLAIM_UNAVAILABLE: "503 Service Unavailable",
     ErrorCode.REQUEST_MALFORMED: "400 Bad Request",
     ErrorCode.REQUEST_CRASHES: "422 Unprocessable Content",
+    ErrorCode.REQUEST_BLOCKED: "503 Service Unavailable",
 }
 _OUTCOME_UNKNOWN_CODES = frozenset(
     {
--- a/src/magnoliasill/error_catalogue.py
+++ b/src/magnoliasill/error_catalogue.py
@@ -187,6 +187,10 @@
         "The call's deadline header is malformed.",
         "send the deadline in milliseconds as the message says",
     ),
+    ErrorCode.REQUEST_BLOCKED: ErrorEntry(
+        "Backend servers ended while they ran equal requests. This one did not run.",
+        "do not repeat it before the Retry-After time; give its path to the service's team",
+    ),
     ErrorCode.KEY_IN_PROGRESS: ErrorEntry(
         "A request with this idempotency key is running.",
         "send the same request again after the Retry-After time to get its response",
--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -312,6 +312,16 @@
         fields=("fingerprint", "servers", "seconds"),
         reaction="check the service's backend servers and the request",
     ),
+    LogEvent.REQUEST_SUSPECTED: EventEntry(
+        "A backend server ended, or seems to have ended, while it ran a request. The source is "
+        "`gate` if its own sidecar found that out, `hop` if another sidecar lost its connection.",
+        fields=("fingerprint", "service", "server", "servers", "source"),
+        reaction="nothing, unless the same fingerprint is blocked later",
+    ),
+    LogEvent.REQUEST_CLEARED: EventEntry(
+        "A request was answered, or a server runs that seemed to have ended under it.",
+        fields=("fingerprint", "service", "servers", "reason"),
+    ),
     LogEvent.CHANGE_ACCEPTED: EventEntry(
         "A team's change was accepted through this daemon.",
         fields=("team", "version", "publish_id"),
--- a/src/magnoliasill/mesh/backend.py
+++ b/src/magnoliasill/mesh/backend.py
@@ -83,11 +83,11 @@
         heartbeat: The heartbeat.
         now: Seconds on the monotonic clock.
     """
-    if (heartbeat.instance, heartbeat.born) in backend.ended:
-        return HeartbeatEffect.STALE
     known = backend.latest
     same = known is not None and _incarnation_key(known) == _incarnation_key(heartbeat)
-    if known is not None and not same and heartbeat.born < known.born:
+    if not same and known is not None and not replaces(backend, heartbeat):
+        return HeartbeatEffect.STALE
+    if _incarnation_key(heartbeat) in backend.ended:
         return HeartbeatEffect.STALE
     if same and heartbeat.sequence <= known.sequence and not _is_restart(known, heartbeat):
         return HeartbeatEffect.STALE
@@ -109,6 +109,14 @@
     return effect
 
 
+def replaces(backend: Backend, heartbeat: Heartbeat) -> bool:
+    """Return whether a heartbeat shows that another incarnation runs now than the known one."""
+    known, key = backend.latest, _incarnation_key(heartbeat)
+    if known is None or key == _incarnation_key(known) or key in backend.ended:
+        return False
+    return heartbeat.born >= known.born
+
+
 def apply_leave(backend: Backend, instance: str, born: int, now: float) -> bool:
     """Record that an incarnation has ended; return whether it is the current one.
 
--- a/src/magnoliasill/mesh/hop_headers.py
+++ b/src/magnoliasill/mesh/hop_headers.py
@@ -5,6 +5,7 @@
 import attrs
 import msgspec
 
+from .crash_findings import CrashRecord  # noqa: TC001 - msgspec evaluates it
 from .gate import MAX_WAIT_S
 
 CALL_HEADER = "Magnoliasill-Call"
@@ -32,6 +33,7 @@
         born: The start time of that incarnation in milliseconds since the epoch, or 0.
         limit_per_s: The rate limit of the backend server that the sender knows of, or None.
         limit_age_s: Seconds since the gate heard of it.
+        crashes: What the sender knows of servers that ended under equal requests, or None.
     """
 
     identifier: str
@@ -50,6 +52,7 @@
     born: int = 0
     limit_per_s: float | None = None
     limit_age_s: float = 0.0
+    crashes: CrashRecord | None = None
 
 
 @attrs.frozen
@@ -70,6 +73,8 @@
         limit_age_s: Seconds since the gate heard of it, or None if it has not heard of any limit or
             of its absence since its start.
         turn_s: Seconds after which the sender may send the next request under the limit.
+        crashes: What the gate knows of servers that ended under equal requests, or None.
+        blocked_s: Seconds for which equal requests are refused for that.
     """
 
     ran: str
@@ -83,6 +88,8 @@
     limit_per_s: float | None = None
     limit_age_s: float | None = None
     turn_s: float = 0.0
+    crashes: CrashRecord | None = None
+    blocked_s: float = 0.0
 
 
 def encode_header_value(fields: HopCall | GateReport) -> str:
--- a/src/magnoliasill/mesh/records.py
+++ b/src/magnoliasill/mesh/records.py
@@ -2,21 +2,25 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from ..codes import ErrorCode
 from ..errors import ConfigurationError
+from .crash_findings import CrashRecord
 from .members import Member
 from .takeovers import Takeover
 
 SIDECAR_PREFIX = "mesh/"  # of all keys that sidecars write
 MEMBER_PREFIX = SIDECAR_PREFIX + "members/"
 TAKEOVER_PREFIX = SIDECAR_PREFIX + "takeovers/"
+CRASH_PREFIX = SIDECAR_PREFIX + "crashes/"
 LEADER_KEY = SIDECAR_PREFIX + "decider"  # held by the sidecar that decides on takeovers
 
 
-def encode_record(record: Member | Takeover) -> bytes:
-    """Encode a record as the value of an item."""
+def encode_record(record: Member | Takeover | list[CrashRecord]) -> bytes:
+    """Encode a record, or a list of them, as the value of an item."""
     return msgspec.json.encode(record)
 
 
@@ -38,7 +42,16 @@
     return _decode(value, Takeover)
 
 
-def _decode(value: bytes, kind: type) -> Member | Takeover:
+def decode_crash_records(value: bytes) -> list[CrashRecord]:
+    """Decode what a sidecar found of requests under which servers ended.
+
+    Raises:
+        ConfigurationError: If the value is malformed.
+    """
+    return _decode(value, list[CrashRecord])
+
+
+def _decode(value: bytes, kind: Any) -> Any:
     try:
         return msgspec.json.decode(value, type=kind)
     except msgspec.MsgspecError as error:
--- a/src/magnoliasill/sidecar/control_port.py
+++ b/src/magnoliasill/sidecar/control_port.py
@@ -9,7 +9,7 @@
 
 from ..codes import ErrorCode, LogEvent
 from ..errors import MessageError
-from ..mesh.backend import HeartbeatEffect, apply_heartbeat, apply_leave
+from ..mesh.backend import HeartbeatEffect, apply_heartbeat, apply_leave, replaces
 from ..mesh.gate import limit_rate
 from ..mesh.records import encode_record
 from ..platform.headers import READINESS_PATH
@@ -19,6 +19,7 @@
     decode_heartbeat,
     parse_instance_path,
 )
+from .crash_guard import record_ended_server
 from .metrics import format_meters
 from .protocol import close_if_stopping
 from .server_notices import restore_leaving, withdraw_server
@@ -103,6 +104,9 @@
         reason = "delayed: an earlier process has registered a later incarnation"
         sidecar.log(LogEvent.HEARTBEAT_REFUSED, instance=heartbeat.instance, reason=reason)
         return
+    latest = sidecar.backend.latest
+    if latest is not None and replaces(sidecar.backend, heartbeat):
+        record_ended_server(sidecar, latest)
     effect = apply_heartbeat(sidecar.backend, heartbeat, sidecar.clock())
     if effect is HeartbeatEffect.STARTED:
         _record_server_start(sidecar, heartbeat)
@@ -161,6 +165,7 @@
         "open_requests": sidecar.open_requests,
         "gate_running": gate.running,
         "gate_waiting": len(gate.waiting),
+        "suspect_requests": len(sidecar.crash_findings.table.suspects),
         "server_limit_per_second": sidecar.backend.limit_per_s or 0.0,
         "ready": float(is_ready(sidecar)),
     }
--- a/src/magnoliasill/sidecar/crash_guard.py
+++ b/src/magnoliasill/sidecar/crash_guard.py
@@ -1,30 +1,84 @@
-"""Recognises requests during which backend servers end."""
+"""Stops requests that end each backend server that runs them, at the gate and at the hop to it.
+
+The table of suspect requests and its rule are shared with the product's own interface
+(`calls/crash_table`). What a sidecar finds here it reports to others (`crash_reports`).
+"""
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-from ..calls.crash_table import compute_fingerprint
+import attrs
+import eventlet
+
+from ..calls.crash_table import compute_fingerprint, find_block_left
+from ..codes import LogEvent
+from ..mesh.crash_findings import (
+    add_unresolved,
+    describe_request,
+    digest_server,
+    discard_runs,
+    must_run_alone,
+    record_answer,
+    record_end,
+    resolve_runs,
+    withdraw_ends,
+)
 from .bodies import MAX_BUFFERED_BYTES, LongBody
+from .crash_reports import (
+    apply_records,
+    ask_store,
+    is_suspect,
+    log_new_blocks,
+    report_clearance,
+    report_end,
+)
+from .release_guard import is_withheld
+from .server_liveness import has_server_ended
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..mesh.backend import Heartbeat
+    from ..mesh.crash_findings import CrashRecord
+    from ..mesh.hop_headers import GateReport, HopCall
+    from ..mesh.members import Member
     from .http_exchange import Message
+    from .state import Sidecar
 
 UNKNOWN_LENGTH = -1  # of a body in chunks
+BLOCKED_REASON = "servers_ended"
+ALONE_REASON = "beside_suspect"
+ALONE_WAIT_S = 0.3
+ALONE_POLL_S = 0.005
 
 
-def fingerprint_request(service: str, message: Message) -> bytes:
-    """Return a hash that identifies equal requests to a service, whatever their identifiers.
+@attrs.define
+class GuardedRequest:
+    """A request and its fingerprint, which is computed only if it is needed.
 
-    Of a long body only the length and the buffered beginning count.
-
-    Args:
-        service: The service that the request is for.
+    Attributes:
+        service: The service that it is for.
         message: The HTTP request.
     """
-    host = next((value for name, value in message.headers if name.lower() == "host"), "")
-    target = f"{service} {host.lower()}{message.target}"
-    return compute_fingerprint(message.method, target, _sample_body(message.body))
+
+    service: str
+    message: Message
+    _fingerprint: bytes = b""
+
+    @property
+    def fingerprint(self) -> bytes:
+        """A hash that identifies equal requests to the service, whatever their identifiers.
+
+        Of a long body only the length and the buffered beginning count.
+        """
+        if not self._fingerprint:
+            headers, body = self.message.headers, _sample_body(self.message.body)
+            host = next((value for name, value in headers if name.lower() == "host"), "")
+            target = f"{self.service} {host.lower()}{self.message.target}"
+            self._fingerprint = compute_fingerprint(self.message.method, target, body)
+        return self._fingerprint
 
 
 def _sample_body(body: bytes | LongBody | None) -> bytes:
@@ -32,3 +86,151 @@
         length = UNKNOWN_LENGTH if body.length is None else body.length
         return length.to_bytes(8, signed=True) + body.first_bytes[:MAX_BUFFERED_BYTES]
     return body or b""
+
+
+def describe_suspect(sidecar: Sidecar, guarded: GuardedRequest) -> CrashRecord | None:
+    """Return what is known of servers that ended under equal requests, or None if nothing is."""
+    findings = sidecar.crash_findings
+    if not findings.table.suspects:
+        return None
+    return describe_request(findings, guarded.service, guarded.fingerprint)
+
+
+def add_knowledge(sidecar: Sidecar, guarded: GuardedRequest, report: GateReport) -> GateReport:
+    """Return a gate's report with what it knows of equal requests."""
+    record = describe_suspect(sidecar, guarded)
+    if record is None:
+        return report
+    table = sidecar.crash_findings.table
+    blocked_s = find_block_left(table, sidecar.clock(), guarded.fingerprint)
+    return attrs.evolve(report, crashes=record, blocked_s=round(blocked_s, 3))
+
+
+def prepare_suspect(sidecar: Sidecar, call: HopCall, guarded: GuardedRequest) -> None:
+    """Learn what others know of a request at its arrival, and let one like it end first.
+
+    Args:
+        sidecar: The sidecar of the gate.
+        call: The request's metadata, with what its sender knows.
+        guarded: The request.
+    """
+    if call.crashes is not None:
+        for fingerprint in apply_records(sidecar, [call.crashes], call.service):
+            report_clearance(sidecar, call.service, fingerprint, "known here")
+    if not sidecar.crash_findings.table.suspects or not is_suspect(sidecar, guarded.fingerprint):
+        return
+    ask_store(sidecar)
+    deadline = sidecar.clock() + min(ALONE_WAIT_S, call.time_left_s / 2)
+    while find_crash_refusal(sidecar, guarded) == ALONE_REASON and sidecar.clock() < deadline:
+        eventlet.sleep(ALONE_POLL_S)
+
+
+def find_crash_refusal(sidecar: Sidecar, guarded: GuardedRequest) -> str:
+    """Return why the gate must not run a request now, or an empty string."""
+    findings = sidecar.crash_findings
+    if not findings.table.suspects:
+        return ""
+    if find_block_left(findings.table, sidecar.clock(), guarded.fingerprint):
+        return BLOCKED_REASON
+    if findings.running_alone and must_run_alone(findings, guarded.fingerprint):
+        return ALONE_REASON
+    return ""
+
+
+@contextmanager
+def run_guarded(sidecar: Sidecar, guarded: GuardedRequest) -> Iterator[None]:
+    """Keep others of which one more end blocks the next from running beside this request."""
+    findings = sidecar.crash_findings
+    alone = bool(findings.table.suspects) and must_run_alone(findings, guarded.fingerprint)
+    if alone:
+        findings.running_alone.add(guarded.fingerprint)
+    try:
+        yield
+    finally:
+        if alone:
+            findings.running_alone.discard(guarded.fingerprint)
+
+
+def record_broken_run(
+    sidecar: Sidecar, guarded: GuardedRequest, heartbeat: Heartbeat, may_have_ended: bool
+) -> bool:
+    """Record that a request ended without a response; return whether its server has ended.
+
+    Args:
+        sidecar: The sidecar beside the server.
+        guarded: The request.
+        heartbeat: The heartbeat of the incarnation that the request was sent to.
+        may_have_ended: Whether to find out now if that incarnation has ended.
+    """
+    findings = sidecar.crash_findings
+    server = digest_server(heartbeat.instance, heartbeat.born)
+    known = findings.ended_server == server
+    add_unresolved(findings, sidecar.clock(), guarded.service, guarded.fingerprint, server)
+    if not known and not (may_have_ended and has_server_ended(sidecar)):
+        return False
+    record_ended_server(sidecar, heartbeat)
+    return True
+
+
+def record_ended_server(sidecar: Sidecar, heartbeat: Heartbeat) -> None:
+    """Record that an incarnation has ended, under the requests that had no response by then.
+
+    One that was leaving, or whose release is withdrawn, was going to end anyway.
+    """
+    findings, now = sidecar.crash_findings, sidecar.clock()
+    server = digest_server(heartbeat.instance, heartbeat.born)
+    if sidecar.backend.latest == heartbeat:
+        findings.ended_server = server
+    planned = sidecar.backend.leaving_at is not None and sidecar.backend.latest == heartbeat
+    planned = planned or is_withheld(sidecar, heartbeat.service, heartbeat.release)
+    for run in resolve_runs(findings, now, server):
+        if not planned:
+            _record_end(sidecar, run.service, run.fingerprint, server, "gate")
+
+
+def record_lost_hop(sidecar: Sidecar, guarded: GuardedRequest, member: Member) -> None:
+    """Record that a gate was lost with a request; its server may have ended with it."""
+    server = digest_server(member.instance, member.born)
+    if not member.leaving:
+        _record_end(sidecar, guarded.service, guarded.fingerprint, server, "hop")
+
+
+def _record_end(
+    sidecar: Sidecar, service: str, fingerprint: bytes, server: bytes, source: str
+) -> None:
+    findings = sidecar.crash_findings
+    if not record_end(findings, sidecar.clock(), service, fingerprint, server):
+        return
+    sidecar.meters.count("crashes", source)
+    sidecar.log(
+        LogEvent.REQUEST_SUSPECTED,
+        fingerprint=fingerprint.hex(),
+        service=service,
+        server=server.hex(),
+        servers=len(findings.table.suspects[fingerprint].counted),
+        source=source,
+    )
+    log_new_blocks(sidecar)
+    report_end(sidecar, service, fingerprint)
+
+
+def record_answered_run(
+    sidecar: Sidecar, guarded: GuardedRequest, heartbeat: Heartbeat, started_at: float
+) -> None:
+    """Record that a server answered a request, which shows that neither ends the other.
+
+    Args:
+        sidecar: The sidecar beside the server.
+        guarded: The request.
+        heartbeat: The heartbeat of the incarnation that answered.
+        started_at: When the request was sent to it, in seconds on the monotonic clock.
+    """
+    findings, now = sidecar.crash_findings, sidecar.clock()
+    server = digest_server(heartbeat.instance, heartbeat.born)
+    if record_answer(findings, now, guarded.service, guarded.fingerprint):
+        report_clearance(sidecar, guarded.service, guarded.fingerprint, "answered")
+    discard_runs(findings, server, started_at)
+    if findings.ended_server == server:
+        findings.ended_server = b""
+        for service, fingerprint in withdraw_ends(findings, now, server):
+            report_clearance(sidecar, service, fingerprint, "the server runs")
--- /dev/null
+++ b/src/magnoliasill/sidecar/crash_reports.py
@@ -0,0 +1,327 @@
+"""Tells other sidecars under which requests backend servers ended.
+
+Findings go to all gates of the service at once, since each of them decides by what it knows. They
+are also written to the store, for gates in data centres that are cut off and for processes that
+start later. A gate that is about to run a suspect request asks the store first.
+"""
+
+from __future__ import annotations
+
+from itertools import islice
+from math import inf
+from typing import TYPE_CHECKING
+
+import attrs
+import eventlet
+from eventlet.event import Event
+
+from ..calls.crash_table import count_ends, find_block_left, list_blocked
+from ..codes import LogEvent
+from ..errors import ConditionFailedError, ConfigurationError, LeaseEndedError, StoreError
+from ..mesh.crash_findings import (
+    CrashRecord,
+    describe_request,
+    digest_server,
+    merge_own,
+    merge_records,
+    read_fingerprint,
+)
+from ..mesh.records import CRASH_PREFIX, decode_crash_records, encode_record
+from ..mesh.store_items import Condition, Put, Transaction
+from .member_requests import request_from_member
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from ..mesh.members import Member
+    from ..mesh.store_items import Item
+    from .state import Sidecar
+
+NOTICE_PATH = "/mesh/crashes"
+ALL_PATH = "/mesh/crashes/all"
+MAX_NOTICE_BYTES = 262_144
+MAX_RECORDS = 512  # in one answer
+START_GATES = 2  # asked after a start; the store knows what they have forgotten
+START_CHECKS = 200
+START_CHECK_INTERVAL_S = 0.05
+# Requests that ran on one server end within about this time; one notice names them all.
+END_DELAY_S = 0.002
+CLEARANCE_DELAY_S = 0.2  # a clearance is urgent only for a request that is blocked
+NOTICE_TIMEOUT_S = 0.5
+NOTICE_RETRY_S = (0.2, 0.6)
+WRITE_DELAY_S = 0.01
+WRITE_RETRY_MIN_S = 0.3
+WRITE_RETRY_MAX_S = 0.9
+ASK_TIMEOUT_S = 0.1  # a store that answers later is slower than the sidecars' own notices
+ASK_INTERVAL_S = 0.01
+LEASE_S = 600.0
+
+
+def report_end(sidecar: Sidecar, service: str, fingerprint: bytes) -> None:
+    """Tell others that a server ended under a request."""
+    _report(sidecar, service, fingerprint, END_DELAY_S)
+
+
+def report_clearance(sidecar: Sidecar, service: str, fingerprint: bytes, reason: str) -> None:
+    """Tell others that a request is cleared of ends, soon enough for one that is nearly blocked."""
+    suspect = sidecar.crash_findings.table.suspects[fingerprint]
+    sidecar.meters.count("crashes", "cleared")
+    sidecar.log(
+        LogEvent.REQUEST_CLEARED,
+        fingerprint=fingerprint.hex(),
+        service=service,
+        servers=len(suspect.cleared),
+        reason=reason,
+    )
+    _report(
+        sidecar,
+        service,
+        fingerprint,
+        END_DELAY_S if _is_urgent(sidecar, fingerprint) else CLEARANCE_DELAY_S,
+    )
+
+
+def _is_urgent(sidecar: Sidecar, fingerprint: bytes) -> bool:
+    table = sidecar.crash_findings.table
+    return len(table.suspects[fingerprint].ended) >= table.rule.servers - 1
+
+
+def _report(sidecar: Sidecar, service: str, fingerprint: bytes, delay_s: float) -> None:
+    reports, due_at = sidecar.crash_reports, sidecar.clock() + delay_s
+    reports.unsent.add((service, fingerprint))
+    if due_at < reports.due_at:
+        reports.due_at = due_at
+        eventlet.spawn_after(delay_s, _send_reports, sidecar)
+
+
+def _send_reports(sidecar: Sidecar) -> None:
+    """Send all that is unsent to the gates of the services, and have it written to the store."""
+    reports = sidecar.crash_reports
+    unsent, reports.unsent, reports.due_at = reports.unsent, set(), inf
+    if not unsent:
+        return
+    if not reports.changed.ready():
+        reports.changed.send()
+    for service in sorted({service for service, _ in unsent}):
+        fingerprints = sorted(fingerprint for found, fingerprint in unsent if found == service)
+        for member in list(sidecar.members.by_service.get(service, {}).values()):
+            if member.name != sidecar.settings.name:
+                eventlet.spawn(_notify_member, sidecar, member, service, fingerprints)
+
+
+def _notify_member(
+    sidecar: Sidecar, member: Member, service: str, fingerprints: list[bytes]
+) -> None:
+    """Send a gate what is known of requests, and merge what it knows beyond that."""
+    for pause_s in (*NOTICE_RETRY_S, None):
+        records = _describe_requests(sidecar, service, fingerprints)
+        answer = _exchange_records(sidecar, member, NOTICE_PATH, records)
+        if answer is not None:
+            _merge_answer(sidecar, service, answer)
+            return
+        sidecar.meters.count("crashes", "notice_lost")
+        if pause_s is None:
+            return
+        eventlet.sleep(pause_s)
+
+
+def _exchange_records(
+    sidecar: Sidecar, member: Member, target: str, records: list[CrashRecord]
+) -> list[CrashRecord] | None:
+    body = encode_record(records)
+    return request_from_member(sidecar, member, target, NOTICE_TIMEOUT_S, list[CrashRecord], body)
+
+
+def _merge_answer(sidecar: Sidecar, service: str, answer: list[CrashRecord]) -> None:
+    """Merge what a gate knows; tell all others of its clearances, so that it does not have to."""
+    findings = sidecar.crash_findings
+    for record in answer:
+        fingerprint = read_fingerprint(record)
+        known = describe_request(findings, service, fingerprint) if fingerprint else None
+        if record.service != service or known is None:
+            continue
+        apply_records(sidecar, [record], service)
+        if set(record.cleared) - set(known.cleared):
+            merge_own(findings, [attrs.evolve(record, ended=())])
+            _report(sidecar, service, fingerprint, END_DELAY_S)
+
+
+def receive_notice(sidecar: Sidecar, body: bytes) -> bytes:
+    """Apply another sidecar's notice; return what this one knows beyond it, encoded."""
+    try:
+        records = decode_crash_records(body)
+    except ConfigurationError as error:
+        sidecar.log(LogEvent.ENTRY_REFUSED, key=NOTICE_PATH, revision=0, reason=error.message)
+        return b"[]"
+    service = sidecar.settings.service
+    apply_records(sidecar, records, service)
+    fingerprints = [read_fingerprint(record) for record in records if record.service == service]
+    known = _describe_requests(sidecar, service, [found for found in fingerprints if found])
+    return encode_record([record for record in known if record not in records])
+
+
+def describe_all(sidecar: Sidecar) -> bytes:
+    """Return what this sidecar knows of requests for its service, for a gate that has started."""
+    suspects = sidecar.crash_findings.table.suspects
+    newest = list(islice(reversed(suspects), MAX_RECORDS))
+    return encode_record(_describe_requests(sidecar, sidecar.settings.service, newest))
+
+
+def learn_from_gates(sidecar: Sidecar) -> None:
+    """Ask other gates of the service what they know, once, after this process has started."""
+    service = sidecar.settings.service
+    for _ in range(START_CHECKS):
+        members = sidecar.members.by_service.get(service, {})
+        others = [member for name, member in members.items() if name != sidecar.settings.name]
+        if others:
+            break
+        eventlet.sleep(START_CHECK_INTERVAL_S)
+    chosen = sidecar.random.sample(others, min(len(others), START_GATES)) if others else []
+    for member in chosen:
+        answer = _exchange_records(sidecar, member, ALL_PATH, [])
+        if answer is not None:
+            apply_records(sidecar, answer, service)
+
+
+def apply_records(sidecar: Sidecar, records: Iterable[CrashRecord], service: str) -> list[bytes]:
+    """Merge records of other sidecars about requests for a service.
+
+    Returns:
+        The fingerprints of the requests that this sidecar cleared of an end.
+    """
+    running = _find_running_server(sidecar) if service == sidecar.settings.service else b""
+    cleared = merge_records(sidecar.crash_findings, sidecar.clock(), records, service, running)
+    log_new_blocks(sidecar)
+    return cleared
+
+
+def _find_running_server(sidecar: Sidecar) -> bytes:
+    """Return the digest of the local incarnation, or empty if it has ended or is not known."""
+    latest = sidecar.backend.latest
+    if latest is None:
+        return b""
+    server = digest_server(latest.instance, latest.born)
+    return b"" if server == sidecar.crash_findings.ended_server else server
+
+
+def log_new_blocks(sidecar: Sidecar) -> None:
+    """Log which requests have become blocked."""
+    table, reports = sidecar.crash_findings.table, sidecar.crash_reports
+    blocked = list_blocked(table, sidecar.clock())
+    for fingerprint in sorted(blocked - reports.blocked):
+        sidecar.meters.count("crashes", "blocked")
+        sidecar.log(
+            LogEvent.REQUEST_BLOCKED,
+            fingerprint=fingerprint.hex(),
+            servers=count_ends(table, fingerprint),
+            seconds=round(find_block_left(table, sidecar.clock(), fingerprint), 1),
+        )
+    reports.blocked = blocked
+
+
+def _describe_requests(
+    sidecar: Sidecar, service: str, fingerprints: Collection[bytes]
+) -> list[CrashRecord]:
+    found = [
+        describe_request(sidecar.crash_findings, service, fingerprint)
+        for fingerprint in fingerprints
+    ]
+    return [record for record in found if record is not None]
+
+
+def apply_stored_findings(sidecar: Sidecar, item: Item) -> None:
+    """Apply an item of the store with what a sidecar found.
+
+    Raises:
+        ConfigurationError: If its value is malformed.
+    """
+    applied = sidecar.crash_reports.applied
+    if item.value is None or applied.get(item.key, 0) >= item.revision:
+        return
+    records = decode_crash_records(item.value)
+    applied[item.key] = item.revision
+    if item.key == CRASH_PREFIX + sidecar.settings.name:
+        merge_own(sidecar.crash_findings, records)
+    service = sidecar.settings.service
+    for fingerprint in apply_records(sidecar, records, service):
+        report_clearance(sidecar, service, fingerprint, "known here")
+
+
+def ask_store(sidecar: Sidecar) -> None:
+    """Read what all sidecars found from the store, unless it does not answer at once."""
+    reports, now = sidecar.crash_reports, sidecar.clock()
+    if not sidecar.store_reachable or now - reports.asked_at < ASK_INTERVAL_S:
+        return
+    reports.asked_at = now
+    try:
+        with eventlet.Timeout(ASK_TIMEOUT_S, False):
+            page = sidecar.store.read_page(CRASH_PREFIX)
+            sidecar.meters.count("store", "read")
+            for item in page.items:
+                apply_stored_findings(sidecar, item)
+    except (StoreError, ConfigurationError) as error:
+        sidecar.meters.count("crashes", "store_unread")
+        sidecar.log(LogEvent.ENTRY_REFUSED, key=CRASH_PREFIX, revision=0, reason=error.message)
+
+
+def keep_findings_stored(sidecar: Sidecar) -> None:
+    """Write this sidecar's findings to the store when they change, until the process ends."""
+    eventlet.spawn(learn_from_gates, sidecar)
+    reports = sidecar.crash_reports
+    while True:
+        reports.changed.wait()
+        eventlet.sleep(WRITE_DELAY_S)
+        reports.changed = Event()
+        while not _write_findings(sidecar):
+            eventlet.sleep(sidecar.random.uniform(WRITE_RETRY_MIN_S, WRITE_RETRY_MAX_S))
+
+
+def _write_findings(sidecar: Sidecar) -> bool:
+    """Write the findings; return whether that succeeded."""
+    reports, key = sidecar.crash_reports, CRASH_PREFIX + sidecar.settings.name
+    try:
+        _renew_lease(sidecar)
+        if reports.revision is None:
+            known = sidecar.mirror.items.get(key)
+            reports.revision = known.revision if known and known.value is not None else 0
+        value = encode_record(list(sidecar.crash_findings.own.values()))
+        put = Put(key, value, reports.lease)
+        condition = (Condition(key, reports.revision),)
+        reports.revision = sidecar.store.transact(Transaction((put,), condition))
+        sidecar.meters.count("store", "write")
+    except LeaseEndedError:
+        reports.lease = 0
+        return False
+    except ConditionFailedError as error:
+        _adopt_stored_item(sidecar, error.items)
+        return False
+    except StoreError:
+        sidecar.meters.count("crashes", "store_unwritten")
+        return False
+    return True
+
+
+def _renew_lease(sidecar: Sidecar) -> None:
+    reports = sidecar.crash_reports
+    if reports.lease and sidecar.clock() - reports.leased_at < LEASE_S / 2:
+        return
+    reports.lease = sidecar.store.grant_lease(LEASE_S)
+    reports.leased_at = sidecar.clock()
+    sidecar.meters.count("store", "lease")
+
+
+def _adopt_stored_item(sidecar: Sidecar, items: tuple[Item, ...]) -> None:
+    """Take over the item that an earlier process on this VM wrote, before it is replaced."""
+    sidecar.crash_reports.revision = items[0].revision if items else 0
+    for item in items:
+        try:
+            apply_stored_findings(sidecar, item)
+        except ConfigurationError as error:
+            sidecar.log(
+                LogEvent.ENTRY_REFUSED, key=item.key, revision=item.revision, reason=error.message
+            )
+
+
+def is_suspect(sidecar: Sidecar, fingerprint: bytes) -> bool:
+    """Return whether servers have ended under equal requests that nothing has cleared since."""
+    return count_ends(sidecar.crash_findings.table, fingerprint) > 0
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -28,6 +28,14 @@
     build_metrics_application,
     build_readiness_application,
 )
+from .crash_reports import (
+    ALL_PATH,
+    MAX_NOTICE_BYTES,
+    NOTICE_PATH,
+    describe_all,
+    keep_findings_stored,
+    receive_notice,
+)
 from .gate_port import build_gate_application
 from .header_parser import install_head_parser
 from .log_writer import LogWriter, open_log_writer, run_log_writer, write_pending
@@ -152,6 +160,7 @@
             lambda: keep_registered(sidecar, registration),
             lambda: run_takeover_leader(sidecar),
             lambda: run_release_watch(sidecar),
+            lambda: keep_findings_stored(sidecar),
             lambda: _run_periodic_checks(sidecar),
         )
     ]
@@ -186,6 +195,10 @@
             return msgspec.json.encode(answer_counts_request(sidecar, target))
         if target.startswith(CHANGES_PATH):
             return handle_follower_poll(sidecar, target)
+        if target == NOTICE_PATH:
+            return receive_notice(sidecar, environ["wsgi.input"].read(MAX_NOTICE_BYTES))
+        if target == ALL_PATH:
+            return describe_all(sidecar)
         return None
 
     ports = [
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -38,6 +38,8 @@
 from ..mesh.retry_after import RetryAfterState, choose_retry_after, count_arrival
 from ..mesh.server_notices import record_limit, use_turn
 from .bodies import LongBody
+from .crash_guard import BLOCKED_REASON, GuardedRequest, describe_suspect, record_lost_hop
+from .crash_reports import apply_records
 from .gate_port import handle_gate_request
 from .http_exchange import BETWEEN_VMS_TIMEOUTS, BrokenError, Message, NotSentError, Reply, exchange
 from .state import find_takeover, find_wait_left
@@ -131,6 +133,7 @@
         unknown_reason: Why the request may have run without a response, or an empty string.
         refusal_reason: Why the last gate did not run the request.
         failed_reply: The latest response with a server error status, or None.
+        blocked_s: Seconds for which equal requests are refused, since servers ended under them.
     """
 
     tried: set[str] = attrs.field(factory=set)
@@ -141,6 +144,7 @@
     unknown_reason: str = ""
     refusal_reason: str = ""
     failed_reply: Reply | None = None
+    blocked_s: float = 0.0
 
 
 def forward_request(sidecar: Sidecar, request: Request, message: Message) -> Reply:
@@ -155,6 +159,7 @@
         CallError: If no backend server responded.
     """
     state = _AttemptState()
+    guarded = GuardedRequest(request.service, message)
     retry_after_state = sidecar.retry_after_states.setdefault(request.service, RetryAfterState())
     count_arrival(retry_after_state, request.arrived_at)
     candidates = None
@@ -175,7 +180,7 @@
         if not _may_attempt(sidecar, request, message, state):
             break
         request.attempted_members.append(member.name)
-        result = _attempt(sidecar, request, message, member, state)
+        result = _attempt(sidecar, request, guarded, member, state)
         if result.outcome is AttemptOutcome.ANSWERED and not _should_retry(request, result.reply):
             return result.reply
         if not _record_unfinished_attempt(sidecar, request, member, state, result):
@@ -249,6 +254,9 @@
         case AttemptOutcome.REFUSED:
             state.refusal_reason = result.reason
             state.servers_reached += result.report.arrived
+            state.blocked_s = result.report.blocked_s
+            if result.reason == BLOCKED_REASON:
+                return False
             if result.reason == "target":
                 state.full.add(member.name)
         case AttemptOutcome.UNKNOWN:
@@ -267,6 +275,9 @@
         return state.failed_reply
     if state.unknown_reason:
         raise CallError(ErrorCode.OUTCOME_UNKNOWN, state.unknown_reason)
+    if state.refusal_reason == BLOCKED_REASON:
+        reason = "backend servers ended while they ran equal requests"
+        raise CallError(ErrorCode.REQUEST_BLOCKED, reason, state.blocked_s)
     left_s = request.caller_deadline - sidecar.clock()
     placement = _build_placement(sidecar, request, state)
     candidates = choose_release_members(sidecar.members, placement, sidecar.random)
@@ -280,7 +291,11 @@
 
 
 def _attempt(
-    sidecar: Sidecar, request: Request, message: Message, member: Member, state: _AttemptState
+    sidecar: Sidecar,
+    request: Request,
+    guarded: GuardedRequest,
+    member: Member,
+    state: _AttemptState,
 ) -> AttemptResult:
     condition = find_condition(sidecar.members, member)
     notice = find_notice(sidecar.members, member.instance, member.born)
@@ -302,20 +317,34 @@
         born=member.born,
         limit_per_s=notice.limit_per_s,
         limit_age_s=max(now - notice.heard_at, 0.0),
+        crashes=describe_suspect(sidecar, guarded),
     )
     use_turn(notice, now)
     condition.in_flight += 1
     try:
         if member.name == sidecar.settings.name:
-            result = _attempt_locally(sidecar, request, call, message)
+            result = _attempt_locally(sidecar, request, call, guarded.message)
         else:
-            result = _attempt_remotely(sidecar, call, message, member, request.answer_deadline)
+            result = _attempt_remotely(
+                sidecar, call, guarded.message, member, request.answer_deadline
+            )
     finally:
         condition.in_flight -= 1
     _record_attempt(sidecar, request, member, condition, result, sidecar.clock() - now)
+    _learn_of_crashes(sidecar, guarded, member, result)
     return result
 
 
+def _learn_of_crashes(
+    sidecar: Sidecar, guarded: GuardedRequest, member: Member, result: AttemptResult
+) -> None:
+    report = result.report
+    if report is None and result.outcome is AttemptOutcome.UNKNOWN:
+        record_lost_hop(sidecar, guarded, member)
+    elif report is not None and report.crashes is not None:
+        apply_records(sidecar, [report.crashes], guarded.service)
+
+
 def _attempt_locally(
     sidecar: Sidecar, request: Request, call: HopCall, message: Message
 ) -> AttemptResult:
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -33,7 +33,16 @@
 from ..mesh.rate_limits import assign_turn
 from ..platform.headers import add_sidecar_headers, parse_response_headers
 from .bodies import read_body
-from .crash_guard import fingerprint_request
+from .crash_guard import (
+    GuardedRequest,
+    add_knowledge,
+    find_crash_refusal,
+    prepare_suspect,
+    record_answered_run,
+    record_broken_run,
+    record_ended_server,
+    run_guarded,
+)
 from .http_exchange import BrokenError, Message, NotSentError, Reply, TimedOutError, exchange
 from .protocol import close_if_stopping, count_open_request, list_headers, read_target, send_reply
 from .release_guard import is_withheld
@@ -136,23 +145,37 @@
         CallerDisconnectedError: If the caller closed its connection.
     """
     arrived_at = sidecar.clock()
+    guarded = GuardedRequest(call.service, message)
     adopt_limit(sidecar, call)
-    refusal_reason = _find_refusal_reason(sidecar, call)
+    prepare_suspect(sidecar, call, guarded)
+    gate_result = _admit_and_run(sidecar, call, guarded, arrived_at, on_start)
+    return attrs.evolve(gate_result, report=add_knowledge(sidecar, guarded, gate_result.report))
+
+
+def _admit_and_run(
+    sidecar: Sidecar,
+    call: HopCall,
+    guarded: GuardedRequest,
+    arrived_at: float,
+    on_start: Callable[[], None] | None,
+) -> GateResult:
+    refusal_reason = _find_refusal_reason(sidecar, call, guarded)
     if refusal_reason:
         return _refuse(sidecar, call, refusal_reason, arrived_at)
     deadline = arrived_at + call.time_left_s
-    refusal_reason = _wait_for_slot(sidecar, call, arrived_at, deadline)
+    refusal_reason = _wait_for_slot(sidecar, call, sidecar.clock(), deadline)
     if refusal_reason:
         return _refuse(sidecar, call, refusal_reason, arrived_at)
     holds_slot = True
     sidecar.running_requests[call.identifier] = call.repeat
     try:
-        refusal_reason = _find_refusal_reason(sidecar, call)
+        refusal_reason = _find_refusal_reason(sidecar, call, guarded)
         if refusal_reason:
             return _refuse(sidecar, call, refusal_reason, arrived_at)
         if on_start is not None:
             on_start()
-        gate_result = _call_server(sidecar, call, message, arrived_at, deadline)
+        with run_guarded(sidecar, guarded):
+            gate_result = _call_server(sidecar, call, guarded, arrived_at, deadline)
         if gate_result.reply is not None and gate_result.reply.remaining_chunks is not None:
             holds_slot = False
             remaining_chunks = _release_slot_after(
@@ -219,7 +242,7 @@
         self._on_end()
 
 
-def _find_refusal_reason(sidecar: Sidecar, call: HopCall) -> str:
+def _find_refusal_reason(sidecar: Sidecar, call: HopCall, guarded: GuardedRequest) -> str:
     backend, latest = sidecar.backend, sidecar.backend.latest
     if latest is None or not accepts_requests(backend) or is_gate_closing(sidecar):
         return "closed"
@@ -229,7 +252,7 @@
         return "release_withheld"
     if not call.idempotent and call.identifier in sidecar.passed_attempts:
         return "taken_before"
-    return ""
+    return find_crash_refusal(sidecar, guarded)
 
 
 def _wait_for_slot(sidecar: Sidecar, call: HopCall, now: float, deadline: float) -> str:
@@ -277,12 +300,12 @@
 
 
 def _call_server(
-    sidecar: Sidecar, call: HopCall, message: Message, arrived_at: float, deadline: float
+    sidecar: Sidecar, call: HopCall, guarded: GuardedRequest, arrived_at: float, deadline: float
 ) -> GateResult:
     started_at = sidecar.clock()
     latest = sidecar.backend.latest
     headers = add_sidecar_headers(
-        message.headers, deadline - started_at, call.instance, call.calling_service
+        guarded.message.headers, deadline - started_at, call.instance, call.calling_service
     )
     if not call.idempotent:
         _remember_attempt(sidecar, call.identifier)
@@ -298,24 +321,27 @@
         reply = exchange(
             sidecar.server_connections,
             sidecar.settings.server,
-            attrs.evolve(message, headers=headers),
+            attrs.evolve(guarded.message, headers=headers),
             deadline,
             call.idempotent,
             matches_request,
         )
     except NotSentError as error:
+        if sidecar.crash_findings.unresolved and has_server_ended(sidecar):
+            record_ended_server(sidecar, latest)
         sidecar.passed_attempts.pop(call.identifier, None)
         observe_answer(sidecar.gate, call.route, 0.0, True)
         return _refuse(sidecar, call, f"unreachable: {error.message}", arrived_at)
     except BrokenError as error:
-        server_ended = not isinstance(error, TimedOutError) and has_server_ended(sidecar)
-        fields = {
-            "fingerprint": fingerprint_request(call.service, message).hex(),
-            "server_ended": server_ended,
-        }
+        may_have_ended = not isinstance(error, TimedOutError)
+        server_ended = record_broken_run(sidecar, guarded, latest, may_have_ended)
+        fields = {"fingerprint": guarded.fingerprint.hex(), "server_ended": server_ended}
         return _report_unknown_outcome(
             sidecar, call, type(error).__name__, error.message, arrived_at, started_at, **fields
         )
+    except CallerDisconnectedError:
+        record_broken_run(sidecar, guarded, latest, may_have_ended=False)
+        raise
     response_metadata = parse_response_headers(reply.status, reply.headers)
     if response_metadata.not_run:
         sidecar.passed_attempts.pop(call.identifier, None)
@@ -324,6 +350,7 @@
     if not response_metadata.signed:
         reason = f"status {reply.status} without a signature"
         return _report_unknown_outcome(sidecar, call, "unsigned", reason, arrived_at, started_at)
+    record_answered_run(sidecar, guarded, latest, started_at)
     seconds = sidecar.clock() - started_at
     _record_outcome(sidecar, call, reply.status >= 500, seconds)
     sidecar.meters.count("gate", "answered")
--- a/src/magnoliasill/sidecar/member_requests.py
+++ b/src/magnoliasill/sidecar/member_requests.py
@@ -1,4 +1,4 @@
-"""Queries another sidecar's state at its gate address; forwards no caller requests."""
+"""Requests between sidecars at their gate addresses; forwards no caller requests."""
 
 from __future__ import annotations
 
@@ -18,7 +18,12 @@
 
 
 def request_from_member(
-    sidecar: Sidecar, member: Member, target: str, timeout_s: float, response_type: type[Answer]
+    sidecar: Sidecar,
+    member: Member,
+    target: str,
+    timeout_s: float,
+    response_type: type[Answer],
+    body: bytes | None = None,
 ) -> Answer | None:
     """Return a member's decoded response, or None if it was late or could not be decoded.
 
@@ -28,12 +33,14 @@
         target: Request target: path and query.
         timeout_s: Seconds to wait for the response.
         response_type: The type to decode the JSON body into.
+        body: The body of the request, which is sent with POST then, or None.
     """
-    message = Message("GET", target, [("Host", member.gate)], None)
+    method = "GET" if body is None else "POST"
+    message = Message(method, target, [("Host", member.gate)], body)
     deadline = sidecar.clock() + timeout_s
     try:
         response = exchange(sidecar.peer_connections, member.gate, message, deadline, True)
-        body = b"".join((response.body, *(response.remaining_chunks or ())))
-        return msgspec.json.decode(body, type=response_type)
+        answer = b"".join((response.body, *(response.remaining_chunks or ())))
+        return msgspec.json.decode(answer, type=response_type)
     except (MagnoliasillError, msgspec.MsgspecError, HTTPException, OSError):
         return None  # the caller of this function counts the failure and decides what to do
--- a/src/magnoliasill/sidecar/metrics.py
+++ b/src/magnoliasill/sidecar/metrics.py
@@ -17,6 +17,7 @@
     "store": ("outcome", "Requests to the platform's store, by outcome"),
     "configuration": ("source", "Versions received, by how; superseded: with a newer one"),
     "relay": ("outcome", "Requests for changes at a relay, there and here"),
+    "crashes": ("outcome", "Findings of servers that ended under requests, by what became of them"),
     "events": ("event", "Log events, by name"),
     "logs_left_out": ("event", "Log lines that were left out to bound their volume"),
 }
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 from collections import Counter, OrderedDict
+from math import inf
 from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING, Any
 
 import attrs
+from eventlet.event import Event
 
 from ..calls.connections import ConnectionPool
 from ..codes import LogEvent
 from ..mesh.backend import Backend
+from ..mesh.crash_findings import CrashFindings
 from ..mesh.gate import MAX_WAIT_S, Gate
 from ..mesh.members import Member, MemberTable
 from ..mesh.relays import LongValueVersions, RelayBackoff
@@ -65,6 +68,33 @@
     seen_at: float
 
 
+@attrs.define
+class CrashReports:
+    """What is still to be told, and the sidecar's item in the store.
+
+    Attributes:
+        unsent: The requests to report, as pairs of service and fingerprint.
+        due_at: When they are sent, in seconds on the monotonic clock.
+        changed: Event that is set when the item in the store has to be written.
+        lease: The lease of that item, or 0 for none.
+        leased_at: When the lease was granted.
+        revision: The revision of that item, 0 if there is none, None if it is not known.
+        applied: The revisions of the items of all sidecars that were applied, by key.
+        asked_at: When the store was last asked for these items.
+        blocked: The requests whose block has been logged.
+    """
+
+    unsent: set[tuple[str, bytes]] = attrs.field(factory=set)
+    due_at: float = inf
+    changed: Event = attrs.field(factory=Event)
+    lease: int = 0
+    leased_at: float = 0.0
+    revision: int | None = None
+    applied: dict[str, int] = attrs.field(factory=dict)
+    asked_at: float = NEVER
+    blocked: set[bytes] = attrs.field(factory=set)
+
+
 @attrs.define
 class Sidecar:
     """All state of one running sidecar.
@@ -116,6 +146,8 @@
         followed_relay: Name of the relay last followed, or empty.
         versions: Recent versions of long values, which a relay keeps to send deltas.
         stopping_at: When shutdown began, or None.
+        crash_findings: Requests under which backend servers ended.
+        crash_reports: What of that is still to be told to other sidecars.
         wake_registration: Called when this sidecar's record may have changed.
     """
 
@@ -162,6 +194,8 @@
     followed_relay: str = ""
     versions: LongValueVersions = attrs.field(factory=LongValueVersions)
     stopping_at: float | None = None
+    crash_findings: CrashFindings = attrs.field(factory=CrashFindings)
+    crash_reports: CrashReports = attrs.field(factory=CrashReports)
     wake_registration: Callable[[], None] = do_nothing
 
     def log(self, event: LogEvent, **fields: Any) -> None:
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -11,7 +11,13 @@
 from ..codes import ErrorCode, LogEvent
 from ..errors import ConfigurationError, HistoryLostError, StoreError
 from ..mesh.members import find_condition, mark_lapsed, put_member, remove_lapsed, remove_member
-from ..mesh.records import MEMBER_PREFIX, TAKEOVER_PREFIX, decode_member, decode_takeover
+from ..mesh.records import (
+    CRASH_PREFIX,
+    MEMBER_PREFIX,
+    TAKEOVER_PREFIX,
+    decode_member,
+    decode_takeover,
+)
 from ..mesh.relays import RELAY_BACKOFF_S, is_long
 from ..mesh.store_items import (
     Item,
@@ -26,6 +32,7 @@
     decode_configuration,
     decode_order,
 )
+from .crash_reports import apply_stored_findings
 from .server_notices import restore_leaving
 from .state import (
     NEVER,
@@ -266,6 +273,8 @@
             _apply_order(sidecar, item)
         elif item.key.startswith(TAKEOVER_PREFIX):
             _apply_takeover(sidecar, item)
+        elif item.key.startswith(CRASH_PREFIX):
+            apply_stored_findings(sidecar, item)
     except ConfigurationError as error:
         sidecar.log(
             LogEvent.ENTRY_REFUSED, key=item.key, revision=item.revision, reason=error.message
--- a/tests/sidecar/simulated_calls.py
+++ b/tests/sidecar/simulated_calls.py
@@ -475,11 +475,12 @@
     )
 
 
-def _start_sidecar(fleet: CallFleet, vm: SimulatedVm) -> None:
+def _start_sidecar(fleet: CallFleet, vm: SimulatedVm, server_runs: bool = True) -> None:
     sidecar = vm.sidecar
     sidecar.wake_registration = lambda: eventlet.spawn_after(0, _register, fleet, vm, sidecar)
     _deliver(sidecar, fleet.records, fleet.revision)
-    record_heartbeat(sidecar, build_heartbeat(vm))
+    if server_runs:
+        record_heartbeat(sidecar, build_heartbeat(vm))
 
     def run_checks() -> None:
         while True:
--- a/tests/sidecar/simulated_crashes.py
+++ b/tests/sidecar/simulated_crashes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import base64
 import itertools
 from collections import Counter, defaultdict
 from functools import partial
@@ -21,11 +22,20 @@
 from magnoliasill.codes import ErrorCode
 from magnoliasill.errors import CallError, StoreError
 from magnoliasill.mesh.hop_headers import REPORT_HEADER, decode_call, encode_header_value
+from magnoliasill.mesh.records import CRASH_PREFIX
 from magnoliasill.mesh.routes import Destination, Route
+from magnoliasill.mesh.store_items import Item, Page
 from magnoliasill.platform.store import StoreClient, StoreRequest
-from magnoliasill.sidecar import forwarding, gate_port, member_requests
+from magnoliasill.sidecar import crash_guard, forwarding, gate_port, member_requests, store_sync
 from magnoliasill.sidecar.bodies import LongBody
 from magnoliasill.sidecar.control_port import record_heartbeat
+from magnoliasill.sidecar.crash_reports import (
+    ALL_PATH,
+    NOTICE_PATH,
+    describe_all,
+    keep_findings_stored,
+    receive_notice,
+)
 from magnoliasill.sidecar.forwarding import Request, forward_request
 from magnoliasill.sidecar.gate_port import handle_gate_request
 from magnoliasill.sidecar.http_exchange import (
@@ -53,6 +63,7 @@
     from collections.abc import Callable
 
 STORE_DELAY_S = 0.005
+WATCH_DELAY_S = (0.03, 0.75)  # until a sidecar hears of a change, with the batches of its relay
 CONNECT_TIMEOUT_S = 0.25  # of a hop to a VM that does not answer
 KEEPALIVE_S = 3.0  # until a silent connection is found
 SERVER_DOWN_S = (1.0, 3.0)
@@ -151,13 +162,23 @@
     play = fleets[0]
     forwarding.exchange = partial(_exchange_with_gate, play)
     gate_port.exchange = partial(_exchange_with_server, play)
-    gate_port.has_server_ended = partial(_has_ended, play)
+    gate_port.has_server_ended = crash_guard.has_server_ended = partial(_has_ended, play)
     member_requests.exchange = partial(_exchange_with_member, play)
     return play
 
 
 def start_crash_loops(play: CrashPlay, vm: SimulatedVm) -> None:
-    """Start the background loops of a sidecar that a play needs."""
+    """Start the background loop of a sidecar that a play needs, with what the store has."""
+    for key, item in play.fake_store.items.items():
+        if key.startswith(CRASH_PREFIX):
+            _deliver_findings(vm, key, item)
+    loop = eventlet.spawn(keep_findings_stored, vm.sidecar)
+    play.loops[vm.sidecar.settings.name] = [loop]
+
+
+def _deliver_findings(vm: SimulatedVm, key: str, item: Any) -> None:
+    page = Page((Item(key, item["revision"], base64.b64decode(item["value"])),), 0)
+    store_sync.apply_page(vm.sidecar, page)
 
 
 def restart_vm(play: CrashPlay, name: str, down_s: float, dark: bool = False) -> None:
@@ -190,7 +211,7 @@
     vm.starts += 1
     vm.down = False
     _connect_store(play, vm)
-    simulated_calls._start_sidecar(play.fleet, vm)
+    simulated_calls._start_sidecar(play.fleet, vm, id(vm.server) not in play.down)
     start_crash_loops(play, vm)
 
 
@@ -382,7 +403,7 @@
     except CallError as error:
         if innocent:
             play.outcomes["failed" if error.code is ErrorCode.OUTCOME_UNKNOWN else "refused"] += 1
-            if "ended" in error.message:
+            if any(word in error.message for word in ("ended", crash_guard.ALONE_REASON)):
                 play.refused.append(f"{options['name']} at {play.now:.3f}: {error.message}")
         return None
     except Exception as error:  # reported by the test, since a green thread's error is only printed
@@ -405,9 +426,20 @@
         raise StoreError(ErrorCode.STORE_UNAVAILABLE, "the store did not answer")
     parts = urlsplit(request.path)
     query = dict(parse_qsl(parts.query, keep_blank_values=True))
-    return handle_request(
+    status, body = handle_request(
         play.fake_store, play.now, request.method, parts.path, query, request.body
     )
+    for put in (request.body or {}).get("puts", ()) if status == 200 else ():
+        item = play.fake_store.items[put["key"]]
+        for other in play.fleet.vms.values():
+            delay_s = play.random.uniform(*WATCH_DELAY_S)
+            eventlet.spawn_after(delay_s, _deliver_if_up, play, other, put["key"], item)
+    return status, body
+
+
+def _deliver_if_up(play: CrashPlay, vm: SimulatedVm, key: str, item: Any) -> None:
+    if not vm.down and not play.store_away:
+        _deliver_findings(vm, key, item)
 
 
 def _find_sender(play: CrashPlay, pool: Any) -> SimulatedVm:
@@ -503,7 +535,10 @@
 
 def answer_member(vm: SimulatedVm, message: Message) -> bytes:
     """Return a sidecar's response to another sidecar's request."""
-    return b"{}"
+    if message.target == ALL_PATH:
+        return describe_all(vm.sidecar)
+    assert message.target == NOTICE_PATH
+    return receive_notice(vm.sidecar, message.body)
 
 
 def _has_ended(play: CrashPlay, sidecar: Any) -> bool:
