Recognise a refused connection as the end of a server, and don't run a suspect beside its sender

What callers saw: with real sockets, a request still ended five of five servers. A refused connection raises urllib3's NewConnectionError, which is a ConnectTimeoutError too, so it counted as a time-out that shows nothing.

Where a VM lost power with its server and with the sender of the request, nobody knew of the end. A sidecar sends a suspect to another VM if there is one.

--- a/src/magnoliasill/sidecar/crash_guard.py
+++ b/src/magnoliasill/sidecar/crash_guard.py
@@ -12,7 +12,7 @@
 import attrs
 import eventlet
 
-from ..calls.crash_table import compute_fingerprint, find_block_left
+from ..calls.crash_table import compute_fingerprint, count_ends, find_block_left
 from ..codes import LogEvent
 from ..mesh.crash_findings import (
     add_unresolved,
@@ -29,7 +29,6 @@
 from .crash_reports import (
     apply_records,
     ask_store,
-    is_suspect,
     log_new_blocks,
     report_clearance,
     report_end,
@@ -96,6 +95,12 @@
     return describe_request(findings, guarded.service, guarded.fingerprint)
 
 
+def is_suspect_request(sidecar: Sidecar, guarded: GuardedRequest) -> bool:
+    """Return whether servers have ended under equal requests that nothing has cleared since."""
+    table = sidecar.crash_findings.table
+    return bool(table.suspects) and count_ends(table, guarded.fingerprint) > 0
+
+
 def add_knowledge(sidecar: Sidecar, guarded: GuardedRequest, report: GateReport) -> GateReport:
     """Return a gate's report with what it knows of equal requests."""
     record = describe_suspect(sidecar, guarded)
@@ -117,7 +122,7 @@
     if call.crashes is not None:
         for fingerprint in apply_records(sidecar, [call.crashes], call.service):
             report_clearance(sidecar, call.service, fingerprint, "known here")
-    if not sidecar.crash_findings.table.suspects or not is_suspect(sidecar, guarded.fingerprint):
+    if not is_suspect_request(sidecar, guarded):
         return
     ask_store(sidecar)
     deadline = sidecar.clock() + min(ALONE_WAIT_S, call.time_left_s / 2)
--- a/src/magnoliasill/sidecar/crash_reports.py
+++ b/src/magnoliasill/sidecar/crash_reports.py
@@ -320,8 +320,3 @@
             sidecar.log(
                 LogEvent.ENTRY_REFUSED, key=item.key, revision=item.revision, reason=error.message
             )
-
-
-def is_suspect(sidecar: Sidecar, fingerprint: bytes) -> bool:
-    """Return whether servers have ended under equal requests that nothing has cleared since."""
-    return count_ends(sidecar.crash_findings.table, fingerprint) > 0
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -38,7 +38,13 @@
 from ..mesh.retry_after import RetryAfterState, choose_retry_after, count_arrival
 from ..mesh.server_notices import record_limit, use_turn
 from .bodies import LongBody
-from .crash_guard import BLOCKED_REASON, GuardedRequest, describe_suspect, record_lost_hop
+from .crash_guard import (
+    BLOCKED_REASON,
+    GuardedRequest,
+    describe_suspect,
+    is_suspect_request,
+    record_lost_hop,
+)
 from .crash_reports import apply_records
 from .gate_port import handle_gate_request
 from .http_exchange import BETWEEN_VMS_TIMEOUTS, BrokenError, Message, NotSentError, Reply, exchange
@@ -167,6 +173,8 @@
         placement = _build_placement(sidecar, request, state)
         if candidates is None:
             candidates = choose_release_members(sidecar.members, placement, sidecar.random)
+        if is_suspect_request(sidecar, guarded):
+            candidates = _avoid_own_vm(sidecar, candidates)
         member = choose_member(sidecar.members, candidates, placement, sidecar.random)
         if member is None:
             if state.allow_limited_release:
@@ -191,6 +199,12 @@
     return _build_final_reply(sidecar, request, state, retry_after_state)
 
 
+def _avoid_own_vm(sidecar: Sidecar, candidates: list[Member]) -> list[Member]:
+    """Leave out this VM if there are others, so that the sender survives the VM that runs it."""
+    others = [member for member in candidates if member.name != sidecar.settings.name]
+    return others or candidates
+
+
 def _has_time_for_attempt(sidecar: Sidecar, request: Request) -> bool:
     return (
         sidecar.clock() < request.answer_deadline - MIN_ATTEMPT_TIME_S
--- a/src/magnoliasill/sidecar/server_liveness.py
+++ b/src/magnoliasill/sidecar/server_liveness.py
@@ -43,10 +43,10 @@
     connection = open_connection(address, CONNECT_TIMEOUT_S)
     try:
         connect(connection, CONNECT_TIMEOUT_S)
+    except NewConnectionError:  # a subclass of the other
+        return True
     except ConnectTimeoutError:
         return False
-    except NewConnectionError:
-        return True
     if wait_readable(connection, CLOSING_S):
         connection.http.close()
         return True
--- a/tests/sidecar/fleet.py
+++ b/tests/sidecar/fleet.py
@@ -51,6 +51,7 @@
             for the usual one. A trailing `!close` closes the connection afterwards, `!end` does so
             without being sent itself, and `!reset` resets it.
         listener: The listening socket.
+        connections: The open connections.
     """
 
     address: str
@@ -69,6 +70,7 @@
     leaving: bool = False
     behave: Any = None
     listener: Any = None
+    connections: set[Any] = attrs.field(factory=set)
 
 
 @attrs.define
@@ -315,8 +317,16 @@
         eventlet.spawn(_serve_connection, server, sock)
 
 
+def end_server(server: Server) -> None:
+    """Close all sockets of a backend server, as the end of its process does."""
+    server.listener.close()
+    for sock in list(server.connections):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def _serve_connection(server: Server, sock: Any) -> None:
     file = sock.makefile("rb")
+    server.connections.add(sock)
     try:
         while (line := file.readline()).strip():
             method, target, _ = line.decode().split()
@@ -331,6 +341,7 @@
     except OSError:
         return
     finally:
+        server.connections.discard(sock)
         file.close()
         sock.close()
 
