Close the idle connections that may be silent too, after a request timed out on one

What callers saw: after open connections had gone silent for good, each idle connection to a server or a gate cost one more request its whole deadline. The product's own interface closes them all after the first (calls/exchange); sidecars did so only for connections that were reset.

Evidence: SilentConnectionsTest.test_one_request_is_lost failed before: the second of four requests after the silence timed out as well.

Change: after a time-out on a connection that was used before, those that have not answered since the request was sent are closed. Those that answered meanwhile stay, so that a slow server does not lose its connections.

--- a/src/magnoliasill/calls/connections.py
+++ b/src/magnoliasill/calls/connections.py
@@ -159,6 +159,25 @@
         pool.idle[address] = kept
 
 
+def drop_unproven_connections(pool: ConnectionPool, address: str, since: float) -> None:
+    """Close the idle connections to a server on which nothing has arrived since a given time.
+
+    If a connection went silent for good, those that were idle meanwhile probably did too.
+
+    Args:
+        pool: The connection pool.
+        address: The server's `ip:port`.
+        since: When a request was sent that got no response, in seconds on the monotonic clock.
+    """
+    idle = pool.idle.pop(address, deque())
+    kept = deque(connection for connection in idle if connection.idle_since >= since)
+    for connection in idle:
+        if connection.idle_since < since:
+            connection.http.close()
+    if kept:
+        pool.idle[address] = kept
+
+
 def wait_readable(connection: PooledConnection, timeout_s: float) -> bool:
     """Wait until a connection has data to read; return False on timeout."""
     try:
--- a/src/magnoliasill/sidecar/http_exchange.py
+++ b/src/magnoliasill/sidecar/http_exchange.py
@@ -26,6 +26,7 @@
     acquire_connection,
     connect,
     drop_older_connections,
+    drop_unproven_connections,
     open_connection,
     release_connection,
     wait_readable,
@@ -232,7 +233,8 @@
         TimedOutError: If no response arrived before the deadline.
         BrokenError: If the response is missing, cut short, not valid or belongs to another request.
     """
-    left_s = max(deadline - monotonic(), MIN_TIMEOUT_S)
+    sent_at = monotonic()
+    left_s = max(deadline - sent_at, MIN_TIMEOUT_S)
     connection = _choose_connection(pool, address, left_s, retryable)
     if connection.http.sock is None:
         _open_socket(connection, left_s, timeouts)
@@ -244,6 +246,8 @@
         return _read_reply(pool, address, connection, response, deadline, fully_sent)
     except TimeoutError as error:
         connection.http.close()
+        if connection.idle_since is not None:
+            drop_unproven_connections(pool, address, sent_at)
         if monotonic() < deadline - TIMER_TOLERANCE_S:  # TCP_USER_TIMEOUT of the kernel
             raise BrokenError(
                 ErrorCode.OUTCOME_UNKNOWN, "the other end stopped acknowledging data"
--- a/tests/sidecar/test_http_exchange.py
+++ b/tests/sidecar/test_http_exchange.py
@@ -6,6 +6,7 @@
 from time import monotonic
 from unittest import mock
 
+import eventlet
 import testtools
 
 from magnoliasill.calls.connections import ConnectionPool
@@ -76,3 +77,43 @@
             monotonic() + 1.0,
             True,
         )
+
+
+class SilentConnectionsTest(testtools.TestCase):
+    """Guards against losing a request on each idle connection, after all of them went silent."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        fleet = open_fleet(["shop"])
+        self.addCleanup(close_fleet, fleet)
+        self.server = fleet.servers[0]
+        self.pool = ConnectionPool()
+
+    def ask(self, seconds: float) -> int:
+        deadline = monotonic() + seconds
+        return exchange(self.pool, self.server.address, MESSAGE, deadline, True).status
+
+    def open_connections(self, count: int) -> None:
+        self.server.work_s = 0.05
+        threads = [eventlet.spawn(self.ask, 5.0) for _ in range(count)]
+        self.assertEqual([200] * count, [thread.wait() for thread in threads])
+        self.assertEqual(count, len(self.pool.idle[self.server.address]))
+
+    def test_one_request_is_lost(self) -> None:
+        self.open_connections(4)
+        silent = set(self.server.connections)
+        for sock in silent:
+            sock.sendall = lambda data: None
+        self.assertRaises(TimedOutError, self.ask, 0.3)
+        self.assertEqual([200] * 4, [self.ask(5.0) for _ in range(4)])
+
+    def test_connections_that_were_used_meanwhile_stay(self) -> None:
+        self.open_connections(2)
+        self.server.work_s = 0.5
+        slow = eventlet.spawn(self.assertRaises, TimedOutError, self.ask, 0.15)
+        eventlet.sleep(0.02)
+        self.server.work_s = 0.0
+        self.assertEqual(200, self.ask(5.0))
+        used = list(self.pool.idle[self.server.address])
+        slow.wait()
+        self.assertEqual(used, list(self.pool.idle[self.server.address]))
