Bound notices of ended servers, and log what could not be exchanged

What operators saw: a notice or a read of the store that failed left a counter and no line; a blocked request asked the store at each copy; cleared requests travelled with every hop; one malformed item of the store kept those after it from being read.

--- a/src/magnoliasill/calls/crash_table.py
+++ b/src/magnoliasill/calls/crash_table.py
@@ -128,8 +128,6 @@
     if set(servers) <= suspect.ended:
         return None
     suspect.ended |= set(servers)
-    if len(suspect.ended) > MAX_SERVERS:
-        suspect.ended = suspect.counted
     _store_suspect(table, now, fingerprint, suspect)
     if len(suspect.counted) >= table.rule.servers and now >= suspect.blocked_until:
         seconds = min(table.rule.first_s * 2**suspect.blocks, table.rule.max_s)
@@ -168,6 +166,8 @@
     table: CrashTable, now: float, fingerprint: bytes, suspect: SuspectRequest
 ) -> None:
     suspect.seen_at = now
+    if len(suspect.ended | suspect.cleared) > MAX_SERVERS:  # the counted ones decide
+        suspect.ended, suspect.cleared = set(sorted(suspect.counted)[:MAX_SERVERS]), set()
     table.suspects[fingerprint] = suspect
     table.suspects.move_to_end(fingerprint)
     if len(table.suspects) > MAX_SUSPECTS:
--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -322,6 +322,12 @@
         "A request was answered, or a server runs that seemed to have ended under it.",
         fields=("fingerprint", "service", "servers", "reason"),
     ),
+    LogEvent.FINDINGS_UNSHARED: EventEntry(
+        "What is known of servers that ended under requests could not be exchanged with the store "
+        "or with another sidecar; it is tried again.",
+        fields=("other", "reason"),
+        reaction="nothing, unless the store or that sidecar is named for minutes",
+    ),
     LogEvent.CHANGE_ACCEPTED: EventEntry(
         "A team's change was accepted through this daemon.",
         fields=("team", "version", "publish_id"),
--- a/src/magnoliasill/sidecar/crash_guard.py
+++ b/src/magnoliasill/sidecar/crash_guard.py
@@ -88,11 +88,10 @@
 
 
 def describe_suspect(sidecar: Sidecar, guarded: GuardedRequest) -> CrashRecord | None:
-    """Return what is known of servers that ended under equal requests, or None if nothing is."""
-    findings = sidecar.crash_findings
-    if not findings.table.suspects:
+    """Return which servers ended under equal requests, or None unless some of it counts."""
+    if not is_suspect_request(sidecar, guarded):
         return None
-    return describe_request(findings, guarded.service, guarded.fingerprint)
+    return describe_request(sidecar.crash_findings, guarded.service, guarded.fingerprint)
 
 
 def is_suspect_request(sidecar: Sidecar, guarded: GuardedRequest) -> bool:
@@ -101,13 +100,15 @@
     return bool(table.suspects) and count_ends(table, guarded.fingerprint) > 0
 
 
-def add_knowledge(sidecar: Sidecar, guarded: GuardedRequest, report: GateReport) -> GateReport:
-    """Return a gate's report with what it knows of equal requests."""
-    record = describe_suspect(sidecar, guarded)
-    if record is None:
+def add_knowledge(
+    sidecar: Sidecar, call: HopCall, guarded: GuardedRequest, report: GateReport
+) -> GateReport:
+    """Return a gate's report with what it knows of a request that it or the sender suspects."""
+    if call.crashes is None and not is_suspect_request(sidecar, guarded):
         return report
-    table = sidecar.crash_findings.table
-    blocked_s = find_block_left(table, sidecar.clock(), guarded.fingerprint)
+    findings = sidecar.crash_findings
+    record = describe_request(findings, guarded.service, guarded.fingerprint)
+    blocked_s = find_block_left(findings.table, sidecar.clock(), guarded.fingerprint)
     return attrs.evolve(report, crashes=record, blocked_s=round(blocked_s, 3))
 
 
@@ -124,7 +125,8 @@
             report_clearance(sidecar, call.service, fingerprint, "known here")
     if not is_suspect_request(sidecar, guarded):
         return
-    ask_store(sidecar)
+    if find_crash_refusal(sidecar, guarded) != BLOCKED_REASON:
+        ask_store(sidecar)
     deadline = sidecar.clock() + min(ALONE_WAIT_S, call.time_left_s / 2)
     while find_crash_refusal(sidecar, guarded) == ALONE_REASON and sidecar.clock() < deadline:
         eventlet.sleep(ALONE_POLL_S)
--- a/src/magnoliasill/sidecar/crash_reports.py
+++ b/src/magnoliasill/sidecar/crash_reports.py
@@ -39,8 +39,9 @@
 
 NOTICE_PATH = "/mesh/crashes"
 ALL_PATH = "/mesh/crashes/all"
-MAX_NOTICE_BYTES = 262_144
-MAX_RECORDS = 512  # in one answer
+MAX_NOTICE_RECORDS = 128
+MAX_NOTICE_BYTES = 262_144  # such a notice with the most servers for each request
+MAX_RECORDS = 512  # for a gate that has started
 START_GATES = 2  # asked after a start; the store knows what they have forgotten
 START_CHECKS = 200
 START_CHECK_INTERVAL_S = 0.05
@@ -104,9 +105,12 @@
         reports.changed.send()
     for service in sorted({service for service, _ in unsent}):
         fingerprints = sorted(fingerprint for found, fingerprint in unsent if found == service)
-        for member in list(sidecar.members.by_service.get(service, {}).values()):
-            if member.name != sidecar.settings.name:
-                eventlet.spawn(_notify_member, sidecar, member, service, fingerprints)
+        members = sidecar.members.by_service.get(service, {})
+        others = [member for name, member in members.items() if name != sidecar.settings.name]
+        for first in range(0, len(fingerprints), MAX_NOTICE_RECORDS):
+            chosen = fingerprints[first : first + MAX_NOTICE_RECORDS]
+            for member in others:
+                eventlet.spawn(_notify_member, sidecar, member, service, chosen)
 
 
 def _notify_member(
@@ -119,7 +123,7 @@
         if answer is not None:
             _merge_answer(sidecar, service, answer)
             return
-        sidecar.meters.count("crashes", "notice_lost")
+        _log_unshared(sidecar, "notice_lost", member.name, "no answer to a notice")
         if pause_s is None:
             return
         eventlet.sleep(pause_s)
@@ -257,11 +261,14 @@
         with eventlet.Timeout(ASK_TIMEOUT_S, False):
             page = sidecar.store.read_page(CRASH_PREFIX)
             sidecar.meters.count("store", "read")
-            for item in page.items:
-                apply_stored_findings(sidecar, item)
-    except (StoreError, ConfigurationError) as error:
-        sidecar.meters.count("crashes", "store_unread")
-        sidecar.log(LogEvent.ENTRY_REFUSED, key=CRASH_PREFIX, revision=0, reason=error.message)
+            _apply_items(sidecar, page.items)
+    except StoreError as error:
+        _log_unshared(sidecar, "store_unread", "store", error.message)
+
+
+def _log_unshared(sidecar: Sidecar, outcome: str, other: str, reason: str) -> None:
+    sidecar.meters.count("crashes", outcome)
+    sidecar.log(LogEvent.FINDINGS_UNSHARED, other=other, reason=reason)
 
 
 def keep_findings_stored(sidecar: Sidecar) -> None:
@@ -289,14 +296,17 @@
         condition = (Condition(key, reports.revision),)
         reports.revision = sidecar.store.transact(Transaction((put,), condition))
         sidecar.meters.count("store", "write")
-    except LeaseEndedError:
+    except LeaseEndedError as error:
         reports.lease = 0
+        _log_unshared(sidecar, "store_unwritten", "store", error.message)
         return False
     except ConditionFailedError as error:
-        _adopt_stored_item(sidecar, error.items)
+        # an earlier process on this VM wrote the item, and what it found is written again
+        reports.revision = error.items[0].revision if error.items else 0
+        _apply_items(sidecar, error.items)
         return False
-    except StoreError:
-        sidecar.meters.count("crashes", "store_unwritten")
+    except StoreError as error:
+        _log_unshared(sidecar, "store_unwritten", "store", error.message)
         return False
     return True
 
@@ -310,9 +320,7 @@
     sidecar.meters.count("store", "lease")
 
 
-def _adopt_stored_item(sidecar: Sidecar, items: tuple[Item, ...]) -> None:
-    """Take over the item that an earlier process on this VM wrote, before it is replaced."""
-    sidecar.crash_reports.revision = items[0].revision if items else 0
+def _apply_items(sidecar: Sidecar, items: Iterable[Item]) -> None:
     for item in items:
         try:
             apply_stored_findings(sidecar, item)
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -149,7 +149,8 @@
     adopt_limit(sidecar, call)
     prepare_suspect(sidecar, call, guarded)
     gate_result = _admit_and_run(sidecar, call, guarded, arrived_at, on_start)
-    return attrs.evolve(gate_result, report=add_knowledge(sidecar, guarded, gate_result.report))
+    report = add_knowledge(sidecar, call, guarded, gate_result.report)
+    return attrs.evolve(gate_result, report=report)
 
 
 def _admit_and_run(
