--- a/tools/faults.py
+++ b/tools/faults.py
@@ -128,10 +128,14 @@
     ),
     (
         "a request crashes each backend server that runs it",
-        "test_crashes, test_processes_once",
+        "test_crashes, test_processes_once, test_crashing_requests, test_crash_guard",
+        PROVED,
+    ),
+    (
+        "open connections go silent",
+        "test_exchange.SilentTest, test_faults, test_http_exchange",
         PROVED,
     ),
-    ("open connections go silent", "test_exchange.SilentTest, test_faults", PROVED),
     (
         "backend servers drain, start cold, shed load, report late or falsely",
         "test_forwarder, test_failure_detection",
