Count the ends of a request over all services that its route leads to

What callers saw: on a split route, or one that moved to another service, a request ended three servers of each service. The fingerprint had the service in it, and gates of other services ignored findings.

Notices still go to the gates of the service that ran it only; those of others learn from the store, the sender, or the gate that they ask.

--- a/src/magnoliasill/mesh/crash_findings.py
+++ b/src/magnoliasill/mesh/crash_findings.py
@@ -45,7 +45,7 @@
     """The known ends of servers under one request, as sidecars exchange and store it.
 
     Attributes:
-        service: The service that the request is for.
+        service: The service whose servers ran it, and whose gates are told.
         fingerprint: The request's fingerprint, in hexadecimal.
         ended: Digests of the incarnations that ended while they ran it, in hexadecimal.
         cleared: Digests of those whose end it is cleared of.
@@ -136,27 +136,22 @@
 
 
 def merge_records(
-    findings: CrashFindings,
-    now: float,
-    records: Iterable[CrashRecord],
-    service: str,
-    running_server: bytes,
-) -> list[bytes]:
+    findings: CrashFindings, now: float, records: Iterable[CrashRecord], running_server: bytes
+) -> list[tuple[str, bytes]]:
     """Merge what other sidecars found, and clear requests of what this one knows better.
 
     Args:
         findings: What this sidecar knows.
         now: Seconds on the monotonic clock.
         records: The records; malformed ones are passed over.
-        service: The service of the local backend server; records for others are passed over.
         running_server: Digest of the local incarnation if it runs for all that is known, or empty.
 
     Returns:
-        The fingerprints of the requests that this sidecar cleared of an end.
+        The service and the fingerprint of each request that this sidecar cleared of an end.
     """
     cleared = []
     for record in records:
-        decoded = _decode_record(record) if record.service == service else None
+        decoded = _decode_record(record)
         if decoded is None:
             continue
         fingerprint, ended, already_cleared = decoded
@@ -164,11 +159,11 @@
             clear_ends(findings.table, now, fingerprint, already_cleared)
         if not ended or add_ends(findings.table, now, fingerprint, ended) is None:
             continue
-        is_new = _clear_if_answered(findings, now, service, fingerprint)
+        is_new = _clear_if_answered(findings, now, record.service, fingerprint)
         if running_server and running_server in ended - already_cleared:
-            is_new |= _clear_own(findings, now, service, fingerprint, running_server)
+            is_new |= _clear_own(findings, now, record.service, fingerprint, running_server)
         if is_new:
-            cleared.append(fingerprint)
+            cleared.append((record.service, fingerprint))
     return cleared
 
 
--- a/src/magnoliasill/sidecar/crash_guard.py
+++ b/src/magnoliasill/sidecar/crash_guard.py
@@ -68,14 +68,15 @@
 
     @property
     def fingerprint(self) -> bytes:
-        """A hash that identifies equal requests to the service, whatever their identifiers.
+        """A hash that identifies equal requests, whatever their identifiers.
 
-        Of a long body only the length and the buffered beginning count.
+        Of a long body only the length and the buffered beginning count. The service does not, since
+        the route may be split, or lead to another service later.
         """
         if not self._fingerprint:
             headers, body = self.message.headers, _sample_body(self.message.body)
             host = next((value for name, value in headers if name.lower() == "host"), "")
-            target = f"{self.service} {host.lower()}{self.message.target}"
+            target = host.lower() + self.message.target
             self._fingerprint = compute_fingerprint(self.message.method, target, body)
         return self._fingerprint
 
@@ -121,8 +122,8 @@
         guarded: The request.
     """
     if call.crashes is not None:
-        for fingerprint in apply_records(sidecar, [call.crashes], call.service):
-            report_clearance(sidecar, call.service, fingerprint, "known here")
+        for service, fingerprint in apply_records(sidecar, [call.crashes]):
+            report_clearance(sidecar, service, fingerprint, "known here")
     if not is_suspect_request(sidecar, guarded):
         return
     if find_crash_refusal(sidecar, guarded) != BLOCKED_REASON:
--- a/src/magnoliasill/sidecar/crash_reports.py
+++ b/src/magnoliasill/sidecar/crash_reports.py
@@ -1,8 +1,9 @@
 """Tells other sidecars under which requests backend servers ended.
 
 Findings go to all gates of the service at once, since each of them decides by what it knows. They
-are also written to the store, for gates in data centres that are cut off and for processes that
-start later. A gate that is about to run a suspect request asks the store first.
+are also written to the store, for gates in data centres that are cut off, for those of other
+services that the route may lead to, and for processes that start later. A gate that is about to run
+a suspect request asks the store first.
 """
 
 from __future__ import annotations
@@ -142,9 +143,9 @@
     for record in answer:
         fingerprint = read_fingerprint(record)
         known = describe_request(findings, service, fingerprint) if fingerprint else None
-        if record.service != service or known is None:
+        if known is None:
             continue
-        apply_records(sidecar, [record], service)
+        apply_records(sidecar, [record])
         if set(record.cleared) - set(known.cleared):
             merge_own(findings, [attrs.evolve(record, ended=())])
             _report(sidecar, service, fingerprint, END_DELAY_S)
@@ -157,15 +158,17 @@
     except ConfigurationError as error:
         sidecar.log(LogEvent.ENTRY_REFUSED, key=NOTICE_PATH, revision=0, reason=error.message)
         return b"[]"
-    service = sidecar.settings.service
-    apply_records(sidecar, records, service)
-    fingerprints = [read_fingerprint(record) for record in records if record.service == service]
-    known = _describe_requests(sidecar, service, [found for found in fingerprints if found])
-    return encode_record([record for record in known if record not in records])
+    apply_records(sidecar, records)
+    known = [
+        describe_request(sidecar.crash_findings, record.service, fingerprint)
+        for record in records
+        if (fingerprint := read_fingerprint(record)) is not None
+    ]
+    return encode_record([record for record in known if record and record not in records])
 
 
 def describe_all(sidecar: Sidecar) -> bytes:
-    """Return what this sidecar knows of requests for its service, for a gate that has started."""
+    """Return what this sidecar knows, for one that has started."""
     suspects = sidecar.crash_findings.table.suspects
     newest = list(islice(reversed(suspects), MAX_RECORDS))
     return encode_record(_describe_requests(sidecar, sidecar.settings.service, newest))
@@ -184,17 +187,17 @@
     for member in chosen:
         answer = _exchange_records(sidecar, member, ALL_PATH, [])
         if answer is not None:
-            apply_records(sidecar, answer, service)
+            apply_records(sidecar, answer)
 
 
-def apply_records(sidecar: Sidecar, records: Iterable[CrashRecord], service: str) -> list[bytes]:
-    """Merge records of other sidecars about requests for a service.
+def apply_records(sidecar: Sidecar, records: Iterable[CrashRecord]) -> list[tuple[str, bytes]]:
+    """Merge records of other sidecars.
 
     Returns:
-        The fingerprints of the requests that this sidecar cleared of an end.
+        The service and the fingerprint of each request that this sidecar cleared of an end.
     """
-    running = _find_running_server(sidecar) if service == sidecar.settings.service else b""
-    cleared = merge_records(sidecar.crash_findings, sidecar.clock(), records, service, running)
+    running = _find_running_server(sidecar)
+    cleared = merge_records(sidecar.crash_findings, sidecar.clock(), records, running)
     log_new_blocks(sidecar)
     return cleared
 
@@ -246,8 +249,7 @@
     applied[item.key] = item.revision
     if item.key == CRASH_PREFIX + sidecar.settings.name:
         merge_own(sidecar.crash_findings, records)
-    service = sidecar.settings.service
-    for fingerprint in apply_records(sidecar, records, service):
+    for service, fingerprint in apply_records(sidecar, records):
         report_clearance(sidecar, service, fingerprint, "known here")
 
 
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -356,7 +356,7 @@
     if report is None and result.outcome is AttemptOutcome.UNKNOWN:
         record_lost_hop(sidecar, guarded, member)
     elif report is not None and report.crashes is not None:
-        apply_records(sidecar, [report.crashes], guarded.service)
+        apply_records(sidecar, [report.crashes])
 
 
 def _attempt_locally(
