Keep reports of ended servers few while many hops are lost, and forget old suspects

What callers would have seen: in a cut or under congested links each request that timed out at a hop was reported to every gate of its service at once, also to unreachable ones, and the store was written up to 60 times a second by each sidecar; 80 of them could use up the store's writes, so that members lapse. Found by reading; no run showed it.

Change: a sidecar that lost a hop first asks the gate behind it, whose denial ends the matter; gates that could not be reached just now are left to the store; an item is written at most every 0.3 s. An answer only shows that a server runs if its request was sent after the end was found. Suspects leave the table after their retention, and finding blocks or a place in a full table no longer scans it all.

--- a/src/magnoliasill/calls/crash_table.py
+++ b/src/magnoliasill/calls/crash_table.py
@@ -99,7 +99,11 @@
 
 def list_blocked(table: CrashTable, now: float) -> set[bytes]:
     """Return the fingerprints of the requests that are currently blocked."""
-    return {fingerprint for fingerprint in table.suspects if is_blocked(table, now, fingerprint)}
+    return {
+        fingerprint
+        for fingerprint, suspect in table.suspects.items()
+        if suspect.blocked_until > now and is_blocked(table, now, fingerprint)
+    }
 
 
 def count_ends(table: CrashTable, fingerprint: bytes) -> int:
@@ -162,6 +166,15 @@
     return True
 
 
+def remove_expired(table: CrashTable, now: float) -> None:
+    """Remove the oldest suspects whose retention has passed."""
+    while table.suspects:
+        fingerprint, suspect = next(iter(table.suspects.items()))
+        if now - suspect.seen_at <= _find_retention(table, suspect):
+            return
+        del table.suspects[fingerprint]
+
+
 def _store_suspect(
     table: CrashTable, now: float, fingerprint: bytes, suspect: SuspectRequest
 ) -> None:
@@ -171,7 +184,8 @@
     table.suspects[fingerprint] = suspect
     table.suspects.move_to_end(fingerprint)
     if len(table.suspects) > MAX_SUSPECTS:
-        del table.suspects[min(table.suspects, key=lambda key: len(table.suspects[key].counted))]
+        found = (key for key, other in table.suspects.items() if len(other.counted) < 2)
+        del table.suspects[next(found, next(iter(table.suspects)))]
 
 
 def _find_retention(table: CrashTable, suspect: SuspectRequest) -> float:
--- a/src/magnoliasill/mesh/crash_findings.py
+++ b/src/magnoliasill/mesh/crash_findings.py
@@ -84,6 +84,7 @@
         answered: When equal requests were last answered here, by fingerprint.
         unresolved: Requests that ended without a response while their server seemed to run.
         ended_server: Digest of the local incarnation that this sidecar found ended.
+        ended_at: When it found that, in seconds on the monotonic clock.
         running_alone: Fingerprints of running requests of which one more end blocks the next.
     """
 
@@ -92,6 +93,7 @@
     answered: OrderedDict[bytes, float] = attrs.field(factory=OrderedDict)
     unresolved: deque[UnresolvedRun] = attrs.field(factory=lambda: deque(maxlen=MAX_UNRESOLVED))
     ended_server: bytes = b""
+    ended_at: float = 0.0
     running_alone: set[bytes] = attrs.field(factory=set)
 
 
--- a/src/magnoliasill/sidecar/crash_guard.py
+++ b/src/magnoliasill/sidecar/crash_guard.py
@@ -32,6 +32,7 @@
     log_new_blocks,
     report_clearance,
     report_end,
+    report_lost_hop,
 )
 from .release_guard import is_withheld
 from .server_liveness import has_server_ended
@@ -187,28 +188,31 @@
     """
     findings, now = sidecar.crash_findings, sidecar.clock()
     server = digest_server(heartbeat.instance, heartbeat.born)
-    if sidecar.backend.latest == heartbeat:
-        findings.ended_server = server
+    if sidecar.backend.latest == heartbeat and findings.ended_server != server:
+        findings.ended_server, findings.ended_at = server, now
     planned = sidecar.backend.leaving_at is not None and sidecar.backend.latest == heartbeat
     planned = planned or is_withheld(sidecar, heartbeat.service, heartbeat.release)
     for run in resolve_runs(findings, now, server):
-        if not planned:
-            _record_end(sidecar, run.service, run.fingerprint, server, "gate")
+        if not planned and _record_end(sidecar, run.service, run.fingerprint, server, "gate"):
+            report_end(sidecar, run.service, run.fingerprint)
 
 
 def record_lost_hop(sidecar: Sidecar, guarded: GuardedRequest, member: Member) -> None:
     """Record that a gate was lost with a request; its server may have ended with it."""
     server = digest_server(member.instance, member.born)
-    if not member.leaving:
-        _record_end(sidecar, guarded.service, guarded.fingerprint, server, "hop")
+    if not member.leaving and _record_end(
+        sidecar, guarded.service, guarded.fingerprint, server, "hop"
+    ):
+        report_lost_hop(sidecar, guarded.service, guarded.fingerprint, member)
 
 
 def _record_end(
     sidecar: Sidecar, service: str, fingerprint: bytes, server: bytes, source: str
-) -> None:
+) -> bool:
+    """Record an end under a request; return whether others need to know."""
     findings = sidecar.crash_findings
     if not record_end(findings, sidecar.clock(), service, fingerprint, server):
-        return
+        return False
     sidecar.meters.count("crashes", source)
     sidecar.log(
         LogEvent.REQUEST_SUSPECTED,
@@ -219,7 +223,7 @@
         source=source,
     )
     log_new_blocks(sidecar)
-    report_end(sidecar, service, fingerprint)
+    return True
 
 
 def record_answered_run(
@@ -238,7 +242,7 @@
     if record_answer(findings, now, guarded.service, guarded.fingerprint):
         report_clearance(sidecar, guarded.service, guarded.fingerprint, "answered")
     discard_runs(findings, server, started_at)
-    if findings.ended_server == server:
+    if findings.ended_server == server and started_at > findings.ended_at:
         findings.ended_server = b""
         for service, fingerprint in withdraw_ends(findings, now, server):
             report_clearance(sidecar, service, fingerprint, "the server runs")
--- a/src/magnoliasill/sidecar/crash_reports.py
+++ b/src/magnoliasill/sidecar/crash_reports.py
@@ -27,6 +27,7 @@
     merge_records,
     read_fingerprint,
 )
+from ..mesh.members import find_condition
 from ..mesh.records import CRASH_PREFIX, decode_crash_records, encode_record
 from ..mesh.store_items import Condition, Put, Transaction
 from .member_requests import request_from_member
@@ -50,8 +51,10 @@
 END_DELAY_S = 0.002
 CLEARANCE_DELAY_S = 0.2  # a clearance is urgent only for a request that is blocked
 NOTICE_TIMEOUT_S = 0.5
+GATE_TIMEOUT_S = 0.25  # of the gate that was lost; a restarted one is found through the store
 NOTICE_RETRY_S = (0.2, 0.6)
 WRITE_DELAY_S = 0.01
+WRITE_INTERVAL_S = 0.3  # keeps the writes of a large fleet well below what the store allows
 WRITE_RETRY_MIN_S = 0.3
 WRITE_RETRY_MAX_S = 0.9
 ASK_TIMEOUT_S = 0.1  # a store that answers later is slower than the sidecars' own notices
@@ -64,6 +67,20 @@
     _report(sidecar, service, fingerprint, END_DELAY_S)
 
 
+def report_lost_hop(sidecar: Sidecar, service: str, fingerprint: bytes, member: Member) -> None:
+    """Tell others that a server may have ended under a request, unless its own gate denies it."""
+
+    def ask_gate() -> None:
+        records = _describe_requests(sidecar, service, [fingerprint])
+        answer = _exchange_records(sidecar, member, NOTICE_PATH, records, GATE_TIMEOUT_S)
+        if answer is not None:
+            _merge_answer(sidecar, service, answer)
+        if answer is None or count_ends(sidecar.crash_findings.table, fingerprint):
+            report_end(sidecar, service, fingerprint)
+
+    eventlet.spawn(ask_gate)
+
+
 def report_clearance(sidecar: Sidecar, service: str, fingerprint: bytes, reason: str) -> None:
     """Tell others that a request is cleared of ends, soon enough for one that is nearly blocked."""
     suspect = sidecar.crash_findings.table.suspects[fingerprint]
@@ -106,14 +123,23 @@
         reports.changed.send()
     for service in sorted({service for service, _ in unsent}):
         fingerprints = sorted(fingerprint for found, fingerprint in unsent if found == service)
-        members = sidecar.members.by_service.get(service, {})
-        others = [member for name, member in members.items() if name != sidecar.settings.name]
+        others = _list_reachable_gates(sidecar, service)
         for first in range(0, len(fingerprints), MAX_NOTICE_RECORDS):
             chosen = fingerprints[first : first + MAX_NOTICE_RECORDS]
             for member in others:
                 eventlet.spawn(_notify_member, sidecar, member, service, chosen)
 
 
+def _list_reachable_gates(sidecar: Sidecar, service: str) -> list[Member]:
+    """Return the other gates of a service, without those that could not be reached just now."""
+    return [
+        member
+        for name, member in sidecar.members.by_service.get(service, {}).items()
+        if name != sidecar.settings.name
+        and find_condition(sidecar.members, member).avoid_until <= sidecar.clock()
+    ]
+
+
 def _notify_member(
     sidecar: Sidecar, member: Member, service: str, fingerprints: list[bytes]
 ) -> None:
@@ -131,10 +157,14 @@
 
 
 def _exchange_records(
-    sidecar: Sidecar, member: Member, target: str, records: list[CrashRecord]
+    sidecar: Sidecar,
+    member: Member,
+    target: str,
+    records: list[CrashRecord],
+    timeout_s: float = NOTICE_TIMEOUT_S,
 ) -> list[CrashRecord] | None:
     body = encode_record(records)
-    return request_from_member(sidecar, member, target, NOTICE_TIMEOUT_S, list[CrashRecord], body)
+    return request_from_member(sidecar, member, target, timeout_s, list[CrashRecord], body)
 
 
 def _merge_answer(sidecar: Sidecar, service: str, answer: list[CrashRecord]) -> None:
@@ -283,6 +313,7 @@
         reports.changed = Event()
         while not _write_findings(sidecar):
             eventlet.sleep(sidecar.random.uniform(WRITE_RETRY_MIN_S, WRITE_RETRY_MAX_S))
+        eventlet.sleep(WRITE_INTERVAL_S)
 
 
 def _write_findings(sidecar: Sidecar) -> bool:
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -16,6 +16,7 @@
 
 from ..calls.cancellation import cancel_disconnected
 from ..calls.connections import close_expired
+from ..calls.crash_table import remove_expired
 from ..codes import ErrorCode, LogEvent
 from ..errors import MagnoliasillError, SettingsError
 from ..mesh.gate import dispatch_waiting
@@ -231,6 +232,7 @@
         cancel_disconnected(sidecar.watched_calls, now)
         dispatch_waiting(sidecar.gate, now)
         remove_lapsed_members(sidecar)
+        remove_expired(sidecar.crash_findings.table, now)
         close_expired(sidecar.server_connections, now)
         close_expired(sidecar.peer_connections, now)
         eventlet.sleep(CHECK_INTERVAL_S)
