Know the ended server by its incarnation, not by its latest heartbeat

What callers would have seen: if a heartbeat came while the request ran, the gate did not remember that its server had ended. It denied other sidecars' reports of that end, and a leaving server's end could count against the requests that ran on it.

Evidence: test_a_heartbeat_during_the_run_hides_no_end failed before. Change: the incarnation is compared.

--- a/src/magnoliasill/sidecar/crash_guard.py
+++ b/src/magnoliasill/sidecar/crash_guard.py
@@ -14,6 +14,7 @@
 
 from ..calls.crash_table import compute_fingerprint, count_ends, find_block_left
 from ..codes import LogEvent
+from ..mesh.backend import is_current
 from ..mesh.crash_findings import (
     add_unresolved,
     describe_request,
@@ -188,10 +189,12 @@
     """
     findings, now = sidecar.crash_findings, sidecar.clock()
     server = digest_server(heartbeat.instance, heartbeat.born)
-    if sidecar.backend.latest == heartbeat and findings.ended_server != server:
+    current = is_current(sidecar.backend, heartbeat.instance, heartbeat.born)
+    if current and findings.ended_server != server:
         findings.ended_server, findings.ended_at = server, now
-    planned = sidecar.backend.leaving_at is not None and sidecar.backend.latest == heartbeat
-    planned = planned or is_withheld(sidecar, heartbeat.service, heartbeat.release)
+    planned = (current and sidecar.backend.leaving_at is not None) or is_withheld(
+        sidecar, heartbeat.service, heartbeat.release
+    )
     for run in resolve_runs(findings, now, server):
         if not planned and _record_end(sidecar, run.service, run.fingerprint, server, "gate"):
             report_end(sidecar, run.service, run.fingerprint)
--- a/tests/sidecar/test_crash_guard.py
+++ b/tests/sidecar/test_crash_guard.py
@@ -57,6 +57,20 @@
         self.assertGreater(float(headers["retry-after"]), 500)
         self.assertEqual(200, send(self.fleet, 0, "/shop/good", "good")[0])
 
+    def test_a_heartbeat_during_the_run_hides_no_end(self) -> None:
+        def behave(server: Server, identifier: str) -> bytes:
+            harness.send_heartbeat(self.fleet, self.fleet.servers.index(server))
+            self.ended.append(server)
+            end_server(server)
+            return b"!end"
+
+        for shop in self.shops:
+            shop.behave = behave
+        self.send_bad(1)
+        findings = [running.sidecar.crash_findings for running in self.fleet.sidecars]
+        ended = [self.fleet.servers[index] for index, f in enumerate(findings) if f.ended_server]
+        self.assertEqual({server.instance for server in self.ended}, {s.instance for s in ended})
+
     def test_a_body_that_differs_makes_another_request(self) -> None:
         self.send_bad(2, method="POST", body=b"one")
         self.assertEqual([502], self.send_bad(1, sender=1, method="POST", body=b"other"))
