--- a/src/magnoliasill/sidecar/crash_guard.py
+++ b/src/magnoliasill/sidecar/crash_guard.py
@@ -29,12 +29,12 @@
 from .bodies import MAX_BUFFERED_BYTES, LongBody
 from .crash_reports import (
     apply_records,
-    ask_store,
     log_new_blocks,
     report_clearance,
     report_end,
     report_lost_hop,
 )
+from .crash_store import ask_store
 from .release_guard import is_withheld
 from .server_liveness import has_server_ended
 
--- a/src/magnoliasill/sidecar/crash_reports.py
+++ b/src/magnoliasill/sidecar/crash_reports.py
@@ -1,9 +1,6 @@
-"""Tells other sidecars under which requests backend servers ended.
+"""Tells other sidecars under which requests backend servers ended, and hears of it from them.
 
-Findings go to all gates of the service at once, since each of them decides by what it knows. They
-are also written to the store, for gates in data centres that are cut off, for those of other
-services that the route may lead to, and for processes that start later. A gate that is about to run
-a suspect request asks the store first.
+Findings go to all gates of the service at once, since each of them decides by what it knows.
 """
 
 from __future__ import annotations
@@ -14,11 +11,10 @@
 
 import attrs
 import eventlet
-from eventlet.event import Event
 
 from ..calls.crash_table import count_ends, find_block_left, list_blocked
 from ..codes import LogEvent
-from ..errors import ConditionFailedError, ConfigurationError, LeaseEndedError, StoreError
+from ..errors import ConfigurationError
 from ..mesh.crash_findings import (
     CrashRecord,
     describe_request,
@@ -28,15 +24,13 @@
     read_fingerprint,
 )
 from ..mesh.members import find_condition
-from ..mesh.records import CRASH_PREFIX, decode_crash_records, encode_record
-from ..mesh.store_items import Condition, Put, Transaction
+from ..mesh.records import decode_crash_records, encode_record
 from .member_requests import request_from_member
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
 
     from ..mesh.members import Member
-    from ..mesh.store_items import Item
     from .state import Sidecar
 
 NOTICE_PATH = "/mesh/crashes"
@@ -53,13 +47,6 @@
 NOTICE_TIMEOUT_S = 0.5
 GATE_TIMEOUT_S = 0.25  # of the gate that was lost; a restarted one is found through the store
 NOTICE_RETRY_S = (0.2, 0.6)
-WRITE_DELAY_S = 0.01
-WRITE_INTERVAL_S = 0.3  # keeps the writes of a large fleet well below what the store allows
-WRITE_RETRY_MIN_S = 0.3
-WRITE_RETRY_MAX_S = 0.9
-ASK_TIMEOUT_S = 0.1  # a store that answers later is slower than the sidecars' own notices
-ASK_INTERVAL_S = 0.01
-LEASE_S = 600.0
 
 
 def report_end(sidecar: Sidecar, service: str, fingerprint: bytes) -> None:
@@ -150,7 +137,7 @@
         if answer is not None:
             _merge_answer(sidecar, service, answer)
             return
-        _log_unshared(sidecar, "notice_lost", member.name, "no answer to a notice")
+        log_unshared(sidecar, "notice_lost", member.name, "no answer to a notice")
         if pause_s is None:
             return
         eventlet.sleep(pause_s)
@@ -266,98 +253,7 @@
     return [record for record in found if record is not None]
 
 
-def apply_stored_findings(sidecar: Sidecar, item: Item) -> None:
-    """Apply an item of the store with what a sidecar found.
-
-    Raises:
-        ConfigurationError: If its value is malformed.
-    """
-    applied = sidecar.crash_reports.applied
-    if item.value is None or applied.get(item.key, 0) >= item.revision:
-        return
-    records = decode_crash_records(item.value)
-    applied[item.key] = item.revision
-    if item.key == CRASH_PREFIX + sidecar.settings.name:
-        merge_own(sidecar.crash_findings, records)
-    for service, fingerprint in apply_records(sidecar, records):
-        report_clearance(sidecar, service, fingerprint, "known here")
-
-
-def ask_store(sidecar: Sidecar) -> None:
-    """Read what all sidecars found from the store, unless it does not answer at once."""
-    reports, now = sidecar.crash_reports, sidecar.clock()
-    if not sidecar.store_reachable or now - reports.asked_at < ASK_INTERVAL_S:
-        return
-    reports.asked_at = now
-    try:
-        with eventlet.Timeout(ASK_TIMEOUT_S, False):
-            page = sidecar.store.read_page(CRASH_PREFIX)
-            sidecar.meters.count("store", "read")
-            _apply_items(sidecar, page.items)
-    except StoreError as error:
-        _log_unshared(sidecar, "store_unread", "store", error.message)
-
-
-def _log_unshared(sidecar: Sidecar, outcome: str, other: str, reason: str) -> None:
+def log_unshared(sidecar: Sidecar, outcome: str, other: str, reason: str) -> None:
+    """Count and log that findings could not be exchanged with the store or another sidecar."""
     sidecar.meters.count("crashes", outcome)
     sidecar.log(LogEvent.FINDINGS_UNSHARED, other=other, reason=reason)
-
-
-def keep_findings_stored(sidecar: Sidecar) -> None:
-    """Write this sidecar's findings to the store when they change, until the process ends."""
-    eventlet.spawn(learn_from_gates, sidecar)
-    reports = sidecar.crash_reports
-    while True:
-        reports.changed.wait()
-        eventlet.sleep(WRITE_DELAY_S)
-        reports.changed = Event()
-        while not _write_findings(sidecar):
-            eventlet.sleep(sidecar.random.uniform(WRITE_RETRY_MIN_S, WRITE_RETRY_MAX_S))
-        eventlet.sleep(WRITE_INTERVAL_S)
-
-
-def _write_findings(sidecar: Sidecar) -> bool:
-    """Write the findings; return whether that succeeded."""
-    reports, key = sidecar.crash_reports, CRASH_PREFIX + sidecar.settings.name
-    try:
-        _renew_lease(sidecar)
-        if reports.revision is None:
-            known = sidecar.mirror.items.get(key)
-            reports.revision = known.revision if known and known.value is not None else 0
-        value = encode_record(list(sidecar.crash_findings.own.values()))
-        put = Put(key, value, reports.lease)
-        condition = (Condition(key, reports.revision),)
-        reports.revision = sidecar.store.transact(Transaction((put,), condition))
-        sidecar.meters.count("store", "write")
-    except LeaseEndedError as error:
-        reports.lease = 0
-        _log_unshared(sidecar, "store_unwritten", "store", error.message)
-        return False
-    except ConditionFailedError as error:
-        # an earlier process on this VM wrote the item, and what it found is written again
-        reports.revision = error.items[0].revision if error.items else 0
-        _apply_items(sidecar, error.items)
-        return False
-    except StoreError as error:
-        _log_unshared(sidecar, "store_unwritten", "store", error.message)
-        return False
-    return True
-
-
-def _renew_lease(sidecar: Sidecar) -> None:
-    reports = sidecar.crash_reports
-    if reports.lease and sidecar.clock() - reports.leased_at < LEASE_S / 2:
-        return
-    reports.lease = sidecar.store.grant_lease(LEASE_S)
-    reports.leased_at = sidecar.clock()
-    sidecar.meters.count("store", "lease")
-
-
-def _apply_items(sidecar: Sidecar, items: Iterable[Item]) -> None:
-    for item in items:
-        try:
-            apply_stored_findings(sidecar, item)
-        except ConfigurationError as error:
-            sidecar.log(
-                LogEvent.ENTRY_REFUSED, key=item.key, revision=item.revision, reason=error.message
-            )
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -34,9 +34,9 @@
     MAX_NOTICE_BYTES,
     NOTICE_PATH,
     describe_all,
-    keep_findings_stored,
     receive_notice,
 )
+from .crash_store import keep_findings_stored
 from .gate_port import build_gate_application
 from .header_parser import install_head_parser
 from .log_writer import LogWriter, open_log_writer, run_log_writer, write_pending
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -32,7 +32,7 @@
     decode_configuration,
     decode_order,
 )
-from .crash_reports import apply_stored_findings
+from .crash_store import apply_stored_findings
 from .server_notices import restore_leaving
 from .state import (
     NEVER,
--- a/tests/sidecar/simulated_crashes.py
+++ b/tests/sidecar/simulated_crashes.py
@@ -33,9 +33,9 @@
     ALL_PATH,
     NOTICE_PATH,
     describe_all,
-    keep_findings_stored,
     receive_notice,
 )
+from magnoliasill.sidecar.crash_store import keep_findings_stored
 from magnoliasill.sidecar.forwarding import Request, forward_request
 from magnoliasill.sidecar.gate_port import handle_gate_request
 from magnoliasill.sidecar.http_exchange import (
