Don't take the end of a connection for the end of a head or of the last chunk

Callers saw a 200 with an empty or short body, framed as whole, when a backend server broke off within its answer's head; a request whose caller broke off within its head was run.

Cause: the standard library's readers, and parse_head, take the end of the stream for the end of a line, of the head and of a chunked body. The same holds for eventlet's reader of chunked requests, where a cut chunk size (0a to 0) ended the body early.

Change: LineReader makes a line without its end an error. All readers of HTTP use it: the exchanges and ports of both interfaces, the store's client and the operators' tool. A response whose Content-Length or Transfer-Encoding is not valid is broken too.

--- a/src/magnoliasill/calls/caller_protocol.py
+++ b/src/magnoliasill/calls/caller_protocol.py
@@ -5,15 +5,16 @@
 import http.client
 from typing import Any
 
-from eventlet.wsgi import HeaderLineTooLong, HeadersTooLarge, HttpProtocol
+from eventlet.wsgi import HeaderLineTooLong, HeadersTooLarge
 
 from ..codes import ErrorCode
 from .error_responses import encode_error_body
+from .request_protocol import RequestProtocol
 
 CHUNKED = "chunked"
 
 
-class CallerProtocol(HttpProtocol):
+class CallerProtocol(RequestProtocol):
     """Checks the request line and the body framing before a request is handled or forwarded."""
 
     def _read_request_line(self) -> Any:
--- a/src/magnoliasill/calls/connections.py
+++ b/src/magnoliasill/calls/connections.py
@@ -10,9 +10,9 @@
 
 import attrs
 import eventlet.hubs
-from urllib3.connection import HTTPConnection
 
 from ..balancing.idle_bounds import IDLE_TIMEOUT_S, IdleBound
+from .line_reader import CheckedConnection
 from .sockets import SOCKET_OPTIONS
 
 if TYPE_CHECKING:
@@ -35,7 +35,7 @@
             the end of a response.
     """
 
-    http: HTTPConnection
+    http: CheckedConnection
     opened_at: float
     idle_since: float | None = None
     reader: Any = None
@@ -80,7 +80,7 @@
 def open_connection(address: str, timeout_s: float) -> PooledConnection:
     """Return a new connection outside the pool, which connects on first use."""
     host, _, port = address.rpartition(":")
-    http = HTTPConnection(host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS)
+    http = CheckedConnection(host, int(port), timeout=timeout_s, socket_options=SOCKET_OPTIONS)
     return PooledConnection(http, monotonic())
 
 
--- /dev/null
+++ b/src/magnoliasill/calls/line_reader.py
@@ -0,0 +1,61 @@
+"""Detects HTTP messages that end within their head or their chunked framing.
+
+The standard library takes the end of a connection for the end of a line, of a head and of a
+chunked body. A message that breaks off there would look like a complete one.
+"""
+
+from __future__ import annotations
+
+from http.client import HTTPResponse
+from typing import Any
+
+from urllib3 import HTTPConnectionPool
+from urllib3.connection import HTTPConnection
+
+
+class TruncatedLineError(ConnectionError):
+    """Raised when a connection ends where a complete line is due."""
+
+
+class LineReader:
+    """Wraps a binary stream so that a line without its end raises an error."""
+
+    def __init__(self, stream: Any) -> None:
+        self._stream = stream
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._stream, name)
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line with its end, or its first `limit` bytes if it is longer.
+
+        Args:
+            limit: The maximum number of bytes to read, or -1.
+
+        Raises:
+            TruncatedLineError: If the stream ends before the line does.
+        """
+        line: bytes = self._stream.readline(limit)
+        if line.endswith(b"\n") or len(line) == limit:
+            return line
+        raise TruncatedLineError(f"the connection ended after {line[:80]!r}")
+
+
+class CheckedResponse(HTTPResponse):
+    """A response that is an error if the connection ends before its head or last chunk does."""
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.fp = LineReader(self.fp)
+
+
+class CheckedConnection(HTTPConnection):
+    """An HTTP connection whose responses are checked for completeness."""
+
+    response_class = CheckedResponse
+
+
+class CheckedConnectionPool(HTTPConnectionPool):
+    """A pool of such connections, for `urllib3.PoolManager`."""
+
+    ConnectionCls = CheckedConnection
--- a/src/magnoliasill/platform/store.py
+++ b/src/magnoliasill/platform/store.py
@@ -14,6 +14,7 @@
 import urllib3
 from urllib3.connection import HTTPConnection
 
+from ..calls.line_reader import CheckedConnectionPool
 from ..calls.sockets import SOCKET_OPTIONS
 from ..codes import ErrorCode
 from ..errors import (
@@ -68,6 +69,7 @@
     # change until its wait is over
     options = [*HTTPConnection.default_socket_options, *SOCKET_OPTIONS]
     pool = urllib3.PoolManager(maxsize=MAX_CONNECTIONS, retries=False, socket_options=options)
+    pool.pool_classes_by_scheme = {"http": CheckedConnectionPool}
 
     def send_request(store_request: StoreRequest) -> tuple[int, Any]:
         read_timeout_s = store_request.read_timeout_s or timeout_s
--- a/src/magnoliasill/process/daemon.py
+++ b/src/magnoliasill/process/daemon.py
@@ -23,6 +23,7 @@
 from ..calls.connections import close_expired
 from ..calls.crash_guard import guard_exchange
 from ..calls.proxy_state import Proxy
+from ..calls.request_protocol import RequestProtocol
 from ..claims.claim_ranges import release_ranges
 from ..claims.idempotency import resolve_wait
 from ..codes import ErrorCode, LogEvent
@@ -128,6 +129,7 @@
         _run_wsgi_server,
         admin_listener,
         build_administration_application(_build_administration_context(daemon)),
+        RequestProtocol,
     )
     write_log(daemon.logger, LogEvent.DAEMON_STARTED, caller_port=settings.caller_port)
     daemon.stop_requested.wait()
@@ -268,9 +270,7 @@
         raise SettingsError(ErrorCode.PORT_IN_USE, message) from error
 
 
-def _run_wsgi_server(
-    sock: Any, application: Any, protocol: type = eventlet.wsgi.HttpProtocol
-) -> None:
+def _run_wsgi_server(sock: Any, application: Any, protocol: type) -> None:
     eventlet.wsgi.server(
         sock,
         application,
--- a/src/magnoliasill/sidecar/header_parser.py
+++ b/src/magnoliasill/sidecar/header_parser.py
@@ -14,7 +14,7 @@
 MAX_LINE_BYTES = 65_536
 MAX_HEADERS = 100
 MAX_HEAD_BYTES = 65_536  # of all lines, as the library's HTTP server allows
-_END_OF_HEADERS = (b"\r\n", b"\n", b"")
+_END_OF_HEADERS = (b"\r\n", b"\n")
 
 
 def parse_head(file: Any, _class: type[HTTPMessage] = HTTPMessage) -> HTTPMessage:
--- a/src/magnoliasill/sidecar/http_exchange.py
+++ b/src/magnoliasill/sidecar/http_exchange.py
@@ -31,6 +31,7 @@
     release_connection,
     wait_readable,
 )
+from ..calls.line_reader import LineReader
 from ..codes import ErrorCode
 from ..errors import MagnoliasillError
 from .bodies import LongBody, read_chunks
@@ -47,6 +48,7 @@
 MAX_IDLE_CONNECTIONS = 64
 IDLE_TIMEOUT_SHARE = 0.7  # of the other end's idle timeout; connections idle longer are not reused
 MAX_STALE_RESPONSES = 2  # responses to earlier requests that are skipped at most
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 _CONNECTION_ERRORS = (http.client.HTTPException, OSError, ValueError)
 
 
@@ -172,15 +174,9 @@
         self.closes, self.will_close = self.will_close, False
 
 
-class _UncloseableBuffer:
+class _UncloseableBuffer(LineReader):
     """Wraps the shared buffer so that a response can't close it."""
 
-    def __init__(self, buffer: io.BufferedReader) -> None:
-        self._buffer = buffer
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._buffer, name)
-
     def close(self) -> None:
         """Leave the buffer open for the next response."""
 
@@ -383,6 +379,8 @@
         raise http.client.HTTPException(
             "the response has several Content-Length headers or a Content-Encoding header"
         )
+    if response.length is None and not response.chunked and not _FRAMING_HEADERS.isdisjoint(names):
+        raise http.client.HTTPException("the response's length or transfer encoding is not valid")
     _record_idle_bound(pool, address, headers)
     chunks = _read_chunks(pool, address, connection, response, deadline, fully_sent)
     first_bytes, ended = _buffer_chunks(chunks)
--- a/src/magnoliasill/tool/client.py
+++ b/src/magnoliasill/tool/client.py
@@ -8,6 +8,7 @@
 import msgspec
 import urllib3
 
+from ..calls.line_reader import CheckedConnectionPool
 from ..codes import ErrorCode
 from ..errors import AdministrationError
 
@@ -90,7 +91,9 @@
     timeout_s: float,
 ) -> bytes:
     url = f"http://{address}{path}"
-    response = urllib3.request(
+    pool = urllib3.PoolManager()
+    pool.pool_classes_by_scheme = {"http": CheckedConnectionPool}
+    response = pool.request(
         method, url, body=body, headers=headers, timeout=timeout_s, retries=False
     )
     if response.status != STATUS_OK:
--- a/tests/calls/test_caller_protocol.py
+++ b/tests/calls/test_caller_protocol.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
+import socket
+
+import eventlet
 import testtools
 from testscenarios import WithScenarios
 
 from magnoliasill.calls.caller_application import build_application
 from magnoliasill.calls.caller_protocol import CallerProtocol
 
-from ..http_helpers import build_proxy, exchange_bytes, read_request, serve_bytes, serve_locally
+from ..http_helpers import (
+    TIMEOUT_S,
+    build_proxy,
+    exchange_bytes,
+    read_request,
+    serve_bytes,
+    serve_locally,
+)
 
 
 def frame(line: str, *headers: str, body: str = "") -> bytes:
@@ -102,6 +112,22 @@
         self.assertEqual([], forwarded)
 
 
+class TruncatedHeadTest(testtools.TestCase):
+    """Guards against running a request whose connection ended within its head."""
+
+    def test_no_prefix_is_forwarded_or_answered(self) -> None:
+        forwarded: list[bytes] = []
+        backend = serve_bytes(lambda sock: forwarded.append(read_request(sock)))
+        address = serve_locally(build_application(build_proxy(backend)), CallerProtocol)
+        data = frame("PUT /fees HTTP/1.1", "Content-Length: 0")
+        for length in range(len(data) - 1):
+            with eventlet.Timeout(TIMEOUT_S), eventlet.connect(address) as sock:
+                sock.sendall(data[:length])
+                sock.shutdown(socket.SHUT_WR)
+                self.assertEqual(b"", sock.recv(1), data[:length])
+        self.assertEqual([], forwarded)
+
+
 class ChunkedTest(testtools.TestCase):
     """A request with a chunked body."""
 
--- a/tests/calls/test_exchange.py
+++ b/tests/calls/test_exchange.py
@@ -91,6 +91,33 @@
             self.assertEqual({}, pool.idle)
 
 
+class PrefixTest(WithScenarios, testtools.TestCase):
+    """Guards against taking an answer that breaks off within its head or chunks for a whole one."""
+
+    scenarios = [
+        (name, {"answer": b"HTTP/1.1 200 OK\r\nX-Own: 1\r\n" + rest})
+        for name, rest in (
+            ("length", b"Content-Length: 12\r\n\r\nabcdefghijkl"),
+            ("no body", b"Content-Length: 0\r\n\r\n"),
+            ("chunks", b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX-Sum: 1\r\n\r\n"),
+        )
+    ]
+
+    def test_no_prefix_is_a_whole_answer(self) -> None:
+        for length in range(len(self.answer)):
+
+            def handle(sock: Any, length: int = length) -> None:
+                read_request(sock)
+                sock.sendall(self.answer[:length])
+                sock.close()
+
+            with eventlet.Timeout(TIMEOUT_S):
+                result = exchange_call(
+                    ConnectionPool(), serve_bytes(handle), build_call(), DEADLINE_S
+                )
+            self.assertEqual(OutcomeKind.BROKEN, result.kind, self.answer[:length])
+
+
 class ConnectTest(testtools.TestCase):
     """A failure to connect is `UNREACHABLE`: the call certainly did not run."""
 
