Take a refusal that names no request for an answer only on a new connection

Callers were told 'not run, try again' for a request that their backend server had run or was running, or the request ran at a second server: a copy of a refusal came before the true answer on a kept connection.

Cause: matches_request took any refusal without an identifier for the answer of what runs now. Ruled out: full servers that refuse without an identifier.

Change: an unnamed refusal counts only as the first response of a new connection, which is then closed; elsewhere it is skipped, and the true answer after it is read. If none follows, the outcome is unknown. The own interface's responses name no request, so it closes the connection after a refusal.

--- a/src/magnoliasill/calls/exchange.py
+++ b/src/magnoliasill/calls/exchange.py
@@ -162,7 +162,10 @@
         raise http.client.HTTPException("the response has more than one Content-Length header")
     if not response.chunked and response.length <= MAX_BUFFERED_BYTES:
         body = response.read()
-        release_connection(pool, address, connection)
+        if _is_refusal(headers):  # nothing tells its copy from the response to a later request
+            connection.http.close()
+        else:
+            release_connection(pool, address, connection)
         return CallResponse(response.status, response.reason or "", headers, body)
     chunks = _iter_chunks(pool, address, connection, response)
     first, ended = _read_buffered(chunks)
@@ -184,15 +187,15 @@
 def _iter_chunks(
     pool: ConnectionPool, address: str, connection: PooledConnection, response: HTTPResponse
 ) -> Iterator[bytes]:
-    complete = False
+    reusable = False
     try:
         while chunk := response.read(CHUNK_BYTES):
             yield chunk
         if response.length:
             raise http.client.IncompleteRead(b"", response.length)
-        complete = True
+        reusable = not _is_refusal(response.getheaders())
     finally:
-        if complete:
+        if reusable:
             release_connection(pool, address, connection)
         else:
             connection.http.close()
@@ -242,7 +245,11 @@
     return True
 
 
+def _is_refusal(headers: list[tuple[str, str]]) -> bool:
+    return any(name.lower() == NOT_RUN_HEADER.lower() for name, _ in headers)
+
+
 def _classify(response: CallResponse) -> OutcomeKind:
-    if any(name.lower() == NOT_RUN_HEADER.lower() for name, _ in response.headers):
+    if _is_refusal(response.headers):
         return OutcomeKind.SHED
     return OutcomeKind.FAILED if response.status >= 500 else OutcomeKind.SUCCEEDED
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -45,7 +45,7 @@
     run_guarded,
     runs_elsewhere,
 )
-from .http_exchange import BrokenError, Message, NotSentError, Reply, TimedOutError, exchange
+from .http_exchange import BrokenError, Match, Message, NotSentError, Reply, TimedOutError, exchange
 from .protocol import close_if_stopping, count_open_request, list_headers, read_target, send_reply
 from .release_guard import is_withheld
 from .server_liveness import has_server_ended
@@ -316,12 +316,13 @@
     if not call.idempotent:
         _remember_attempt(sidecar, call.identifier)
 
-    def matches_request(status: int, response_headers: list[tuple[str, str]]) -> bool:
+    def match_response(status: int, response_headers: list[tuple[str, str]]) -> Match:
         response_metadata = parse_response_headers(status, response_headers)
         if response_metadata.identifier == call.identifier:
             record_response_notice(sidecar, latest, response_metadata)
-            return True
-        return not response_metadata.identifier and response_metadata.not_run
+            return Match.OWN
+        is_unnamed = not response_metadata.identifier and response_metadata.not_run
+        return Match.UNNAMED if is_unnamed else Match.OTHER
 
     try:
         reply = exchange(
@@ -330,7 +331,7 @@
             attrs.evolve(guarded.message, headers=headers),
             deadline,
             call.idempotent,
-            matches_request,
+            match_response,
         )
     except NotSentError as error:
         if sidecar.crash_findings.unresolved and has_server_ended(sidecar):
--- a/src/magnoliasill/sidecar/http_exchange.py
+++ b/src/magnoliasill/sidecar/http_exchange.py
@@ -10,6 +10,7 @@
 import socket
 from collections import deque
 from contextlib import suppress
+from enum import Enum
 from http.client import HTTPConnection as BaseConnection
 from http.client import HTTPResponse
 from time import monotonic
@@ -64,6 +65,21 @@
     """Raised when no response arrived in time."""
 
 
+class Match(Enum):
+    """How a response relates to the request that waits for one.
+
+    Attributes:
+        OWN: It names this request.
+        UNNAMED: It names no request and is of a kind that may. On a connection that was used
+            before, it may be a copy of the response to an earlier request.
+        OTHER: It belongs to another request.
+    """
+
+    OWN = "own"
+    UNNAMED = "unnamed"
+    OTHER = "other"
+
+
 @attrs.frozen
 class Message:
     """An HTTP request to send.
@@ -208,7 +224,9 @@
     message: Message,
     deadline: float,
     retryable: bool,
-    matches_request: Callable[[int, list[tuple[str, str]]], bool] = lambda status, headers: True,
+    match_response: Callable[
+        [int, list[tuple[str, str]]], Match
+    ] = lambda status, headers: Match.OWN,
     timeouts: ConnectionTimeouts = WITHIN_VM_TIMEOUTS,
 ) -> Reply:
     """Send a request and read its response.
@@ -220,7 +238,7 @@
         deadline: The time when the response is no longer needed, in seconds on the monotonic clock.
         retryable: Whether the request may be sent on an idle connection that the other end may
             have closed.
-        matches_request: Returns from its status and headers whether a response belongs to this
+        match_response: Returns from its status and headers whether a response belongs to this
             request.
         timeouts: The timeouts after which a silent connection counts as dead.
 
@@ -238,7 +256,7 @@
         connection.reader = _ResponseReader(connection.http.sock)
     try:
         fully_sent = _send(connection, message, deadline)
-        response = _receive(connection, message.method, deadline, matches_request)
+        response = _receive(connection, message.method, deadline, match_response)
         return _read_reply(pool, address, connection, response, deadline, fully_sent)
     except TimeoutError as error:
         connection.http.close()
@@ -332,23 +350,27 @@
     connection: PooledConnection,
     method: str,
     deadline: float,
-    matches_request: Callable[[int, list[tuple[str, str]]], bool],
+    match_response: Callable[[int, list[tuple[str, str]]], Match],
 ) -> _Response:
     """Return the response to this request, skipping complete responses to earlier requests."""
     _set_deadline(connection, deadline)
     connection.http.response_class = lambda sock, **options: _Response(connection.reader, **options)
     response = BaseConnection.getresponse(connection.http)
-    for _ in range(MAX_STALE_RESPONSES):
-        if matches_request(response.status, response.getheaders()):
+    is_first = connection.idle_since is None
+    for _ in range(MAX_STALE_RESPONSES + 1):
+        match = match_response(response.status, response.getheaders())
+        if match is Match.OWN:
+            return response
+        if match is Match.UNNAMED and is_first:
+            response.closes = True  # its copy can't be told from the response to a later request
             return response
         if response.closes:
             break
+        is_first = False
         _skip_body(response)
         _set_deadline(connection, deadline)
         response = _Response(connection.reader, method=method)
         response.begin()
-    if matches_request(response.status, response.getheaders()):
-        return response
     raise http.client.HTTPException("the response belongs to another request")
 
 
--- a/tests/calls/test_exchange.py
+++ b/tests/calls/test_exchange.py
@@ -153,6 +153,23 @@
 class ReuseTest(testtools.TestCase):
     """A connection is reused only if its last response was read completely and nothing follows."""
 
+    def test_copy_of_a_refusal_is_not_taken(self) -> None:
+        """Guards against a refusal that is written again before the answer of the next call."""
+        refusal = b"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+        def handle(sock: Any) -> None:
+            for number in range(2):
+                if not read_request(sock):
+                    return
+                refuses = not refused
+                refused.append(True)
+                sock.sendall(refusal if refuses else refusal * number + OK)
+
+        refused: list[bool] = []
+        pool, address = ConnectionPool(), serve_bytes(handle)
+        kinds = [exchange_call(pool, address, build_call(), DEADLINE_S).kind for _ in range(2)]
+        self.assertEqual([OutcomeKind.SHED, OutcomeKind.SUCCEEDED], kinds)
+
     def test_second_answer_is_not_taken(self) -> None:
         connections: Counter[str] = Counter()
 
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -7,6 +7,7 @@
 import attrs
 import eventlet
 import testtools
+from testscenarios import WithScenarios
 
 from magnoliasill.mesh.evidence import RouteCounts
 from magnoliasill.mesh.hop_headers import GateReport, HopCall
@@ -206,6 +207,61 @@
         self.assertEqual(502, send(self.fleet, 0, "/stock/x", "s-6", "POST", b"abc")[0])
 
 
+REFUSALS = {
+    "503": b"HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    "421": b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+    "429": b"HTTP/1.1 429 Slow\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\nfull",
+}
+
+
+class RepeatedRefusalTest(WithScenarios, CallCase):
+    """Guards against a copy of an earlier refusal that is taken for the answer of what runs now.
+
+    The caller was told that its request had not run, or the request ran at a second server.
+    """
+
+    services = ("shop", "stock", "stock")
+    rules = (build_rule("shop", kind="non_idempotent"), build_rule("stock"))
+    scenarios = [
+        (f"{name}, cut at {split}", {"refusal": refusal, "split": split})
+        for name, refusal in REFUSALS.items()
+        for split in (0, 1, 20, len(refusal))
+    ]
+
+    def assert_true_answer(self, identifier: str, status: int) -> None:
+        runs = sum(server.runs[identifier] for server in self.fleet.servers)
+        self.assertEqual((200, 1), (status, runs))
+
+    def test_before_the_true_answer(self) -> None:
+        self.assertEqual(200, send(self.fleet, 1, "/shop/x", "f-0", "POST", b"abc")[0])
+
+        def behave(server: harness.Server, identifier: str) -> bytes:
+            for sock in server.connections:
+                sock.sendall(self.refusal[: self.split])
+            eventlet.sleep(0.01)
+            return self.refusal[self.split :] + build_answer(identifier, b"right")
+
+        self.shop.behave = behave
+        status = send(self.fleet, 1, "/shop/x", "f-1", "POST", b"abc")[0]
+        self.assert_true_answer("f-1", status)
+
+    def test_of_a_refused_request_on_its_connection(self) -> None:
+        self.shop.behave = lambda server, identifier: self.refusal
+        self.assertEqual(503, send(self.fleet, 1, "/shop/x", "f-2", "POST", b"abc")[0])
+        self.shop.behave = lambda server, identifier: (
+            self.refusal + build_answer(identifier, b"right")
+            if len(server.connections) > 1
+            else build_answer(identifier, b"right")
+        )
+        status = send(self.fleet, 1, "/shop/x", "f-3", "POST", b"abc")[0]
+        self.assert_true_answer("f-3", status)
+
+    def test_nothing_follows(self) -> None:
+        self.assertEqual(200, send(self.fleet, 1, "/shop/x", "f-4", "POST", b"abc")[0])
+        self.shop.behave = lambda server, identifier: self.refusal + b"!end"
+        self.assertEqual(502, send(self.fleet, 1, "/shop/x", "f-5", "POST", b"abc")[0])
+
+
 class RepeatTest(CallCase):
     """Which requests are retried, on which servers, and how often."""
 
