Refuse requests that a stopping sidecar can't be expected to finish

In a planned stop of one sidecar, in calm, requests that came late were taken and passed on, and cut with no answer at the end of the grace period, also those that must not be repeated.

Cause: the times of a stop were constants for a grace period of 6 s, whatever a route's requests take; with a grace period below 4 s none was left for open requests.

Change: mesh/planned_stop derives the times from the grace period. A request is taken only if it can be answered before the exit, by the slowest recent duration of its route, or by its deadline where none is known; at the caller's port, before each further attempt, and at the gate, where the waiting ones are bound too. What was taken before the stop and outlasts the grace period is answered as unknown instead of being cut. test_restarts sets the schedule in place of the time that it replaces.

--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
 import attrs
+import eventlet
 
 from ..calls.cancellation import CallerDisconnectedError, watch_caller
 from ..calls.error_responses import respond_with_error
 from ..codes import ErrorCode, LogEvent
 from ..errors import CallError
 from ..mesh.earlier_waits import TimeLeftSamples, estimate_earlier_wait
+from ..mesh.planned_stop import observe_duration
 from ..mesh.retries import count_request, record_nested_retry
 from ..mesh.routes import choose_destination, find_route
 from ..platform.headers import parse_caller_headers, remove_sidecar_headers
@@ -18,10 +21,10 @@
 from .forwarding import Request, forward_request
 from .http_exchange import Message, Reply
 from .protocol import close_if_stopping, count_open_request, list_headers, read_target, send_reply
-from .state import find_parent, find_parent_retry, is_closing
+from .state import find_parent, find_parent_retry, find_request_wait_left, is_closing
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Iterator
 
     from ..mesh.routes import Route, RouteTable
     from .state import Sidecar
@@ -117,7 +120,10 @@
     count_request(sidecar.retry_budget, request.service, now)
     if request.parent_is_retry:
         record_nested_retry(sidecar.retry_budget, request.service, now)
-    with watch_caller(sidecar.watched_calls, environ) as watch:
+    if find_request_wait_left(sidecar, route.name, request.answer_deadline) <= 0:
+        message = "the daemon stops before the request can be expected to finish"
+        raise CallError(ErrorCode.NOT_READY, message, STOPPING_RETRY_AFTER_S)
+    with watch_caller(sidecar.watched_calls, environ) as watch, _register_thread(sidecar):
         if not route.idempotent:
             request.on_start = watch.stop_watching
         body = read_body(environ, table.limits.body_bytes)
@@ -125,6 +131,17 @@
         return forward_request(sidecar, request, message)
 
 
+@contextmanager
+def _register_thread(sidecar: Sidecar) -> Iterator[None]:
+    """Register the current thread, so that its caller gets an answer if the process ends."""
+    thread = eventlet.getcurrent()
+    sidecar.open_callers.add(thread)
+    try:
+        yield
+    finally:
+        sidecar.open_callers.discard(thread)
+
+
 def _find_route(table: RouteTable, environ: dict[str, Any], target: str) -> Route:
     path = target.partition("?")[0]
     route = find_route(table, environ.get("HTTP_HOST", ""), path)
@@ -154,6 +171,8 @@
             "attempts": 0,
             "seconds": seconds,
         }
+    if request.attempted_members:
+        observe_duration(sidecar.slowest_requests, request.route.name, seconds)
     return {
         "id": request.identifier,
         "route": request.route.name,
--- a/src/magnoliasill/sidecar/control_port.py
+++ b/src/magnoliasill/sidecar/control_port.py
@@ -86,7 +86,7 @@
 
 def is_ready(sidecar: Sidecar) -> bool:
     """Return whether the sidecar accepts callers: it has a configuration and is not stopping."""
-    return sidecar.table is not None and sidecar.stopping_at is None
+    return sidecar.table is not None and sidecar.stop_schedule is None
 
 
 def record_heartbeat(sidecar: Sidecar, heartbeat: Heartbeat) -> None:
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -18,8 +18,9 @@
 from ..calls.connections import close_expired
 from ..calls.crash_table import remove_expired
 from ..codes import ErrorCode, LogEvent
-from ..errors import MagnoliasillError, SettingsError
+from ..errors import CallError, MagnoliasillError, SettingsError
 from ..mesh.gate import dispatch_waiting
+from ..mesh.planned_stop import plan_stop
 from ..mesh.retries import RetryBudget
 from ..platform.settings import read_settings
 from ..platform.store import connect_client
@@ -45,7 +46,7 @@
 from .registration import Registration, keep_registered
 from .release_counts import COUNTS_PATH, answer_counts_request
 from .release_watch import run_release_watch
-from .state import CALLER_LINGER_S, GATE_LINGER_S, Sidecar
+from .state import Sidecar, find_run_wait_left
 from .store_relay import CHANGES_PATH, handle_follower_poll
 from .store_sync import follow_store, remove_lapsed_members
 from .takeover_leader import run_takeover_leader
@@ -61,8 +62,7 @@
 LISTEN_BACKLOG = 1024
 CHECK_INTERVAL_S = 0.05  # longest delay in detecting a disconnected caller or an expired wait
 FILE_CHECK_INTERVAL_S = 0.5  # between checks of the settings file for changes
-# The drain ends this long before the grace period, at whose end the platform kills the process.
-EXIT_MARGIN_S = 0.5
+LAST_ANSWERS_S = 0.1  # for callers to be told that their requests were cut off
 DRAIN_CHECK_INTERVAL_S = 0.02
 
 
@@ -289,18 +289,33 @@
         running: The sidecar to stop.
     """
     sidecar = running.sidecar
-    started = sidecar.stopping_at = monotonic()
+    schedule = plan_stop(sidecar.clock(), sidecar.settings.bounds.grace_s)
+    sidecar.stop_schedule = schedule
+    for queued in sidecar.gate.waiting:
+        wait_left_s = find_run_wait_left(sidecar, queued.route, queued.deadline_at)
+        queued.start_by = min(queued.start_by, schedule.began_at + wait_left_s)
     sidecar.log(LogEvent.DAEMON_STOPPING, open_calls=sidecar.open_requests)
-    eventlet.spawn_after(GATE_LINGER_S, sidecar.wake_registration)
-    drain_deadline = started + sidecar.settings.bounds.grace_s - EXIT_MARGIN_S
-    linger_until = min(started + CALLER_LINGER_S, drain_deadline)
-    eventlet.sleep(max(linger_until - started, 0.0))
+    eventlet.spawn_after(schedule.gate_closes_at - schedule.began_at, sidecar.wake_registration)
+    eventlet.sleep(max(schedule.callers_close_at - schedule.began_at, 0.0))
     for server in running.servers:  # idle connections close at once, busy ones after responding
         server.kill()
     for sock in running.sockets:
         sock.close()
-    while sidecar.open_requests and monotonic() < drain_deadline:
-        eventlet.sleep(DRAIN_CHECK_INTERVAL_S)
+    _wait_until_drained(sidecar, schedule.exits_at)
+    _answer_cut_requests(sidecar)
+    _wait_until_drained(sidecar, schedule.exits_at + LAST_ANSWERS_S)
     for loop in running.loops:
         loop.kill()
     sidecar.log(LogEvent.DAEMON_STOPPED, open_calls=sidecar.open_requests)
+
+
+def _wait_until_drained(sidecar: Sidecar, until: float) -> None:
+    while sidecar.open_requests and sidecar.clock() < until:
+        eventlet.sleep(DRAIN_CHECK_INTERVAL_S)
+
+
+def _answer_cut_requests(sidecar: Sidecar) -> None:
+    """Tell callers whose requests outlast the grace period that their outcome is unknown."""
+    for thread in list(sidecar.open_callers):
+        message = "the daemon stopped before the backend server answered"
+        eventlet.kill(thread, CallError(ErrorCode.OUTCOME_UNKNOWN, message))
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -50,7 +50,7 @@
 from .crash_reports import apply_records
 from .gate_port import handle_gate_request
 from .http_exchange import BETWEEN_VMS_TIMEOUTS, BrokenError, Message, NotSentError, Reply, exchange
-from .state import find_takeover, find_wait_left
+from .state import find_request_wait_left, find_takeover
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -212,7 +212,7 @@
 def _has_time_for_attempt(sidecar: Sidecar, request: Request) -> bool:
     return (
         sidecar.clock() < request.answer_deadline - MIN_ATTEMPT_TIME_S
-        and find_wait_left(sidecar) > 0
+        and find_request_wait_left(sidecar, request.route.name, request.answer_deadline) > 0
     )
 
 
@@ -332,7 +332,7 @@
         target_left_s=request.target_at - now,
         late=state.late,
         repeat=request.parent_is_retry or state.servers_reached > 0,
-        wait_left_s=find_wait_left(sidecar),
+        wait_left_s=find_request_wait_left(sidecar, request.route.name, request.answer_deadline),
         born=member.born,
         limit_per_s=notice.limit_per_s,
         limit_age_s=max(now - notice.heard_at, 0.0),
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -30,6 +30,7 @@
     decode_call,
     encode_header_value,
 )
+from ..mesh.planned_stop import observe_duration
 from ..mesh.rate_limits import assign_turn
 from ..platform.headers import add_sidecar_headers, parse_response_headers
 from .bodies import read_body
@@ -50,7 +51,7 @@
 from .release_guard import is_withheld
 from .server_liveness import has_server_ended
 from .server_notices import adopt_limit, record_response_notice
-from .state import is_gate_closing
+from .state import find_run_wait_left, is_gate_closing
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -263,6 +264,9 @@
 
 def _wait_for_slot(sidecar: Sidecar, call: HopCall, now: float, deadline: float) -> str:
     """Wait for a slot; return an empty string, or the reason why the request got none."""
+    wait_left_s = find_run_wait_left(sidecar, call.route, deadline)
+    if wait_left_s <= 0:
+        return "stopping"
     event = Event()
     queued_request = QueuedRequest(
         route=call.route,
@@ -271,7 +275,7 @@
         target_at=now + call.target_left_s,
         deadline_at=deadline,
         arrived_at=now,
-        start_by=now + min(call.wait_left_s, MAX_WAIT_S),
+        start_by=now + min(call.wait_left_s, wait_left_s, MAX_WAIT_S),
         resume=event.send,
     )
     decision = request_admission(sidecar.gate, queued_request, now, call.late)
@@ -359,6 +363,7 @@
         return _report_unknown_outcome(sidecar, call, "unsigned", reason, arrived_at, started_at)
     record_answered_run(sidecar, guarded, latest, started_at)
     seconds = sidecar.clock() - started_at
+    observe_duration(sidecar.slowest_runs, call.route, seconds)
     _record_outcome(sidecar, call, reply.status >= 500, seconds)
     sidecar.meters.count("gate", "answered")
     sidecar.meters.observe("queue", started_at - arrived_at)
--- a/src/magnoliasill/sidecar/protocol.py
+++ b/src/magnoliasill/sidecar/protocol.py
@@ -104,7 +104,7 @@
 
 def close_if_stopping(sidecar: Sidecar, environ: dict[str, Any]) -> None:
     """Close the connection after the response if the sidecar is stopping."""
-    if sidecar.stopping_at is not None:
+    if sidecar.stop_schedule is not None:
         environ[PROTOCOL_KEY].close_connection = True
 
 
--- a/src/magnoliasill/sidecar/release_watch.py
+++ b/src/magnoliasill/sidecar/release_watch.py
@@ -48,7 +48,7 @@
 def _find_watched_order(sidecar: Sidecar) -> OpenOrder | None:
     """Return the order whose takeover moves or has just moved requests to this VM's server."""
     latest = sidecar.backend.latest
-    if sidecar.stopping_at is not None:
+    if sidecar.stop_schedule is not None:
         return None
     open_order = sidecar.orders.get(latest.service) if latest is not None else None
     if open_order is None or open_order.order.release != latest.release:
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -17,6 +17,7 @@
 from ..mesh.crash_findings import CrashFindings
 from ..mesh.gate import MAX_WAIT_S, Gate
 from ..mesh.members import Member, MemberTable
+from ..mesh.planned_stop import find_latest_start
 from ..mesh.relays import LongValueVersions, RelayBackoff
 from ..mesh.retries import RetryBudget
 from ..mesh.routes import SplitTable
@@ -29,6 +30,7 @@
     from ..mesh.earlier_waits import TimeLeftSamples
     from ..mesh.evidence import RouteCounts
     from ..mesh.gate_counts import CollectedCounts
+    from ..mesh.planned_stop import StopSchedule
     from ..mesh.retry_after import RetryAfterState
     from ..mesh.routes import RouteTable
     from ..mesh.settings import SidecarSettings
@@ -37,14 +39,6 @@
     from .metrics import Meters
 
 
-# Callers are still accepted for this long after the signal to stop: it covers two failed readiness
-# checks, a second apart, and the last request that a caller then sends.
-CALLER_LINGER_S = 2.6
-# Other sidecars send requests to this gate for this long after the signal to stop, which leaves the
-# last of them just enough time to finish.
-GATE_LINGER_S = 1.6
-# After the signal to stop; a request that starts later may not finish before the process ends.
-LATEST_START_S = 4.0
 STORE_DOUBT_S = 4.0  # after a call to the store failed
 NEVER = float("-inf")  # a time before all others, in seconds on the monotonic clock
 
@@ -145,7 +139,10 @@
         relay_backoff: Sidecars, this one included, that are temporarily no source of changes.
         followed_relay: Name of the relay last followed, or empty.
         versions: Recent versions of long values, which a relay keeps to send deltas.
-        stopping_at: When shutdown began, or None.
+        stop_schedule: The times of the shutdown in progress, or None.
+        slowest_requests: The slowest recent durations of callers' requests in seconds, by route.
+        slowest_runs: The same of the requests that ran at the gate's server.
+        open_callers: The threads in which callers' requests are handled.
         crash_findings: Requests under which backend servers ended.
         crash_reports: What of that is still to be told to other sidecars.
         wake_registration: Called when this sidecar's record may have changed.
@@ -193,7 +190,10 @@
     relay_backoff: RelayBackoff = attrs.field(factory=RelayBackoff)
     followed_relay: str = ""
     versions: LongValueVersions = attrs.field(factory=LongValueVersions)
-    stopping_at: float | None = None
+    stop_schedule: StopSchedule | None = None
+    slowest_requests: dict[str, float] = attrs.field(factory=dict)
+    slowest_runs: dict[str, float] = attrs.field(factory=dict)
+    open_callers: set[Any] = attrs.field(factory=set)
     crash_findings: CrashFindings = attrs.field(factory=CrashFindings)
     crash_reports: CrashReports = attrs.field(factory=CrashReports)
     wake_registration: Callable[[], None] = do_nothing
@@ -275,25 +275,40 @@
 
 
 def is_closing(sidecar: Sidecar) -> bool:
-    """Return whether a request that arrives now may not finish before the process ends."""
-    return _has_been_stopping(sidecar, CALLER_LINGER_S)
+    """Return whether no caller's request is accepted any more, since the process ends soon."""
+    schedule = sidecar.stop_schedule
+    return schedule is not None and sidecar.clock() >= schedule.callers_close_at
 
 
 def is_gate_closing(sidecar: Sidecar) -> bool:
     """Return whether other sidecars should send their requests elsewhere."""
-    return _has_been_stopping(sidecar, GATE_LINGER_S)
+    schedule = sidecar.stop_schedule
+    return schedule is not None and sidecar.clock() >= schedule.gate_closes_at
 
 
-def find_wait_left(sidecar: Sidecar) -> float:
-    """Return the seconds within which a caller's request must start at a backend server."""
-    if sidecar.stopping_at is None:
-        return MAX_WAIT_S
-    return sidecar.stopping_at + LATEST_START_S - sidecar.clock()
+def find_request_wait_left(sidecar: Sidecar, route: str, answer_deadline: float) -> float:
+    """Return the seconds within which a caller's request must start at a backend server.
+
+    Args:
+        sidecar: The sidecar's state.
+        route: The request's route.
+        answer_deadline: When the caller gets an answer in any case.
+    """
+    return _find_wait_left(sidecar, sidecar.slowest_requests, route, answer_deadline)
 
 
-def _has_been_stopping(sidecar: Sidecar, seconds: float) -> bool:
-    stopping_at = sidecar.stopping_at
-    return stopping_at is not None and sidecar.clock() - stopping_at >= seconds
+def find_run_wait_left(sidecar: Sidecar, route: str, deadline: float) -> float:
+    """Return the same for a request at this VM's gate."""
+    return _find_wait_left(sidecar, sidecar.slowest_runs, route, deadline)
+
+
+def _find_wait_left(
+    sidecar: Sidecar, slowest_s: dict[str, float], route: str, deadline: float
+) -> float:
+    if sidecar.stop_schedule is None:
+        return MAX_WAIT_S
+    now = sidecar.clock()
+    return find_latest_start(sidecar.stop_schedule, slowest_s, route, deadline - now) - now
 
 
 def find_parent(sidecar: Sidecar, identifier: str) -> str | None:
--- a/src/magnoliasill/sidecar/takeover_leader.py
+++ b/src/magnoliasill/sidecar/takeover_leader.py
@@ -78,7 +78,7 @@
         started = sidecar.clock()
         open_orders = list_open_orders(sidecar)
         try:
-            if not open_orders or sidecar.stopping_at is not None:
+            if not open_orders or sidecar.stop_schedule is not None:
                 _release_leadership(sidecar, leadership)
                 continue
             if not _acquire_or_renew(sidecar, leadership):
--- a/tests/sidecar/test_restarts.py
+++ b/tests/sidecar/test_restarts.py
@@ -5,6 +5,7 @@
 import testtools
 
 from magnoliasill.mesh.backend import accepts_requests
+from magnoliasill.mesh.planned_stop import plan_stop
 
 from . import fleet as harness
 from .fleet import build_rule, open_fleet, put_configuration, send, wait_for
@@ -74,7 +75,7 @@
 
     def test_a_sidecar_that_stopped_as_planned_serves_again(self) -> None:
         running = self.fleet.sidecars[LEAVER]
-        running.sidecar.stopping_at = running.sidecar.clock() - 60.0
+        running.sidecar.stop_schedule = plan_stop(running.sidecar.clock() - 60.0, 6.0)
         running.sidecar.wake_registration()
         sidecar = self.fleet.sidecars[0].sidecar
         wait_for(lambda: sidecar.members.records["vm-2"].leaving, "it does not leave")
--- a/tests/sidecar/test_stops.py
+++ b/tests/sidecar/test_stops.py
@@ -85,3 +85,71 @@
         self.assertGreater(self.ends["200"], CALLERS)
         runs = sum(self.fleet.servers[0].runs.values())
         self.assertGreater(runs, 0)
+
+
+class LateRequestsTest(testtools.TestCase):
+    """Guards against requests that are taken late in the grace period and cut off at its end.
+
+    Among them were requests that must not be repeated. Each request is either answered by its
+    backend server, or refused as not run and then has not run.
+    """
+
+    def start(self, grace_s: float, work_s: float) -> None:
+        self.fleet = open_fleet(["shop", "stock"], Bounds(grace_s=grace_s), work_s=work_s)
+        self.addCleanup(harness.close_fleet, self.fleet)
+        rules = [build_rule(name, kind="non_idempotent") for name in ("shop", "stock")]
+        for rule in rules:
+            rule["route_action"]["timeout_s"] = 12.0
+        put_configuration(self.fleet, 3, *rules)
+        harness.wait_ready(self.fleet)
+
+    def call_at(self, second: float, index: int, path: str, identifier: str) -> None:
+        eventlet.sleep(second)
+        try:
+            status = harness.send(
+                self.fleet, index, path, identifier, "POST", b"abc", deadline_ms=12_000
+            )[0]
+        except (OSError, EOFError, IndexError):
+            status = 0
+        runs = sum(server.runs[identifier] for server in self.fleet.servers)
+        self.ends.append((status, runs))
+
+    def stop_among_calls(self, grace_s: float, work_s: float, index: int, path: str) -> None:
+        self.start(grace_s, work_s)
+        self.ends: list[tuple[int, int]] = []
+        self.call_at(0.0, index, path, "learned")
+        calls = [
+            eventlet.spawn(self.call_at, grace_s * part / 10, index, path, f"late-{part}")
+            for part in range(10)
+        ]
+        eventlet.sleep(0)
+        stop_sidecar(self.fleet.sidecars[0])
+        cut = self.fleet.sidecars[0].sidecar.open_requests
+        for call in calls:
+            call.wait()
+        self.assertEqual(0, cut, "requests are open when the process ends")
+        self.assertEqual(11, len(self.ends))
+        self.assertEqual(set(), set(self.ends) - {(200, 1), (503, 0), (0, 0)}, self.ends)
+
+    def test_slow_requests_of_its_own_callers(self) -> None:
+        self.stop_among_calls(4.0, 1.5, 0, "/stock/x")
+        self.assertIn((503, 0), self.ends)
+
+    def test_slow_requests_to_its_gate(self) -> None:
+        self.stop_among_calls(4.0, 1.5, 1, "/shop/x")
+
+    def test_slow_requests_to_its_own_server(self) -> None:
+        self.stop_among_calls(4.0, 1.5, 0, "/shop/x")
+
+    def test_a_short_grace_period(self) -> None:
+        self.stop_among_calls(1.0, 0.2, 0, "/stock/x")
+
+    def test_a_request_that_outlasts_the_grace_period_is_answered(self) -> None:
+        self.start(1.0, 3.0)
+        self.ends = []
+        call = eventlet.spawn(self.call_at, 0.0, 0, "/stock/x", "long")
+        eventlet.sleep(0.2)
+        stop_sidecar(self.fleet.sidecars[0])
+        self.assertEqual(0, self.fleet.sidecars[0].sidecar.open_requests)
+        call.wait()
+        self.assertEqual([(502, 1)], self.ends)
