Pace large answers on thin links, and compare servers by route, a few at a time

Traced: the five VMs of one service have links of 7.5 Mbit/s for some 36 Mbit/s of answers of 90 kB. These queued in the network, and small answers, acknowledgements and new connections waited behind them (0.28 s a hop at the worst gate, 416 hops unreached). Ruled out: the processor (0.05 cores of 0.43). And the busiest server of a service got 5.5 times the mean: a gate's mean duration is over all routes, so one that ran short nested requests looked fast and got everything; one not heard of counted as needing 0.1 s, one not heard of for 3 s as idle.

Change: mesh/egress sends large answers one at a time, piece by piece, as the link allows; gates refuse what their link can't deliver in time while another gate may; placement counts the links. A gate reports its pace, its durations by those usual for each route; the mean load of a service stands in for what isn't known of a server; the best of six chosen at random is taken.

--- a/src/magnoliasill/mesh/gate.py
+++ b/src/magnoliasill/mesh/gate.py
@@ -28,6 +28,7 @@
 START_HEADROOM = 1.4
 MAX_LATE_WAIT_SHARE = 0.4  # of a late request's time to its deadline; a longer wait is refused
 LATE_SMOOTHING = 0.05
+MAX_PACE = 8.0  # of a single request, so that a rare long one doesn't keep others away
 # If a smaller share of late requests gets a slot, further ones are refused at once.
 MIN_LATE_START_SHARE = 0.5
 LATE_PROBE_INTERVAL = 20  # late requests refused before one is queued to detect that load fell
@@ -54,6 +55,8 @@
         arrived_at: When it arrived.
         start_by: When it is refused if it has not started by then.
         resume: Called once when it leaves the queue, with whether it may run.
+        delivery_s: Seconds from the end of its run until its answer is expected to be sent; the
+            target and the deadline are those for the end of the run.
     """
 
     route: str
@@ -64,6 +67,7 @@
     arrived_at: float
     start_by: float
     resume: Callable[[bool], None]
+    delivery_s: float = 0.0
 
 
 @attrs.define
@@ -77,6 +81,8 @@
         waiting: The queued requests.
         mean_s: The moving average of a request's duration in seconds, over all routes.
         route_s: The moving average of a request's duration in seconds, by route.
+        pace: The moving average of a request's duration as a multiple of the usual one of its
+            route at all servers of the service.
         failing: The moving average of the share of failed answers.
         late_start_share: The moving average of the share of late requests that got a slot.
         late_refused: The number of late requests refused in a row.
@@ -90,6 +96,7 @@
     waiting: list[QueuedRequest] = attrs.field(factory=list)
     mean_s: float = INITIAL_MEAN_S
     route_s: dict[str, float] = attrs.field(factory=dict)
+    pace: float = 1.0
     failing: float = 0.0
     late_start_share: float = 1.0
     late_refused: int = 0
@@ -126,6 +133,8 @@
     service_s = gate.route_s.get(request.route, gate.mean_s)
     if now + MIN_TIME_LEFT_SHARE * service_s >= request.deadline_at:
         return AdmissionDecision(reason="deadline")
+    if not late and request.delivery_s and now + service_s > request.target_at:
+        return AdmissionDecision(reason="target")
     if not gate.waiting and _may_start(gate, now):
         _occupy_slot(gate, request)
         return AdmissionDecision(admitted=True)
@@ -305,6 +314,19 @@
     gate.route_s[route] = previous + SMOOTHING * (seconds - previous)
 
 
+def observe_pace(gate: Gate, seconds: float, typical_s: float) -> None:
+    """Update how the server's durations compare with those of its kin.
+
+    Args:
+        gate: The gate.
+        seconds: How long a request took.
+        typical_s: The usual duration of its route's requests at all servers, or 0 if not known.
+    """
+    if typical_s > 0:
+        ratio = min(max(seconds / typical_s, 1 / MAX_PACE), MAX_PACE)
+        gate.pace += SMOOTHING * (ratio - gate.pace)
+
+
 def _rank(gate: Gate, request: QueuedRequest, now: float) -> tuple[bool, bool, int, float]:
     return (not request.nested, _is_late(gate, request, now), request.priority, request.target_at)
 
--- a/src/magnoliasill/mesh/hop_headers.py
+++ b/src/magnoliasill/mesh/hop_headers.py
@@ -34,6 +34,7 @@
         limit_per_s: The rate limit of the backend server that the sender knows of, or None.
         limit_age_s: Seconds since the gate heard of it.
         crashes: What the sender knows of servers that ended under equal requests, or None.
+        typical_s: The usual duration of the route's requests at all servers in seconds, or 0.
     """
 
     identifier: str
@@ -53,6 +54,7 @@
     limit_per_s: float | None = None
     limit_age_s: float = 0.0
     crashes: CrashRecord | None = None
+    typical_s: float = 0.0
 
 
 @attrs.frozen
@@ -75,6 +77,9 @@
         turn_s: Seconds after which the sender may send the next request under the limit.
         crashes: What the gate knows of servers that ended under equal requests, or None.
         blocked_s: Seconds for which equal requests are refused for that.
+        run_s: Seconds that the request ran at the backend server, or 0.
+        pace: The durations of the server's requests as a multiple of those at all servers.
+        link_s: Seconds until the VM's link has sent the answers passed to it.
     """
 
     ran: str
@@ -90,6 +95,9 @@
     turn_s: float = 0.0
     crashes: CrashRecord | None = None
     blocked_s: float = 0.0
+    run_s: float = 0.0
+    pace: float = 1.0
+    link_s: float = 0.0
 
 
 def encode_header_value(fields: HopCall | GateReport) -> str:
--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -14,6 +14,7 @@
 SILENCE_THRESHOLD_S = 0.1  # a refused connection fails sooner; only lost packets take this long
 FULL_AVOID_S = 0.05  # half a request's duration; a queue stays full about that long
 MAX_NOTICES = 4_096  # more than the incarnations of all servers while any of them may be named
+LOAD_SMOOTHING = 0.1  # weight of the newest report in the mean load of a service
 CLOSED_AVOID_S = 3.0  # how long a member is avoided after its gate reported a draining server
 
 
@@ -57,6 +58,8 @@
         reported_at: When that report arrived, in seconds on the monotonic clock.
         mean_s: The mean duration of a request in seconds, by its latest report.
         failing: The share of failed answers, by its latest report.
+        pace: The durations of its requests as a multiple of those at all servers of its service.
+        link_s: The seconds until its link has sent the answers passed to it, by its latest report.
         in_flight: The number of this sidecar's requests to it that have no answer yet.
         avoid_until: Until when it gets no requests, because it was unreachable or closed.
         avoid_s: How long it is avoided the next time that it is unreachable.
@@ -69,6 +72,8 @@
     reported_at: float = -1e9
     mean_s: float = 0.0
     failing: float = 0.0
+    pace: float = 1.0
+    link_s: float = 0.0
     in_flight: int = 0
     avoid_until: float = 0.0
     avoid_s: float = UNREACHABLE_MIN_S
@@ -77,6 +82,19 @@
     lapsed_at: float | None = None
 
 
+@attrs.define
+class ServiceLoad:
+    """The mean load of a service's servers, which stands in for that of a server not heard of.
+
+    Attributes:
+        busy_share: The number of requests that run or wait, as a multiple of the slots.
+        link_s: The seconds until a link has sent the answers passed to it.
+    """
+
+    busy_share: float = 0.0
+    link_s: float = 0.0
+
+
 @attrs.define
 class MemberTable:
     """The members and their observed conditions.
@@ -87,12 +105,14 @@
         by_service: The members of each service by name.
         notices: What backend servers announced, by incarnation. They outlive the records,
             since a server may move to another VM or its sidecar may restart and forget.
+        loads: The mean load of each service's servers.
     """
 
     records: dict[str, Member] = attrs.field(factory=dict)
     conditions: dict[tuple[str, str], MemberCondition] = attrs.field(factory=dict)
     by_service: dict[str, dict[str, Member]] = attrs.field(factory=dict)
     notices: OrderedDict[tuple[str, int], ServerNotice] = attrs.field(factory=OrderedDict)
+    loads: dict[str, ServiceLoad] = attrs.field(factory=dict)
 
 
 def put_member(table: MemberTable, member: Member) -> None:
@@ -214,20 +234,43 @@
     condition.avoid_until = max(condition.avoid_until, now + CLOSED_AVOID_S)
 
 
-def record_load(
-    condition: MemberCondition, busy: int, mean_s: float, failing: float, now: float
-) -> None:
-    """Record the load that a gate reported with an answer.
+@attrs.frozen
+class LoadReport:
+    """The load that a gate reports with an answer.
 
-    Args:
-        condition: The member's condition.
+    Attributes:
         busy: The number of requests that run or wait at the gate.
         mean_s: The mean duration of a request in seconds.
         failing: The share of failed answers.
+        pace: The durations of its requests as a multiple of those at all servers of its service.
+        link_s: The seconds until its link has sent the answers passed to it.
+    """
+
+    busy: int
+    mean_s: float
+    failing: float = 0.0
+    pace: float = 1.0
+    link_s: float = 0.0
+
+
+def record_load(table: MemberTable, member: Member, report: LoadReport, now: float) -> None:
+    """Record the load that a gate reported with an answer.
+
+    Args:
+        table: The member table.
+        member: The gate's member.
+        report: The reported load.
         now: Seconds on the monotonic clock.
     """
-    condition.busy = busy
-    condition.mean_s = mean_s
-    condition.failing = failing
+    condition = find_condition(table, member)
+    condition.busy = report.busy
+    condition.mean_s = report.mean_s
+    condition.failing = report.failing
+    condition.pace = report.pace
+    condition.link_s = report.link_s
     condition.reported_at = now
     condition.avoid_s = UNREACHABLE_MIN_S
+    busy_share = report.busy / member.slots
+    load = table.loads.setdefault(member.service, ServiceLoad(busy_share, report.link_s))
+    load.busy_share += LOAD_SMOOTHING * (busy_share - load.busy_share)
+    load.link_s += LOAD_SMOOTHING * (report.link_s - load.link_s)
--- a/src/magnoliasill/mesh/placement.py
+++ b/src/magnoliasill/mesh/placement.py
@@ -1,8 +1,10 @@
 """Load balancing: chooses the backend server for each attempt of a request.
 
-Handles servers of uneven speed and bursts in one data centre. A request goes to the server at
-which it is expected to finish first. A server in another data centre is chosen only if that saves
-more than the cost of the round trip.
+Handles servers of uneven speed, bursts in one data centre, and many senders that know little of
+each server. A request goes to the server, of a few chosen at random, at which it is expected to
+finish first: senders with the same knowledge don't all choose the same one. What a sender doesn't
+know of a server, it expects from the others of its service. A server in another data centre is
+chosen only if that saves more than the cost of the round trip.
 """
 
 from __future__ import annotations
@@ -12,7 +14,15 @@
 
 import attrs
 
-from .members import Member, MemberCondition, MemberTable, find_condition, find_notice
+from .egress import SMALL_ANSWER_BYTES, find_transfer_seconds
+from .members import (
+    Member,
+    MemberCondition,
+    MemberTable,
+    ServiceLoad,
+    find_condition,
+    find_notice,
+)
 from .server_notices import find_turn_wait
 from .takeovers import find_share, is_taking_over
 
@@ -24,10 +34,11 @@
 
 REMOTE_COST_S = 0.01  # a round trip to another data centre, including its use of the links
 REMOTE_COST_S_PER_BYTE = 5e-6  # of a byte between data centres, as seconds of a caller's wait
-DEFAULT_SECONDS = 0.1  # assumed duration of a request at a server without a report
+CHOICES = 6  # servers that are compared for one attempt, out of all that may take it
+DEFAULT_SECONDS = 0.1  # assumed duration of a route's requests before the first answer
 REPORT_HALF_LIFE_S = 1.0  # a load report of this age counts half
 FAILING_WEIGHT = 6.0  # added request durations at a server that fails every request
-JITTER = 0.05  # keeps sidecars that have the same reports from choosing the same server
+JITTER = 0.05  # keeps sidecars that have the same reports from choosing the same of few servers
 UTILISATION_SLOWDOWN = 0.5  # a nearly full server is slower than an idle one
 
 
@@ -39,10 +50,12 @@
         service: The service that the request is for.
         data_centre: The data centre of this sidecar.
         now: Seconds on the monotonic clock.
+        vm: The name of this sidecar's VM, whose own server's answers use no link.
         tried: Names of the members that were already tried.
         ordered_release: The release of a newer order that has no takeover yet, or empty.
         takeover: The service's latest takeover, or None.
         answer_bytes: The usual size of an answer.
+        typical_s: The usual duration of the route's requests in seconds, or 0 if not known.
         late: Whether the request may be served past its target.
         finish_by: When it must be served, in seconds on the monotonic clock.
         ignore_full: Whether to include members that were recently full.
@@ -52,10 +65,12 @@
     service: str
     data_centre: str
     now: float
+    vm: str = ""
     tried: Collection[str] = ()
     ordered_release: str = ""
     takeover: Takeover | None = None
     answer_bytes: float = 0.0
+    typical_s: float = 0.0
     late: bool = False
     finish_by: float = inf
     ignore_full: bool = False
@@ -107,6 +122,16 @@
         context: The other inputs of the placement.
         random: Source of the jitter.
     """
+    if len(candidates) > CHOICES:
+        member = _choose_best(table, random.sample(candidates, CHOICES), context, random)
+        if member is not None:
+            return member
+    return _choose_best(table, candidates, context, random)
+
+
+def _choose_best(
+    table: MemberTable, candidates: list[Member], context: PlacementContext, random: Random
+) -> Member | None:
     best, best_cost = None, 0.0
     for member in candidates:
         if member.name in context.tried:
@@ -114,11 +139,11 @@
         condition = find_condition(table, member)
         if context.now < condition.avoid_until or _is_full(condition, context):
             continue
-        service_s = condition.mean_s or DEFAULT_SECONDS
-        seconds = estimate_seconds(member, condition, context)
         wait_s = find_turn_wait(find_notice(table, member.instance, member.born), context.now)
+        service_s = _estimate_service_seconds(condition, context)
         if wait_s and context.now + wait_s + service_s > context.finish_by:
             continue
+        seconds = estimate_seconds(table, member, context)
         cost = wait_s + seconds * (1 + JITTER * random.random())
         if best is None or cost < best_cost:
             best, best_cost = member, cost
@@ -166,22 +191,31 @@
     return context.now < (condition.closed_until if context.late else condition.full_until)
 
 
-def estimate_seconds(
-    member: Member, condition: MemberCondition, context: PlacementContext
-) -> float:
+def estimate_seconds(table: MemberTable, member: Member, context: PlacementContext) -> float:
     """Return the expected duration of a request at a member, plus penalties, in seconds.
 
     Args:
+        table: The member table.
         member: The member.
-        condition: The member's condition.
         context: The other inputs of the placement.
     """
-    service_s = condition.mean_s or DEFAULT_SECONDS
-    age_s = max(context.now - condition.reported_at, 0.0)
-    reported = condition.busy * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
-    load = (max(reported, condition.in_flight) + 1) / member.slots
-    factor = 1 + UTILISATION_SLOWDOWN * min(load, 1.0) + max(load - 1.0, 0.0)
-    factor += FAILING_WEIGHT * condition.failing**2
+    condition = find_condition(table, member)
+    kin = table.loads.get(member.service) or ServiceLoad()
+    weight = 0.5 ** (max(context.now - condition.reported_at, 0.0) / REPORT_HALF_LIFE_S)
+    busy_share = kin.busy_share + weight * (condition.busy / member.slots - kin.busy_share)
+    load = max(busy_share, condition.in_flight / member.slots) + 1 / member.slots
+    service_s = _estimate_service_seconds(condition, context)
+    factor = 1 + UTILISATION_SLOWDOWN * min(load, 1.0) + FAILING_WEIGHT * condition.failing**2
+    seconds = service_s * factor + max(load - 1.0, 0.0) * (condition.mean_s or service_s)
+    if member.name == context.vm:
+        return seconds
+    seconds += find_transfer_seconds(context.answer_bytes, member.link_mbps)
+    if context.answer_bytes > SMALL_ANSWER_BYTES:
+        seconds += kin.link_s + weight * (condition.link_s - kin.link_s)
     if member.data_centre == context.data_centre:
-        return service_s * factor
-    return service_s * factor + REMOTE_COST_S + REMOTE_COST_S_PER_BYTE * context.answer_bytes
+        return seconds
+    return seconds + REMOTE_COST_S + REMOTE_COST_S_PER_BYTE * context.answer_bytes
+
+
+def _estimate_service_seconds(condition: MemberCondition, context: PlacementContext) -> float:
+    return (context.typical_s or DEFAULT_SECONDS) * condition.pace
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -20,6 +20,7 @@
 )
 from ..mesh.members import (
     SILENCE_THRESHOLD_S,
+    LoadReport,
     find_condition,
     find_notice,
     record_closed,
@@ -62,6 +63,7 @@
 MAX_ATTEMPTS = 5  # gates tried for one request; each attempt takes about 1 ms
 RESPONSE_GRACE_S = 0.05  # wait for a response that is in transit when the deadline passes
 RESPONSE_SIZE_SMOOTHING = 0.1  # weight of the newest response in the moving average
+RUN_SMOOTHING = 0.05  # the same for durations, which vary more
 MIN_ATTEMPT_TIME_S = 0.02  # an attempt that starts with less time left can't complete
 # Refusal reasons of gates that mean a lack of capacity.
 _CAPACITY_REFUSALS = frozenset({"target", "deadline", "queue", "wait", "waited"})
@@ -223,10 +225,12 @@
         service=request.service,
         data_centre=sidecar.settings.data_centre,
         now=now,
+        vm=sidecar.settings.name,
         tried=state.tried,
         ordered_release=ordered_release,
         takeover=takeover,
         answer_bytes=sidecar.answer_bytes.get(request.route.name, 0.0),
+        typical_s=sidecar.typical_runs.get(request.route.name, 0.0),
         late=state.late,
         finish_by=_find_finish_time(request, state, now),
         ignore_full=request.nested,
@@ -337,6 +341,7 @@
         limit_per_s=notice.limit_per_s,
         limit_age_s=max(now - notice.heard_at, 0.0),
         crashes=describe_suspect(sidecar, guarded),
+        typical_s=round(sidecar.typical_runs.get(request.route.name, 0.0), 4),
     )
     use_turn(notice, now)
     condition.in_flight += 1
@@ -419,7 +424,10 @@
     report_age_s = round(now - condition.reported_at, 3) if condition.reported_at > 0 else None
     if report is not None:
         _record_notice(sidecar, member, report, now)
-        record_load(condition, report.busy, report.mean_s, report.failing, now)
+        load_report = LoadReport(
+            report.busy, report.mean_s, report.failing, report.pace, report.link_s
+        )
+        record_load(sidecar.members, member, load_report, now)
         if report.reason in _CAPACITY_REFUSALS:
             record_full(condition, report.reason != "target", now)
         if report.closed or report.reason in ("other_instance", "release_withheld"):
@@ -435,7 +443,10 @@
     sidecar.meters.count("attempts", result.outcome.value)
     sidecar.meters.observe("hop", seconds)
     if result.outcome is AttemptOutcome.ANSWERED:
-        _record_response_size(sidecar, request.route.name, len(result.reply.body))
+        route, size = request.route.name, float(len(result.reply.body))
+        _update_average(sidecar.answer_bytes, route, size, RESPONSE_SIZE_SMOOTHING)
+        if result.reply.status < 500:
+            _update_average(sidecar.typical_runs, route, report.run_s, RUN_SMOOTHING)
         sidecar.log(
             LogEvent.ATTEMPT_ENDED,
             id=request.identifier,
@@ -468,6 +479,6 @@
         record_limit(notice, report.limit_per_s, report.limit_age_s, report.turn_s, now)
 
 
-def _record_response_size(sidecar: Sidecar, route: str, size: int) -> None:
-    average = sidecar.answer_bytes.get(route, float(size))
-    sidecar.answer_bytes[route] = average + RESPONSE_SIZE_SMOOTHING * (size - average)
+def _update_average(averages: dict[str, float], key: str, value: float, smoothing: float) -> None:
+    average = averages.get(key, value)
+    averages[key] = average + smoothing * (value - average)
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -11,6 +11,7 @@
 from ..calls.cancellation import CallerDisconnectedError, watch_caller
 from ..codes import LogEvent
 from ..mesh.backend import accepts_requests
+from ..mesh.egress import estimate_delivery, find_backlog
 from ..mesh.evidence import count_answer
 from ..mesh.gate import (
     MAX_WAIT_S,
@@ -20,6 +21,7 @@
     finish_request,
     leave_queue,
     observe_answer,
+    observe_pace,
     request_admission,
 )
 from ..mesh.hop_headers import (
@@ -33,6 +35,7 @@
 from ..mesh.planned_stop import observe_duration
 from ..mesh.rate_limits import assign_turn
 from ..platform.headers import add_sidecar_headers, parse_response_headers
+from .answer_pacing import pace_answer
 from .bodies import read_body
 from .crash_guard import (
     ELSEWHERE_REASON,
@@ -99,7 +102,7 @@
             start_response(CANCELLED_STATUS, [("Content-Length", "0"), ("Connection", "close")])
             return []
         close_if_stopping(sidecar, environ)
-        return _send_gate_result(gate_result, start_response)
+        return _send_gate_result(sidecar, call, gate_result, start_response)
 
     return application
 
@@ -109,9 +112,11 @@
     with watch_caller(sidecar.watched_calls, environ) as watch:
         body = read_body(environ, NO_BODY_LIMIT)
         message = Message(environ["REQUEST_METHOD"], read_target(environ), headers, body)
-        return handle_gate_request(
-            sidecar, call, message, watch.stop_watching if not call.idempotent else None
+        delivery_s = estimate_delivery(
+            sidecar.egress, call.route, sidecar.settings.link_mbps, sidecar.clock()
         )
+        on_start = watch.stop_watching if not call.idempotent else None
+        return handle_gate_request(sidecar, call, message, on_start, delivery_s)
 
 
 def _send_control_response(body: bytes | None, start_response: Any) -> Iterable[bytes]:
@@ -120,14 +125,17 @@
     return [body or b"{}"]
 
 
-def _send_gate_result(gate_result: GateResult, start_response: Any) -> Iterable[bytes]:
+def _send_gate_result(
+    sidecar: Sidecar, call: HopCall, gate_result: GateResult, start_response: Any
+) -> Iterable[bytes]:
     report_header = (REPORT_HEADER, encode_header_value(gate_result.report))
     reply = gate_result.reply
     if reply is None:
         status = "503 Not Run" if gate_result.report.ran == "no" else "502 Outcome Unknown"
         start_response(status, [report_header, ("Content-Length", "0")])
         return []
-    return send_reply(reply, start_response, report_header)
+    body = send_reply(reply, start_response, report_header)
+    return pace_answer(sidecar, call.route, reply, body)
 
 
 def handle_gate_request(
@@ -135,6 +143,7 @@
     call: HopCall,
     message: Message,
     on_start: Callable[[], None] | None = None,
+    delivery_s: float = 0.0,
 ) -> GateResult:
     """Run a request on the backend server once a slot is free, or refuse it.
 
@@ -143,6 +152,7 @@
         call: The request's metadata from the sending sidecar.
         message: The HTTP request.
         on_start: Called before the request is sent to the backend server.
+        delivery_s: Seconds from the end of its run until its answer is expected to be sent.
 
     Raises:
         CallerDisconnectedError: If the caller closed its connection.
@@ -151,7 +161,7 @@
     guarded = GuardedRequest(call.service, message)
     adopt_limit(sidecar, call)
     prepare_suspect(sidecar, call, guarded)
-    gate_result = _admit_and_run(sidecar, call, guarded, arrived_at, on_start)
+    gate_result = _admit_and_run(sidecar, call, guarded, arrived_at, on_start, delivery_s)
     report = add_knowledge(sidecar, call, guarded, gate_result.report)
     return attrs.evolve(gate_result, report=report)
 
@@ -162,12 +172,15 @@
     guarded: GuardedRequest,
     arrived_at: float,
     on_start: Callable[[], None] | None,
+    delivery_s: float,
 ) -> GateResult:
     refusal_reason = _find_refusal_reason(sidecar, call, guarded)
     if refusal_reason:
         return _refuse(sidecar, call, refusal_reason, arrived_at)
     deadline = arrived_at + call.time_left_s
-    refusal_reason = _wait_for_slot(sidecar, call, sidecar.clock(), deadline)
+    refusal_reason = _wait_for_slot(
+        sidecar, call, sidecar.clock(), deadline - delivery_s, delivery_s
+    )
     if refusal_reason:
         return _refuse(sidecar, call, refusal_reason, arrived_at)
     holds_slot = True
@@ -262,7 +275,9 @@
     return reason
 
 
-def _wait_for_slot(sidecar: Sidecar, call: HopCall, now: float, deadline: float) -> str:
+def _wait_for_slot(
+    sidecar: Sidecar, call: HopCall, now: float, deadline: float, delivery_s: float
+) -> str:
     """Wait for a slot; return an empty string, or the reason why the request got none."""
     wait_left_s = find_run_wait_left(sidecar, call.route, deadline)
     if wait_left_s <= 0:
@@ -272,11 +287,12 @@
         route=call.route,
         nested=call.nested,
         priority=call.priority,
-        target_at=now + call.target_left_s,
+        target_at=now + call.target_left_s - delivery_s,
         deadline_at=deadline,
         arrived_at=now,
         start_by=now + min(call.wait_left_s, wait_left_s, MAX_WAIT_S),
         resume=event.send,
+        delivery_s=delivery_s,
     )
     decision = request_admission(sidecar.gate, queued_request, now, call.late)
     if decision.admitted:
@@ -378,7 +394,10 @@
         queue_s=round(started_at - arrived_at, 4),
         server_s=round(seconds, 4),
     )
-    return GateResult(_build_report(sidecar, "yes", arrived=True), reply)
+    if reply.status < 500:
+        observe_pace(sidecar.gate, seconds, call.typical_s)
+    report = _build_report(sidecar, "yes", arrived=True)
+    return GateResult(attrs.evolve(report, run_s=round(seconds, 4)), reply)
 
 
 def _record_outcome(
@@ -410,6 +429,8 @@
         busy=gate.running + len(gate.waiting),
         mean_s=round(gate.mean_s, 4),
         failing=round(gate.failing, 3),
+        pace=round(gate.pace, 3),
+        link_s=round(find_backlog(sidecar.egress, sidecar.settings.link_mbps, now), 4),
         closed=not accepts_requests(backend) or is_gate_closing(sidecar),
         leaving=backend.leaving_at is not None,
         limit_per_s=backend.limit_per_s,
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -10,11 +10,13 @@
 
 import attrs
 from eventlet.event import Event
+from eventlet.semaphore import Semaphore
 
 from ..calls.connections import ConnectionPool
 from ..codes import LogEvent
 from ..mesh.backend import Backend
 from ..mesh.crash_findings import CrashFindings
+from ..mesh.egress import Egress
 from ..mesh.gate import MAX_WAIT_S, Gate
 from ..mesh.members import Member, MemberTable
 from ..mesh.planned_stop import find_latest_start
@@ -124,6 +126,9 @@
         server_connections: Connections to that server.
         peer_connections: Connections to other sidecars.
         answer_bytes: Moving average of the response size in bytes, by route.
+        typical_runs: Moving average of the duration at all backend servers in seconds, by route.
+        egress: The use of this VM's link by answers to other VMs.
+        large_answer_turn: Held by the large answer that is being sent to another VM.
         time_left_samples: Samples of the time that callers have left at their requests, by route.
         retry_budget: Retry budget of each service.
         retry_after_states: Recent rejections of each service, which scale the advised retry delay.
@@ -175,6 +180,9 @@
     server_connections: ConnectionPool = attrs.field(factory=ConnectionPool)
     peer_connections: ConnectionPool = attrs.field(factory=ConnectionPool)
     answer_bytes: dict[str, float] = attrs.field(factory=dict)
+    typical_runs: dict[str, float] = attrs.field(factory=dict)
+    egress: Egress = attrs.field(factory=Egress)
+    large_answer_turn: Semaphore = attrs.field(factory=Semaphore)
     time_left_samples: dict[str, TimeLeftSamples] = attrs.field(factory=dict)
     retry_budget: RetryBudget = attrs.field(factory=lambda: RetryBudget(0.2, 50.0, 10.0))
     retry_after_states: dict[str, RetryAfterState] = attrs.field(factory=dict)
--- a/tests/mesh/test_gate.py
+++ b/tests/mesh/test_gate.py
@@ -17,6 +17,7 @@
     leave_queue,
     limit_rate,
     observe_answer,
+    observe_pace,
     refuse_waiting,
     request_admission,
 )
@@ -307,3 +308,24 @@
             self.submit(str(number), target_s=3.0, deadline_s=3.0)
         limit_rate(self.gate, 0.5, 0.0)
         self.assertEqual(3, [admitted for _, admitted in self.resumed].count(False))
+
+
+class PaceTest(testtools.TestCase):
+    """The speed of a server shows in its durations compared with those of its kin by route."""
+
+    def test_of_a_slow_server_whatever_routes_it_runs(self) -> None:
+        gate = Gate()
+        for _ in range(50):
+            observe_pace(gate, 0.02, 0.01)
+            observe_pace(gate, 2.0, 1.0)
+        self.assertAlmostEqual(2.0, gate.pace, places=1)
+
+    def test_one_long_request_keeps_no_one_away(self) -> None:
+        gate = Gate()
+        observe_pace(gate, 60.0, 0.1)
+        self.assertLess(gate.pace, 2.0)
+
+    def test_an_unknown_duration_says_nothing(self) -> None:
+        gate = Gate()
+        observe_pace(gate, 60.0, 0.0)
+        self.assertEqual(1.0, gate.pace)
--- a/tests/mesh/test_members.py
+++ b/tests/mesh/test_members.py
@@ -13,6 +13,7 @@
     FULL_AVOID_S,
     LAPSE_GRACE_S,
     UNREACHABLE_MAX_S,
+    LoadReport,
     Member,
     MemberTable,
     find_condition,
@@ -28,6 +29,7 @@
     remove_member,
 )
 from magnoliasill.mesh.placement import (
+    DEFAULT_SECONDS,
     PlacementContext,
     choose_member,
     choose_release_members,
@@ -58,8 +60,8 @@
         return choose_member(self.table, candidates, context, self.random)
 
     def report(self, name: str, busy: int, mean_s: float = 0.1, failing: float = 0.0) -> None:
-        condition = find_condition(self.table, self.table.records[name])
-        record_load(condition, busy, mean_s, failing, 10.0)
+        report = LoadReport(busy, mean_s, failing, pace=mean_s / DEFAULT_SECONDS)
+        record_load(self.table, self.table.records[name], report, 10.0)
 
 
 class RecordTest(TableCase):
@@ -126,8 +128,7 @@
         self.assertEqual({"near"}, {self.choose(11.35).name for _ in range(20)})
 
     def test_not_where_another_member_of_it_answered(self) -> None:
-        far = find_condition(self.table, self.table.records["far-2"])
-        record_load(far, 0, 0.1, 0.0, 11.2)
+        record_load(self.table, self.table.records["far-2"], LoadReport(0, 0.1), 11.2)
         record_silent_data_centre(self.table, "b", 11.0, 11.3)
         self.assertIn("far-2", {self.choose(11.35).name for _ in range(20)})
 
@@ -195,6 +196,37 @@
         self.report("m-2", 3)
         self.assertIn("m-1", {self.choose(now=25.0).name for _ in range(50)})
 
+    def test_a_server_not_heard_of_is_expected_to_be_like_its_kin(self) -> None:
+        """Guards against all senders turning to the servers that have just joined."""
+        for number in range(4):
+            self.add(build_member(f"m-{number}"))
+            record_load(self.table, self.table.records[f"m-{number}"], LoadReport(9, 0.9), 10.0)
+        self.add(build_member("new"))
+        self.assertLess(self.count(typical_s=0.9)["new"], 100)
+        self.assertGreater(self.count(typical_s=0.9)["new"], 0)
+
+    def test_a_full_server_not_heard_of_for_long_is_not_taken_for_idle(self) -> None:
+        self.add(*(build_member(f"m-{number}") for number in range(4)))
+        for number in range(4):
+            self.report(f"m-{number}", 9)
+        record_load(self.table, self.table.records["m-3"], LoadReport(8, 0.1), 14.0)
+        self.assertEqual({"m-3"}, {self.choose(14.0).name for _ in range(20)})
+
+    def test_senders_with_the_same_knowledge_choose_different_servers(self) -> None:
+        names = [f"m-{number}" for number in range(79)]
+        self.add(*(build_member(name) for name in names))
+        for name in names:
+            self.report(name, 2, mean_s=0.05 if name == "m-0" else 0.1)
+        self.assertLess(self.count()["m-0"], 40)
+
+    def test_short_requests_make_no_server_look_fast(self) -> None:
+        """Guards against sending everything to the server that happened to run short requests."""
+        self.add(build_member("short"), build_member("fast"))
+        short, fast = (self.table.records[name] for name in ("short", "fast"))
+        record_load(self.table, short, LoadReport(2, 0.02, pace=1.2), 10.0)
+        record_load(self.table, fast, LoadReport(2, 0.2, pace=0.8), 10.0)
+        self.assertEqual(200, self.count(typical_s=0.2)["fast"])
+
     def test_equal_members_share(self) -> None:
         self.add(*(build_member(f"m-{n}") for n in range(4)))
         self.assertGreater(min(self.count().values()), 25)
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -406,6 +406,34 @@
         self.assertEqual(1, self.stock.runs["g-1"])
 
 
+class ThinLinkTest(CallCase):
+    """Guards against small answers that wait behind large ones on the link of their VM."""
+
+    LARGE = b"x" * 60_000
+
+    def test_a_small_answer_overtakes_large_ones(self) -> None:
+        sidecar = self.fleet.sidecars[1].sidecar
+        sidecar.settings = attrs.evolve(sidecar.settings, link_mbps=2.0)
+        self.stock.behave = lambda server, identifier: build_answer(
+            identifier, self.LARGE if identifier.startswith("large") else b"small"
+        )
+        ended: list[str] = []
+
+        def ask(identifier: str) -> None:
+            status, _, body = send(self.fleet, 0, "/stock/x", identifier)
+            whole = self.LARGE if identifier.startswith("large") else b"small"
+            self.assertEqual((200, whole), (status, body))
+            ended.append(identifier)
+
+        threads = [eventlet.spawn(ask, f"large-{number}") for number in range(2)]
+        wait_for(lambda: sidecar.egress.pending_bytes > 0, "nothing waits for the link")
+        ask("small")
+        for thread in threads:
+            thread.wait()
+        self.assertEqual(["small", "large-0", "large-1"], ended[:1] + sorted(ended[1:]))
+        self.assertEqual(0, sidecar.egress.pending_bytes)
+
+
 class LeavingTest(CallCase):
     services = ("shop", "stock", "stock")
 
