Reserve the link by time, so that a VM that doesn't read holds up no large answer

A VM behind a partition that stopped reading would have held up all large answers of the gate, up to the time-out of its connection (10 s).

Change: each answer reserves its time on the link when it is ready, and sends its pieces from then on at the rate of the link. A stop counts the delivery too.

--- a/src/magnoliasill/mesh/egress.py
+++ b/src/magnoliasill/mesh/egress.py
@@ -22,13 +22,11 @@
     """The expected use of a VM's link by answers to other VMs.
 
     Attributes:
-        free_at: When all bytes passed to the link are sent, in seconds on the monotonic clock.
-        pending_bytes: The bytes of large answers that are not passed to the link yet.
+        free_at: When all answers that are ready are sent, in seconds on the monotonic clock.
         answer_bytes: The moving average of the size of an answer, by route.
     """
 
     free_at: float = 0.0
-    pending_bytes: int = 0
     answer_bytes: dict[str, float] = attrs.field(factory=dict)
 
 
@@ -44,10 +42,9 @@
     return size * BITS_PER_BYTE / (USABLE_SHARE * link_mbps * 1e6)
 
 
-def find_backlog(egress: Egress, link_mbps: float, now: float) -> float:
+def find_backlog(egress: Egress, now: float) -> float:
     """Return the seconds until the link has sent all answers that are ready."""
-    queued_s = find_transfer_seconds(egress.pending_bytes, link_mbps)
-    return max(egress.free_at - now, 0.0) + queued_s
+    return max(egress.free_at - now, 0.0)
 
 
 def estimate_delivery(egress: Egress, route: str, link_mbps: float, now: float) -> float:
@@ -62,7 +59,7 @@
     size = egress.answer_bytes.get(route, 0.0)
     if size <= SMALL_ANSWER_BYTES:
         return 0.0
-    return find_backlog(egress, link_mbps, now) + find_transfer_seconds(size, link_mbps)
+    return find_backlog(egress, now) + find_transfer_seconds(size, link_mbps)
 
 
 def observe_size(egress: Egress, route: str, size: int) -> None:
@@ -71,8 +68,11 @@
     egress.answer_bytes[route] = average + SIZE_SMOOTHING * (size - average)
 
 
-def pass_to_link(egress: Egress, size: int, link_mbps: float, now: float) -> float:
-    """Record bytes that are passed to the link; return the seconds until they are sent.
+def reserve_link(egress: Egress, size: int, link_mbps: float, now: float) -> float:
+    """Reserve the link for an answer; return the seconds until the link is free for it.
+
+    The time is reserved whether or not the other end reads, so that one that doesn't holds up none
+    of the answers after it.
 
     Args:
         egress: The use of the link.
@@ -80,5 +80,6 @@
         link_mbps: The rate of the link in Mbit/s, or 0 if it is not known.
         now: Seconds on the monotonic clock.
     """
-    egress.free_at = max(egress.free_at, now) + find_transfer_seconds(size, link_mbps)
-    return egress.free_at - now
+    wait_s = find_backlog(egress, now)
+    egress.free_at = now + wait_s + find_transfer_seconds(size, link_mbps)
+    return wait_s
--- a/src/magnoliasill/sidecar/answer_pacing.py
+++ b/src/magnoliasill/sidecar/answer_pacing.py
@@ -6,7 +6,13 @@
 
 import eventlet
 
-from ..mesh.egress import PIECE_BYTES, SMALL_ANSWER_BYTES, observe_size, pass_to_link
+from ..mesh.egress import (
+    PIECE_BYTES,
+    SMALL_ANSWER_BYTES,
+    find_transfer_seconds,
+    observe_size,
+    reserve_link,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -26,31 +32,31 @@
         reply: The backend server's response.
         body: The bytes of the response's body.
     """
-    size = len(reply.body)
+    size, rate = len(reply.body), sidecar.settings.link_mbps
     observe_size(sidecar.egress, route, size)
-    if size <= SMALL_ANSWER_BYTES or sidecar.settings.link_mbps <= 0:
-        pass_to_link(sidecar.egress, size, sidecar.settings.link_mbps, sidecar.clock())
+    wait_s = reserve_link(sidecar.egress, size, rate, sidecar.clock())
+    if size <= SMALL_ANSWER_BYTES or rate <= 0:
         return body
-    return _send_pieces(sidecar, size, body)
+    return _send_pieces(sidecar, wait_s, size, body)
 
 
-def _send_pieces(sidecar: Sidecar, size: int, body: Iterable[bytes]) -> Iterator[bytes]:
-    """Yield the pieces of one large answer at a time, in the order of the answers."""
-    egress, rate = sidecar.egress, sidecar.settings.link_mbps
-    pending = size
-    egress.pending_bytes += pending
+def _send_pieces(
+    sidecar: Sidecar, wait_s: float, reserved_bytes: int, body: Iterable[bytes]
+) -> Iterator[bytes]:
+    """Yield the pieces of a large answer at the rate of the link, from its turn on."""
+    rate = sidecar.settings.link_mbps
+    next_at = sidecar.clock() + wait_s
     try:
-        with sidecar.large_answer_turn:
-            for chunk in body:
-                for start in range(0, len(chunk), PIECE_BYTES):
-                    piece = chunk[start : start + PIECE_BYTES]
-                    passed = min(len(piece), pending)
-                    pending -= passed
-                    egress.pending_bytes -= passed
-                    sent_in_s = pass_to_link(egress, len(piece), rate, sidecar.clock())
-                    yield piece
-                    eventlet.sleep(sent_in_s)
+        for chunk in body:
+            for start in range(0, len(chunk), PIECE_BYTES):
+                piece = chunk[start : start + PIECE_BYTES]
+                eventlet.sleep(max(next_at - sidecar.clock(), 0.0))
+                yield piece
+                next_at += find_transfer_seconds(len(piece), rate)
+                reserved_bytes -= len(piece)
+                if reserved_bytes < 0:  # the rest of a streamed answer
+                    reserve_link(sidecar.egress, -reserved_bytes, rate, sidecar.clock())
+                    reserved_bytes = 0
     finally:
-        egress.pending_bytes -= pending
         if hasattr(body, "close"):
             body.close()
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -279,7 +279,7 @@
     sidecar: Sidecar, call: HopCall, now: float, deadline: float, delivery_s: float
 ) -> str:
     """Wait for a slot; return an empty string, or the reason why the request got none."""
-    wait_left_s = find_run_wait_left(sidecar, call.route, deadline)
+    wait_left_s = find_run_wait_left(sidecar, call.route, deadline) - delivery_s
     if wait_left_s <= 0:
         return "stopping"
     event = Event()
@@ -430,7 +430,7 @@
         mean_s=round(gate.mean_s, 4),
         failing=round(gate.failing, 3),
         pace=round(gate.pace, 3),
-        link_s=round(find_backlog(sidecar.egress, sidecar.settings.link_mbps, now), 4),
+        link_s=round(find_backlog(sidecar.egress, now), 4),
         closed=not accepts_requests(backend) or is_gate_closing(sidecar),
         leaving=backend.leaving_at is not None,
         limit_per_s=backend.limit_per_s,
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -10,7 +10,6 @@
 
 import attrs
 from eventlet.event import Event
-from eventlet.semaphore import Semaphore
 
 from ..calls.connections import ConnectionPool
 from ..codes import LogEvent
@@ -128,7 +127,6 @@
         answer_bytes: Moving average of the response size in bytes, by route.
         typical_runs: Moving average of the duration at all backend servers in seconds, by route.
         egress: The use of this VM's link by answers to other VMs.
-        large_answer_turn: Held by the large answer that is being sent to another VM.
         time_left_samples: Samples of the time that callers have left at their requests, by route.
         retry_budget: Retry budget of each service.
         retry_after_states: Recent rejections of each service, which scale the advised retry delay.
@@ -182,7 +180,6 @@
     answer_bytes: dict[str, float] = attrs.field(factory=dict)
     typical_runs: dict[str, float] = attrs.field(factory=dict)
     egress: Egress = attrs.field(factory=Egress)
-    large_answer_turn: Semaphore = attrs.field(factory=Semaphore)
     time_left_samples: dict[str, TimeLeftSamples] = attrs.field(factory=dict)
     retry_budget: RetryBudget = attrs.field(factory=lambda: RetryBudget(0.2, 50.0, 10.0))
     retry_after_states: dict[str, RetryAfterState] = attrs.field(factory=dict)
