--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -303,7 +303,13 @@
 
 
 def find_run_wait_left(sidecar: Sidecar, route: str, deadline: float) -> float:
-    """Return the same for a request at this VM's gate."""
+    """Return the seconds within which a request at this VM's gate must start.
+
+    Args:
+        sidecar: The sidecar's state.
+        route: The request's route.
+        deadline: When its caller stops waiting.
+    """
     return _find_wait_left(sidecar, sidecar.slowest_runs, route, deadline)
 
 
