Simulate outages of the store during which VMs lose power one by one, with tests that fail

What callers would see: a request handled by an outdated configuration more than config_apply_s after the acceptance of a newer one, at VMs that the store has served again for contact_s.

play_restarts_without_store, which no test called, restarted all VMs at one moment and had leases pause.

--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -339,22 +339,25 @@
     eventlet.spawn(run)
 
 
-def play_restarts_without_store(fleet: SimulatedFleet, share: float, silent: bool) -> None:
-    """Let the store fail for seconds, most VMs lose power meanwhile, then publish in succession.
+def play_return_of_store(
+    fleet: SimulatedFleet, share: float, silent: bool, leases_pause: bool
+) -> None:
+    """Let the store fail for seconds while VMs lose power, then publish in quick succession.
 
     Args:
         fleet: The fleet, at most 5 s after its start.
-        share: The share of all VMs that lose power.
+        share: The share of all VMs that lose power, each at a moment of its own.
         silent: Whether the store leaves all without an answer instead of refusing.
+        leases_pause: Whether leases last longer by the time of the failure instead of ending.
     """
     names = sorted(fleet.vms)
     start, duration_s = 6.0, fleet.random.uniform(6.0, 9.0)
-    interrupt_store(fleet, names, start, duration_s, silent, leases_pause=True)
-    run_until(fleet, start + fleet.random.uniform(2.0, 4.0))
+    interrupt_store(fleet, names, start, duration_s, silent, leases_pause)
     for name in fleet.random.sample(names, round(share * len(names))):
-        restart_vm(fleet, name, down_s=1.0)
-    run_until(fleet, start + duration_s + fleet.random.uniform(0.2, 0.6))
-    for gap_s in (0.26, 0.26, 0.26, 0.26, 0.5, 2.0, 2.0):
+        at, down_s = fleet.random.uniform(0.0, duration_s), fleet.random.uniform(1.0, 2.5)
+        eventlet.spawn_after(start + at - fleet.now, restart_vm, fleet, name, down_s)
+    run_until(fleet, start + duration_s + fleet.random.uniform(0.0, 0.6))
+    for gap_s in (0.26, 0.26, 0.26, 0.26, 0.5, 2.0, 4.0):
         publish(fleet)
         eventlet.sleep(gap_s)
 
--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -167,6 +167,18 @@
         self.assertEqual(2, len(reads))
 
 
+class RestartsBeforeReturnTest(WithScenarios, OutageCase):
+    """The store fails for seconds and its leases end, while most VMs lose power one by one."""
+
+    scenarios = [(f"seed-{seed}", {"seed": seed}) for seed in (2, 23, 25, 33)]
+
+    # VMs went from one outdated or slow relay to the next, although the store answered them again
+    def test_configurations_are_applied_in_time_after_the_return(self) -> None:
+        fleet = self.open_fleet(self.seed, vms=23)
+        simulation.play_return_of_store(fleet, 0.6, silent=True, leases_pause=False)
+        self.assert_in_time(fleet)
+
+
 class LostWatchTest(WithScenarios, OutageCase):
     """A relay's watch gets no response, while the store answers all its other calls."""
 
