Take any bytes from other writers, and refuse values that nothing can have

What callers saw: nothing by itself; what they would see is an outdated configuration everywhere. One item under mesh/members/, mesh/takeovers/ or op/rollout/ that is nested some thousand levels deep ended the loop that follows the store on all VMs. A member with a link of 10^300 Mbit/s was the first relay of every VM; members with port 99999 or 0 slots were listed, called and reckoned with.

Cause: each reader converted the codec's own errors only. Nesting raises RecursionError, long numbers OverflowError or ValueError, in JSON, MessagePack and TOML alike, and in headers (Server-Load, X-Load, Keep-Alive). Ranges were not checked at all.

Change: decoding.decode_json and decode_msgpack are the only callers of the codec's decoders and raise one error with a short message; mesh/fields has the types of fields with their ranges, which the codec checks. Stored claims that can't be read make their range be given up instead of staying in its phase for good.

--- a/src/magnoliasill/balancing/load_reports.py
+++ b/src/magnoliasill/balancing/load_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 import attrs
@@ -15,6 +16,7 @@
 
 _LOAD = LOAD_HEADER.lower()
 _DRAINING = DRAINING_HEADER.lower()
+_COUNT = re.compile(r"[0-9]{1,9}")
 
 
 @attrs.frozen
@@ -47,6 +49,6 @@
     if not load and not draining:
         return EMPTY_REPORT
     running, _, slots = load.partition("/")
-    if not (running.isdecimal() and slots.isdecimal()):
+    if not (_COUNT.fullmatch(running) and _COUNT.fullmatch(slots)):
         return LoadReport(draining=draining)
     return LoadReport(min(int(running), MAX_RUNNING), min(int(slots), MAX_RUNNING), draining)
--- a/src/magnoliasill/claims/claim_ranges.py
+++ b/src/magnoliasill/claims/claim_ranges.py
@@ -10,8 +10,6 @@
 import hashlib
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from ..codes import LogEvent
 from ..core.actions import (
     Action,
@@ -26,11 +24,11 @@
 )
 from ..core.messages import ClaimReply, ClaimReport, ClaimRequest
 from ..core.node import list_alive
+from ..errors import ConfigurationError
 from .claim_recording import (
     RETENTION_LEASE_S,
     RETENTION_S,
     RETRY_INTERVAL_S,
-    StoredHead,
     encode_bucket,
     encode_head,
     expire_runs,
@@ -39,6 +37,7 @@
     format_store_key,
     process_request,
     read_bucket,
+    read_head_sequence,
     receive_write_answer,
     receive_write_failure,
     refuse_all,
@@ -168,11 +167,25 @@
             return stop_holding(node, now, key_range, "the lease is over")
         key_range.lease_until = key_range.lease_requested_at + LEASE_TTL_MS / 1000
         return []
+    try:
+        if key_range.phase is RangePhase.HELD:
+            return receive_write_answer(node, now, key_range, step, answer)
+        if step != key_range.phase.value:
+            return []
+        return _PHASE_HANDLERS[key_range.phase](node, now, key_range, answer)
+    except ConfigurationError as error:
+        fields = {"key": answer.purpose, "revision": 0, "reason": error.message}
+        return [
+            Log(LogEvent.ENTRY_REFUSED, fields),
+            *_give_up_unreadable(node, now, key_range),
+        ]
+
+
+def _give_up_unreadable(node: Node, now: float, key_range: KeyRange) -> list[Action]:
+    """Give up a range whose claims can't be read: they may be those of requests that have run."""
     if key_range.phase is RangePhase.HELD:
-        return receive_write_answer(node, now, key_range, step, answer)
-    if step != key_range.phase.value:
-        return []
-    return _PHASE_HANDLERS[key_range.phase](node, now, key_range, answer)
+        return stop_holding(node, now, key_range, "its claims can't be read")
+    return _abort_acquisition(node, now, key_range, "unavailable")
 
 
 def receive_claim_failure(node: Node, now: float, failure: StoreFailed) -> list[Action]:
@@ -311,7 +324,7 @@
     if not entry.revision:
         key_range.sequence = 0
         return _advance_head(node, key_range)
-    key_range.sequence = msgspec.msgpack.decode(entry.value, type=StoredHead).sequence
+    key_range.sequence = read_head_sequence(entry.value)
     purpose = _enter_phase(key_range, RangePhase.READING_LAST_BUCKET)
     return [StoreRead(purpose, (format_bucket_key(key_range, key_range.sequence),))]
 
--- a/src/magnoliasill/claims/claim_recording.py
+++ b/src/magnoliasill/claims/claim_recording.py
@@ -7,14 +7,16 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import msgspec
 
-from ..codes import LogEvent
+from ..codes import ErrorCode, LogEvent
 from ..core.actions import Action, LeaseGrant, Log, SendMessage, StoreWrite
 from ..core.messages import ClaimReply, ClaimRequest
+from ..decoding import DecodingError, decode_msgpack
+from ..errors import ConfigurationError
 from .claim_records import (
     RELEASED,
     ClaimRecord,
@@ -91,9 +93,29 @@
 
 
 def read_bucket(value: bytes) -> list[ClaimRecord]:
-    """Decode the records of a stored bucket."""
-    stored = msgspec.msgpack.decode(value, type=StoredBucket)
-    return list(unpack_records(stored.records))
+    """Decode the records of a stored bucket.
+
+    Raises:
+        ConfigurationError: If the value is malformed.
+    """
+    return list(unpack_records(_decode_stored(value, StoredBucket).records))
+
+
+def read_head_sequence(value: bytes) -> int:
+    """Decode the number of the last bucket from the stored head of a range.
+
+    Raises:
+        ConfigurationError: If the value is malformed.
+    """
+    return _decode_stored(value, StoredHead).sequence
+
+
+def _decode_stored(value: bytes, kind: Any) -> Any:
+    try:
+        return decode_msgpack(value, kind)
+    except DecodingError as error:
+        message = f"malformed claims: {error}"
+        raise ConfigurationError(ErrorCode.BLOB_CORRUPT, message) from error
 
 
 def get_writer_id(node: Node) -> str:
@@ -192,9 +214,10 @@
     if step == ROLL:
         _open_next_bucket(now, key_range, entry.revision)
         return write_pending(node, now, key_range)
+    records = read_bucket(entry.value)
     granted, key_range.writing, key_range.unconfirmed_value = key_range.writing, [], b""
     key_range.bucket_revision = entry.revision
-    key_range.bucket_records = read_bucket(entry.value)
+    key_range.bucket_records = records
     actions: list[Action] = [
         _reply(node, request, "granted") for request in granted if not request.release
     ]
--- a/src/magnoliasill/core/messages.py
+++ b/src/magnoliasill/core/messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..codes import ErrorCode
+from ..decoding import DecodingError, decode_msgpack
 from ..errors import MessageError
 from ..takeovers.plans import Progress
 from ..versions.manifest import Head, HeadDelta
@@ -381,12 +382,12 @@
     if len(data) > MAX_MESSAGE_BYTES:
         raise MessageError(ErrorCode.MESSAGE_INVALID, f"{len(data)} bytes")
     try:
-        envelope = msgspec.msgpack.decode(data, type=_Envelope)
+        envelope = decode_msgpack(data, _Envelope)
         if envelope.wire_version != WIRE_VERSION:
             raise MessageError(ErrorCode.MESSAGE_INVALID, f"wire version {envelope.wire_version}")
         kind = _MESSAGE_TYPES.get(envelope.kind)
         if kind is None:
             raise MessageError(ErrorCode.MESSAGE_INVALID, f"kind {envelope.kind[:40]!r}")
-        return msgspec.msgpack.decode(envelope.body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise MessageError(ErrorCode.MESSAGE_INVALID, str(error)[:200]) from error
+        return decode_msgpack(envelope.body, kind)
+    except DecodingError as error:
+        raise MessageError(ErrorCode.MESSAGE_INVALID, str(error)) from error
--- a/src/magnoliasill/mesh/evidence.py
+++ b/src/magnoliasill/mesh/evidence.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from .fields import Count, Histogram  # noqa: TC001 - msgspec evaluates it
 from .slowness import ALTERNATIVE_COUNT, BUCKETS, find_bucket, score_slowness
 
 TOLERATED_FAILURE_RATE = 0.02  # a failure rate up to this is no evidence against a release
@@ -45,8 +46,8 @@
 class Tally:
     """The answers on one route, and how many of them failed."""
 
-    answers: int
-    failures: int
+    answers: Count
+    failures: Count
 
 
 @attrs.define
@@ -60,10 +61,10 @@
         timeouts: The number of failures without any answer until the deadline.
     """
 
-    answers: int = 0
-    failures: int = 0
-    seconds: list[int] = attrs.field(factory=lambda: [0] * BUCKETS)
-    timeouts: int = 0
+    answers: Count = 0
+    failures: Count = 0
+    seconds: Histogram = attrs.field(factory=lambda: [0] * BUCKETS)
+    timeouts: Count = 0
 
 
 Counts: TypeAlias = Mapping[str, RouteCounts]
--- a/src/magnoliasill/mesh/hop_headers.py
+++ b/src/magnoliasill/mesh/hop_headers.py
@@ -5,7 +5,9 @@
 import attrs
 import msgspec
 
+from ..decoding import DecodingError, decode_json
 from .crash_findings import CrashRecord  # noqa: TC001 - msgspec evaluates it
+from .fields import Count, Number, PositiveNumber  # noqa: TC001 - msgspec evaluates it
 from .gate import MAX_WAIT_S
 
 CALL_HEADER = "Magnoliasill-Call"
@@ -45,16 +47,16 @@
     idempotent: bool
     nested: bool
     priority: int
-    time_left_s: float
-    target_left_s: float
+    time_left_s: Number
+    target_left_s: Number
     late: bool
     repeat: bool = False
-    wait_left_s: float = MAX_WAIT_S
-    born: int = 0
-    limit_per_s: float | None = None
-    limit_age_s: float = 0.0
+    wait_left_s: Number = MAX_WAIT_S
+    born: Count = 0
+    limit_per_s: PositiveNumber | None = None
+    limit_age_s: Number = 0.0
     crashes: CrashRecord | None = None
-    typical_s: float = 0.0
+    typical_s: Number = 0.0
 
 
 @attrs.frozen
@@ -85,19 +87,19 @@
     ran: str
     reason: str = ""
     arrived: bool = False
-    busy: int = 0
-    mean_s: float = 0.0
-    failing: float = 0.0
+    busy: Count = 0
+    mean_s: Number = 0.0
+    failing: Number = 0.0
     closed: bool = False
     leaving: bool = False
-    limit_per_s: float | None = None
-    limit_age_s: float | None = None
-    turn_s: float = 0.0
+    limit_per_s: PositiveNumber | None = None
+    limit_age_s: Number | None = None
+    turn_s: Number = 0.0
     crashes: CrashRecord | None = None
-    blocked_s: float = 0.0
-    run_s: float = 0.0
-    pace: float = 1.0
-    link_s: float = 0.0
+    blocked_s: Number = 0.0
+    run_s: Number = 0.0
+    pace: Number = 1.0
+    link_s: Number = 0.0
 
 
 def encode_header_value(fields: HopCall | GateReport) -> str:
@@ -108,14 +110,14 @@
 def decode_call(text: str) -> HopCall | None:
     """Decode the header of a request; return None if it is malformed."""
     try:
-        return msgspec.json.decode(text, type=HopCall)
-    except msgspec.MsgspecError:
+        return decode_json(text, HopCall)
+    except DecodingError:
         return None
 
 
 def decode_report(text: str) -> GateReport | None:
     """Decode the header of an answer; return None if it is malformed."""
     try:
-        return msgspec.json.decode(text, type=GateReport)
-    except msgspec.MsgspecError:
+        return decode_json(text, GateReport)
+    except DecodingError:
         return None
--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from .fields import Address, Count, LinkRate, Name, Slots  # noqa: TC001 - msgspec evaluates it
 from .server_notices import ServerNotice
 
 LAPSE_GRACE_S = 4.0  # a live member registers again within 2 s after the end of a store outage
@@ -36,16 +37,16 @@
         server_leaving: Whether the backend server itself is leaving, not only its sidecar.
     """
 
-    name: str
-    data_centre: str
-    gate: str
-    service: str
-    release: str
-    instance: str
-    slots: int
+    name: Name
+    data_centre: Name
+    gate: Address
+    service: Name
+    release: Name
+    instance: Name
+    slots: Slots
     leaving: bool = False
-    link_mbps: float = 0.0
-    born: int = 0
+    link_mbps: LinkRate = 0.0
+    born: Count = 0
     server_leaving: bool = False
 
 
--- a/src/magnoliasill/mesh/records.py
+++ b/src/magnoliasill/mesh/records.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..codes import ErrorCode
+from ..decoding import DecodingError, decode_json
 from ..errors import ConfigurationError
 from .crash_findings import CrashRecord
 from .members import Member
@@ -53,7 +54,7 @@
 
 def _decode(value: bytes, kind: Any) -> Any:
     try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.MsgspecError as error:
+        return decode_json(value, kind)
+    except DecodingError as error:
         message = f"the record is malformed: {error}"
         raise ConfigurationError(ErrorCode.FILE_INVALID, message) from error
--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -14,6 +14,7 @@
 import attrs
 
 from .deltas import Delta, DeltaError, build_delta
+from .fields import Count, PositiveNumber  # noqa: TC001 - msgspec evaluates it
 from .members import find_condition
 
 if TYPE_CHECKING:
@@ -47,9 +48,9 @@
     """
 
     key: str
-    revision: int
+    revision: Count
     value: bytes | None
-    lease: int = 0
+    lease: Count = 0
     long: bool = False
     delta: Delta | None = None
     packed: bytes | None = None
@@ -69,8 +70,8 @@
     """
 
     changes: tuple[Change, ...]
-    revision: int
-    age_s: float
+    revision: Count
+    age_s: PositiveNumber
     whole: bool = True
     snapshot: bool = False
     reads_store: bool = True
--- a/src/magnoliasill/mesh/takeovers.py
+++ b/src/magnoliasill/mesh/takeovers.py
@@ -8,6 +8,7 @@
 import attrs
 
 from .evidence import Tally, Verdict
+from .fields import Count, PositiveNumber, Share  # noqa: TC001 - msgspec evaluates it
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -88,17 +89,17 @@
 
     service: str
     release: str
-    order_revision: int
+    order_revision: Count
     phase: Phase = Phase.RUNNING
-    share: float = 0.0
-    elapsed_s: float = 0.0
-    age_s: float = 0.0
-    answered: int = 0
+    share: Share = 0.0
+    elapsed_s: PositiveNumber = 0.0
+    age_s: PositiveNumber = 0.0
+    answered: Count = 0
     retired: tuple[str, ...] = ()
     reason: str = ""
     before: dict[str, Tally] = attrs.field(factory=dict)
     after: dict[str, Tally] = attrs.field(factory=dict)
-    rate_per_s: float | None = None
+    rate_per_s: PositiveNumber | None = None
 
 
 @attrs.frozen
@@ -114,7 +115,7 @@
 
     service: str
     release: str
-    order_revision: int
+    order_revision: Count
     reason: str = ""
 
 
--- a/src/magnoliasill/platform/headers.py
+++ b/src/magnoliasill/platform/headers.py
@@ -27,6 +27,8 @@
 _MISDIRECTED_REQUEST = 421
 _DECIMAL_NUMBER = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 _MAX_NUMBER_LENGTH = 32
+_LOAD_COUNT = re.compile(r"[0-9]{1,9}")
+_MAX_TIME_LEFT_S = 1e9
 
 
 @attrs.frozen
@@ -133,7 +135,7 @@
         milliseconds = float(text)
     except ValueError:
         return None
-    return milliseconds / 1000 if 0 <= milliseconds < math.inf else None
+    return min(milliseconds / 1000, _MAX_TIME_LEFT_S) if 0 <= milliseconds < math.inf else None
 
 
 def _parse_positive_number(text: str) -> float | None:
@@ -145,6 +147,6 @@
 
 def _parse_load(text: str) -> tuple[int | None, int]:
     parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+    if len(parts) != 3 or not all(_LOAD_COUNT.fullmatch(part.strip()) for part in parts):
         return None, 0
     return int(parts[0]), int(parts[1])
--- a/src/magnoliasill/platform/heartbeats.py
+++ b/src/magnoliasill/platform/heartbeats.py
@@ -5,16 +5,16 @@
 from typing import Any
 from urllib.parse import unquote
 
-import msgspec
-
 from ..codes import ErrorCode
+from ..decoding import DecodingError, decode_json, describe_value
 from ..errors import MessageError
 from ..mesh.backend import Heartbeat
+from ..mesh.fields import MAX_COUNT, MAX_SLOTS, is_name
 
 INSTANCE_PATH = "/-/instances/"
 ACKNOWLEDGEMENT = b"{}"
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
-MAX_SLOTS = 100_000
+MAX_COLD_S = 86_400.0
 
 
 def parse_instance_path(path: str) -> str:
@@ -44,19 +44,28 @@
     sequence = _require_field(status, "sequence", int)
     warmup_s = status.get("warmup_left_s", 0)
     if state not in _LEAVING_BY_STATE:
-        raise MessageError(ErrorCode.MESSAGE_INVALID, f"the heartbeat's state is {state!r}")
-    if not 0 < slots <= MAX_SLOTS or sequence < 0:
-        raise MessageError(ErrorCode.MESSAGE_INVALID, f"{slots} slots, sequence {sequence}")
-    if isinstance(warmup_s, bool) or not isinstance(warmup_s, (int, float)) or warmup_s < 0:
-        raise MessageError(ErrorCode.MESSAGE_INVALID, f"the cold start lasts {warmup_s!r}")
+        raise MessageError(
+            ErrorCode.MESSAGE_INVALID, f"the heartbeat's state is {describe_value(state)}"
+        )
+    if not 0 < slots <= MAX_SLOTS or not 0 <= sequence <= MAX_COUNT:
+        message = f"{describe_value(slots)} slots, sequence {describe_value(sequence)}"
+        raise MessageError(ErrorCode.MESSAGE_INVALID, message)
+    if isinstance(warmup_s, bool) or not isinstance(warmup_s, (int, float)):
+        warmup_s = None
+    if warmup_s is None or not 0 <= warmup_s <= MAX_COLD_S:
+        message = f"the cold start lasts {describe_value(status['warmup_left_s'])}"
+        raise MessageError(ErrorCode.MESSAGE_INVALID, message)
+    if not is_name(instance):
+        message = f"the instance is {describe_value(instance)}"
+        raise MessageError(ErrorCode.MESSAGE_INVALID, message)
     return Heartbeat(
         instance=instance,
         born=_read_start_time(fields),
         sequence=sequence,
         address=_require_field(fields, "address", str),
-        service=_require_field(node_info, "service_name", str),
-        release=_require_field(node_info, "version", str),
-        data_centre=_require_field(node_info, "zone", str),
+        service=_require_name(node_info, "service_name"),
+        release=_require_name(node_info, "version"),
+        data_centre=_require_name(node_info, "zone"),
         slots=slots,
         leaving=_LEAVING_BY_STATE[state],
         cold_s=float(warmup_s),
@@ -72,8 +81,8 @@
 
 def _decode_object(body: bytes) -> dict[str, Any]:
     try:
-        fields = msgspec.json.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        fields = decode_json(body)
+    except DecodingError as error:
         raise MessageError(ErrorCode.MESSAGE_INVALID, f"no JSON: {error}") from error
     if not isinstance(fields, dict):
         raise MessageError(ErrorCode.MESSAGE_INVALID, "the body is no object")
@@ -83,9 +92,19 @@
 def _require_field(fields: dict[str, Any], name: str, expected_type: type) -> Any:
     value = fields.get(name)
     if not isinstance(value, expected_type) or isinstance(value, bool) or value == "":
-        raise MessageError(ErrorCode.MESSAGE_INVALID, f"{name} is {value!r}")
+        raise MessageError(ErrorCode.MESSAGE_INVALID, f"{name} is {describe_value(value)}")
+    return value
+
+
+def _require_name(fields: dict[str, Any], name: str) -> str:
+    value = _require_field(fields, name, str)
+    if not is_name(value):
+        raise MessageError(ErrorCode.MESSAGE_INVALID, f"{name} is {describe_value(value)}")
     return value
 
 
 def _read_start_time(fields: dict[str, Any]) -> int:
-    return _require_field(fields, "born", int) if "born" in fields else 0
+    born = _require_field(fields, "born", int) if "born" in fields else 0
+    if not 0 <= born <= MAX_COUNT:
+        raise MessageError(ErrorCode.MESSAGE_INVALID, f"born is {describe_value(born)}")
+    return born
--- a/src/magnoliasill/platform/operator_configuration.py
+++ b/src/magnoliasill/platform/operator_configuration.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ..codes import ErrorCode
+from ..decoding import decode_json, describe_error
 from ..errors import ConfigurationError
 from ..mesh.routes import (
     DEFAULT_ATTEMPTS,
@@ -23,6 +24,8 @@
 CONFIGURATION_KEY = "op/config"
 ORDER_PREFIX = "op/rollout/"
 STATUS_PREFIX = "status/rollout/"
+# of fields that are missing, of another type or out of range; DecodingError is a ValueError
+_FIELD_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 _NON_IDEMPOTENT_KIND = "non_idempotent"
 _STATUS_BY_PHASE = {
     Phase.RUNNING: "running",
@@ -39,9 +42,9 @@
         ConfigurationError: If any part is invalid; no part of that version is used then.
     """
     try:
-        return _build_route_table(msgspec.json.decode(value))
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError, AttributeError) as error:
-        message = f"the configuration can't be understood: {error!r}"
+        return _build_route_table(decode_json(value))
+    except _FIELD_ERRORS as error:
+        message = f"the configuration can't be understood: {describe_error(error)}"
         raise ConfigurationError(ErrorCode.FILE_INVALID, message) from error
 
 
@@ -98,14 +101,14 @@
         ConfigurationError: If the order is malformed.
     """
     try:
-        fields = msgspec.json.decode(value)
+        fields = decode_json(value)
         return Order(
             service=str(fields["service_name"]),
             release=str(fields["target_version"]),
             duration_s=float(fields["duration_s"]),
         )
-    except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as error:
-        message = f"the order can't be understood: {error!r}"
+    except _FIELD_ERRORS as error:
+        message = f"the order can't be understood: {describe_error(error)}"
         raise ConfigurationError(ErrorCode.TAKEOVER_INVALID, message) from error
 
 
--- a/src/magnoliasill/platform/settings.py
+++ b/src/magnoliasill/platform/settings.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import tomllib
-from math import isfinite
+from math import inf
 from typing import TYPE_CHECKING, Any
 
 from ..codes import ErrorCode
+from ..decoding import describe_value
 from ..errors import SettingsError
+from ..mesh.fields import MAX_LINK_MBPS, is_address
 from ..mesh.settings import Bounds, SidecarSettings
 
 if TYPE_CHECKING:
@@ -42,7 +44,7 @@
     try:
         with open(path, "rb") as file:
             fields = tomllib.load(file)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         message = f"the settings file {path} can't be read: {error}"
         raise SettingsError(ErrorCode.SETTING_INVALID, message) from error
     return decode_settings(fields)
@@ -55,9 +57,6 @@
         SettingsError: Naming the first field that is missing or of the wrong type.
     """
     addresses = _require_field(fields, "listen_addrs", dict)
-    ports = fields.get("port_range") or []
-    ip = _require_field(fields, "ip", str)
-    metrics = f"{ip}:{int(ports[0]) + METRICS_PORT_OFFSET}" if ports else ""
     return SidecarSettings(
         name=_require_field(fields, "node_name", str),
         data_centre=_require_field(fields, "zone", str),
@@ -68,7 +67,7 @@
         server=_read_address(fields, "app_addr"),
         service=_require_field(fields, "service_name", str),
         store=_read_address(_require_field(fields, "platform", dict), "address"),
-        metrics=metrics,
+        metrics=_find_metrics_address(fields),
         link_mbps=_read_link_rate(fields.get("limits")),
         seeds=tuple(str(seed) for seed in fields.get("seed_nodes") or ()),
         bounds=_read_bounds(fields.get("bounds") or []),
@@ -85,9 +84,21 @@
 
 def _read_address(fields: Mapping[str, Any], name: str) -> str:
     address = _require_field(fields, name, str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdecimal():
-        message = f"the settings field {name} is no address: {address!r}"
+    if not is_address(address):
+        message = f"the settings field {name} is no address: {describe_value(address)}"
+        raise SettingsError(ErrorCode.SETTING_INVALID, message)
+    return address
+
+
+def _find_metrics_address(fields: Mapping[str, Any]) -> str:
+    """Return the address for metrics, or an empty string if the platform assigns no ports."""
+    ip, ports = _require_field(fields, "ip", str), fields.get("port_range")
+    if not ports:
+        return ""
+    first = ports[0] if isinstance(ports, list) else None
+    address = f"{ip}:{first + METRICS_PORT_OFFSET}" if isinstance(first, int) else ""
+    if not is_address(address):
+        message = f"the settings field port_range is no list of ports: {describe_value(ports)}"
         raise SettingsError(ErrorCode.SETTING_INVALID, message)
     return address
 
@@ -95,8 +106,8 @@
 def _read_link_rate(limits: Any) -> float:
     """Return the rate of the VM's link in Mbit/s, or 0 if the platform does not give it."""
     rate = limits.get("link_mbps") if isinstance(limits, dict) else None
-    usable = isinstance(rate, int | float) and isfinite(rate) and rate > 0
-    return float(rate) if usable else 0.0
+    usable = isinstance(rate, int | float) and 0 < rate < inf
+    return float(min(rate, MAX_LINK_MBPS)) if usable else 0.0
 
 
 def _read_bounds(entries: Any) -> Bounds:
--- a/src/magnoliasill/platform/store.py
+++ b/src/magnoliasill/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 from collections.abc import Callable
 from time import monotonic
 from typing import Any, TypeAlias
@@ -17,6 +16,7 @@
 from ..calls.line_reader import CheckedConnectionPool
 from ..calls.sockets import SOCKET_OPTIONS
 from ..codes import ErrorCode
+from ..decoding import DecodingError, decode_json, describe_error
 from ..errors import (
     ConditionFailedError,
     HistoryLostError,
@@ -240,8 +240,8 @@
     if response.status != _OK and not response.data:
         return {}
     try:
-        return msgspec.json.decode(response.data) if response.data else {}
-    except msgspec.MsgspecError as error:
+        return decode_json(response.data) if response.data else {}
+    except DecodingError as error:
         if response.status != _OK:
             return {}  # the status alone determines the outcome
         raise StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, str(error)) from error
@@ -259,8 +259,8 @@
 def _convert_decode_errors(decode: Any) -> Any:
     try:
         return decode()
-    except (KeyError, TypeError, ValueError, AttributeError, binascii.Error) as error:
-        message = f"the store's answer can't be understood: {error!r}"
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        message = f"the store's answer can't be understood: {describe_error(error)}"
         raise StoreOutcomeUnknownError(ErrorCode.STORE_OUTCOME_UNKNOWN, message) from error
 
 
--- a/src/magnoliasill/process/administration.py
+++ b/src/magnoliasill/process/administration.py
@@ -13,6 +13,7 @@
 
 from ..codes import ErrorCode
 from ..core.events import ServerAnnounced
+from ..decoding import DecodingError, decode_json
 from ..error_catalogue import ERRORS
 from ..errors import AdministrationError, MagnoliasillError
 from ..publishing.change_requests import MAX_CHANGE_BYTES, handle_change
@@ -175,8 +176,8 @@
 def _handle_announcement(context: AdministrationContext, environ: dict[str, Any]) -> Response:
     body = _read_body(environ, MAX_ANNOUNCEMENT_BYTES)
     try:
-        event = msgspec.json.decode(body, type=ServerAnnounced)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        event = decode_json(body, ServerAnnounced)
+    except DecodingError as error:
         raise AdministrationError(ErrorCode.REQUEST_INVALID, str(error)) from error
     context.submit(event)
     return _build_json_response({})
--- a/src/magnoliasill/publishing/base_file.py
+++ b/src/magnoliasill/publishing/base_file.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..codes import ErrorCode
+from ..decoding import DecodingError, decode_json
 from ..errors import ServiceFileError
 
 if TYPE_CHECKING:
@@ -44,10 +45,10 @@
     """
     path = folder / BASE_FILE_NAME
     try:
-        return msgspec.json.decode(path.read_bytes(), type=BaseFile).services
+        return decode_json(path.read_bytes(), BaseFile).services
     except FileNotFoundError:
         return {}
-    except (OSError, UnicodeDecodeError, msgspec.MsgspecError) as error:
+    except (OSError, DecodingError) as error:
         advice = "remove the file and pull, or give --base VERSION"
         raise ServiceFileError(ErrorCode.FILE_UNREADABLE, f"{path}: {error}", advice) from error
 
--- a/src/magnoliasill/publishing/change_requests.py
+++ b/src/magnoliasill/publishing/change_requests.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING, Any
 
 import attrs
-import msgspec
+import msgspec  # noqa: TC002 - msgspec evaluates it
 
 from ..codes import ErrorCode, LogEvent
+from ..decoding import DecodingError, decode_json
 from ..errors import AdministrationError, MagnoliasillError
 from ..versions.service_file import decode_service_file
 from .publisher import ChangeSet, plan_undo, publish
@@ -162,9 +163,9 @@
 
 def _decode_request(body: bytes, request_type: type) -> Any:
     try:
-        request = msgspec.json.decode(body, type=request_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise AdministrationError(ErrorCode.REQUEST_INVALID, str(error)[:200]) from error
+        request = decode_json(body, request_type)
+    except DecodingError as error:
+        raise AdministrationError(ErrorCode.REQUEST_INVALID, str(error)) from error
     if not request.publish_id:
         raise AdministrationError(ErrorCode.REQUEST_INVALID, "`publish_id` must not be empty")
     return request
--- a/src/magnoliasill/publishing/history.py
+++ b/src/magnoliasill/publishing/history.py
@@ -13,6 +13,7 @@
 
 from ..codes import ErrorCode
 from ..core.actions import StoreRead, StoreWrite
+from ..decoding import DecodingError, decode_json
 from ..errors import ConfigurationError, PublishError
 
 if TYPE_CHECKING:
@@ -131,8 +132,8 @@
 
 def _decode_change(value: bytes) -> VersionChange:
     try:
-        return msgspec.json.decode(value, type=VersionChange)
-    except msgspec.MsgspecError as error:
+        return decode_json(value, VersionChange)
+    except DecodingError as error:
         raise ConfigurationError(
             ErrorCode.BLOB_CORRUPT, f"invalid history record: {error}"
         ) from error
--- a/src/magnoliasill/publishing/teams.py
+++ b/src/magnoliasill/publishing/teams.py
@@ -13,6 +13,7 @@
 
 from ..codes import ErrorCode
 from ..core.actions import StoreDelete, StoreRead, StoreWrite
+from ..decoding import DecodingError, decode_json
 from ..errors import AdministrationError
 from ..versions.service_file import NAME_PATTERN
 
@@ -138,7 +139,7 @@
 
 def _decode_record(entry: StoreEntry) -> TeamRecord:
     try:
-        return msgspec.json.decode(entry.value, type=TeamRecord)
-    except msgspec.MsgspecError as error:
+        return decode_json(entry.value, TeamRecord)
+    except DecodingError as error:
         message = f"invalid team record {entry.key}: {error}"
         raise AdministrationError(ErrorCode.BLOB_CORRUPT, message) from error
--- a/src/magnoliasill/sidecar/http_exchange.py
+++ b/src/magnoliasill/sidecar/http_exchange.py
@@ -7,6 +7,7 @@
 
 import http.client
 import io
+import re
 import socket
 from collections import deque
 from contextlib import suppress
@@ -50,6 +51,7 @@
 IDLE_TIMEOUT_SHARE = 0.7  # of the other end's idle timeout; connections idle longer are not reused
 MAX_STALE_RESPONSES = 2  # responses to earlier requests that are skipped at most
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
+_SECONDS = re.compile(r"[0-9]{1,9}")
 _CONNECTION_ERRORS = (http.client.HTTPException, OSError, ValueError)
 
 
@@ -454,6 +456,6 @@
     for name, value in headers:
         if name.lower() == "keep-alive" and "timeout=" in value:
             text = value.split("timeout=", 1)[1].split(",", 1)[0].strip()
-            if text.isdecimal():
+            if _SECONDS.fullmatch(text):
                 bound = IdleBound(MAX_IDLE_CONNECTIONS, int(text) * IDLE_TIMEOUT_SHARE)
                 pool.bounds[address] = bound
--- a/src/magnoliasill/sidecar/member_requests.py
+++ b/src/magnoliasill/sidecar/member_requests.py
@@ -5,8 +5,7 @@
 from http.client import HTTPException
 from typing import TYPE_CHECKING, TypeVar
 
-import msgspec
-
+from ..decoding import DecodingError, decode_json
 from ..errors import MagnoliasillError
 from .http_exchange import Message, exchange
 
@@ -41,6 +40,6 @@
     try:
         response = exchange(sidecar.peer_connections, member.gate, message, deadline, True)
         answer = b"".join((response.body, *(response.remaining_chunks or ())))
-        return msgspec.json.decode(answer, type=response_type)
-    except (MagnoliasillError, msgspec.MsgspecError, HTTPException, OSError):
+        return decode_json(answer, response_type)
+    except (MagnoliasillError, DecodingError, HTTPException, OSError):
         return None  # the caller of this function counts the failure and decides what to do
--- a/src/magnoliasill/spreading/relays.py
+++ b/src/magnoliasill/spreading/relays.py
@@ -19,6 +19,7 @@
     StoreWrite,
 )
 from ..core.node import list_alive
+from ..decoding import DecodingError, decode_json
 from ..errors import ConfigurationError
 from ..membership.failure_detection import probe_address
 from ..versions.configuration import list_missing_blobs
@@ -198,9 +199,9 @@
 def _decode_slot(entry: StoreEntry) -> RelaySlot | None:
     parts = entry.key.removeprefix(RELAY_PREFIX).split("/")
     try:
-        claim = msgspec.json.decode(entry.value, type=RelayClaim)
+        claim = decode_json(entry.value, RelayClaim)
         return RelaySlot(parts[0], int(parts[1]), claim.name, claim.peer_address, entry.revision)
-    except (msgspec.MsgspecError, ValueError, IndexError):
+    except (ValueError, IndexError):
         return None
 
 
@@ -223,8 +224,8 @@
 
 def _receive_verification(node: Node, now: float, answer: StoreAnswered) -> list[Action]:
     try:
-        claim = msgspec.json.decode(answer.entries[0].value, type=RelayClaim)
-    except (msgspec.MsgspecError, IndexError):
+        claim = decode_json(answer.entries[0].value, RelayClaim)
+    except (DecodingError, IndexError):
         claim = None
     if claim is not None and claim.lease == node.relay.lease:
         return _acquire_slot(node, now)
--- a/src/magnoliasill/takeovers/records.py
+++ b/src/magnoliasill/takeovers/records.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 import attrs
-import msgspec
 
+from ..decoding import DecodingError, decode_json
 from .plans import Phase, Progress
 from .ramp import STAGES, list_untested_routes
 from .rollout import LOWERED_SHARE, is_lowered
@@ -110,8 +110,8 @@
 def decode_record(value: bytes) -> Record | None:
     """Decode a record; return None if the value is empty or invalid."""
     try:
-        return msgspec.json.decode(value, type=Record)
-    except msgspec.MsgspecError:
+        return decode_json(value, Record)
+    except DecodingError:
         return None
 
 
--- a/src/magnoliasill/tool/client.py
+++ b/src/magnoliasill/tool/client.py
@@ -10,6 +10,7 @@
 
 from ..calls.line_reader import CheckedConnectionPool
 from ..codes import ErrorCode
+from ..decoding import DecodingError, decode_json
 from ..errors import AdministrationError
 
 READ_TIMEOUT_S = 5.0
@@ -103,12 +104,12 @@
 
 def _decode_error(address: str, status: int, data: bytes) -> AdministrationError:
     try:
-        error_response = msgspec.json.decode(data, type=ErrorResponse)
+        error_response = decode_json(data, ErrorResponse)
         code = ErrorCode(error_response.code)
         if code.value.startswith(CALLER_CODE_PREFIX):
             message = f"{address}: responds as a caller port: {error_response.code}"
             return AdministrationError(ErrorCode.ADMIN_UNREACHABLE, message)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError):
+    except ValueError:
         message = f"{address}: status {status} without the error body of a daemon"
         return AdministrationError(ErrorCode.ADMIN_UNREACHABLE, message)
     return AdministrationError(code, error_response.message, error_response.advice)
@@ -116,8 +117,8 @@
 
 def _decode_response(address: str, data: bytes, response_type: Any) -> Any:
     try:
-        return msgspec.json.decode(data, type=response_type)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode_json(data, response_type)
+    except DecodingError as error:
         message = f"{address}: response can't be decoded: {error}"
         raise AdministrationError(ErrorCode.ADMIN_UNREACHABLE, message) from error
 
--- a/src/magnoliasill/tool/explain.py
+++ b/src/magnoliasill/tool/explain.py
@@ -4,9 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-
 from ..codes import ErrorCode
+from ..decoding import DecodingError, decode_json
 from ..errors import AdministrationError
 
 if TYPE_CHECKING:
@@ -54,8 +53,8 @@
             continue
         _, brace, remainder = line.partition("{")
         try:
-            entry = msgspec.json.decode(brace + remainder)
-        except msgspec.MsgspecError:
+            entry = decode_json(brace + remainder)
+        except DecodingError:
             continue
         if isinstance(entry, dict) and str(entry.get("id", "")).startswith(identifier):
             yield entry
--- a/src/magnoliasill/versions/manifest.py
+++ b/src/magnoliasill/versions/manifest.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ..codes import ErrorCode
+from ..decoding import DecodingError, decode_json
 from ..errors import ConfigurationError, ServiceFileError
 
 if TYPE_CHECKING:
@@ -145,8 +146,8 @@
         ConfigurationError: If the value can't be decoded.
     """
     try:
-        return msgspec.json.decode(value, type=Head)
-    except msgspec.MsgspecError as error:
+        return decode_json(value, Head)
+    except DecodingError as error:
         raise ConfigurationError(ErrorCode.BLOB_CORRUPT, f"invalid head: {error}") from error
 
 
--- a/src/magnoliasill/versions/service_file.py
+++ b/src/magnoliasill/versions/service_file.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from ..codes import ErrorCode
+from ..decoding import DecodingError, decode_json, describe_error
 from ..errors import ServiceFileError
 
 MAX_BLOB_BYTES = 900_000
@@ -139,8 +140,9 @@
     """
     try:
         raw = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
-        raise ServiceFileError(ErrorCode.FILE_SYNTAX, f"{source}: {error}") from error
+    except (ValueError, RecursionError) as error:  # of TOML, and of too long or nested values
+        reason = describe_error(error)
+        raise ServiceFileError(ErrorCode.FILE_SYNTAX, f"{source}: {reason}") from error
     _refuse_unknown_keys(raw, ServiceFile, source, "$")
     try:
         parsed = msgspec.convert(raw, ServiceFile)
@@ -183,8 +185,8 @@
         ServiceFileError: If the bytes are not a valid service file.
     """
     try:
-        parsed = msgspec.json.decode(blob, type=ServiceFile)
-    except msgspec.MsgspecError as error:
+        parsed = decode_json(blob, ServiceFile)
+    except DecodingError as error:
         raise ServiceFileError(
             ErrorCode.FILE_INVALID, f"invalid stored service file: {error}"
         ) from error
