Apply the other items of a page when one of them can't be applied

What callers would see: requests handled by an outdated configuration, or sent to servers that have left, after one item met an unexpected error. The copy of the store had advanced past the whole page by then, so its other items were never applied: the loop was started again, but did not read them again.

Each item is applied by itself now; an unexpected error is logged as system_failed with the item's key. OtherItemsTest failed before.

--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -376,7 +376,7 @@
         fields=("service",),
     ),
     LogEvent.SYSTEM_FAILED: EventEntry(
-        "The daemon failed to handle one event and continues to serve.",
+        "The daemon failed to handle one event, action or item and continues to serve.",
         fields=("event_kind", "reason"),
         reaction="report it with the reason: it is a defect",
     ),
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -18,6 +18,7 @@
 from ..calls.connections import close_expired
 from ..calls.crash_table import remove_expired
 from ..codes import ErrorCode, LogEvent
+from ..decoding import describe_error
 from ..errors import CallError, MagnoliasillError, SettingsError
 from ..mesh.gate import dispatch_waiting
 from ..mesh.planned_stop import plan_stop
@@ -179,7 +180,7 @@
         try:
             loop()
         except Exception as error:  # a failing loop must not stop the sidecar from serving
-            sidecar.log(LogEvent.SYSTEM_FAILED, event_kind="loop", reason=repr(error))
+            sidecar.log(LogEvent.SYSTEM_FAILED, event_kind="loop", reason=describe_error(error))
         eventlet.sleep(CHECK_INTERVAL_S)
 
 
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -9,6 +9,7 @@
 from eventlet.support.greenlets import GreenletExit
 
 from ..codes import ErrorCode, LogEvent
+from ..decoding import describe_error
 from ..errors import ConfigurationError, HistoryLostError, StoreError
 from ..mesh.members import find_condition, mark_lapsed, put_member, remove_lapsed, remove_member
 from ..mesh.records import (
@@ -46,7 +47,7 @@
 from .store_relay import find_relay, find_store_age, follow_relay, needs_own_read
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable, Sequence
 
     from ..mesh.members import Member
     from .state import Sidecar
@@ -200,8 +201,7 @@
             break
         after = page.items[-1].key
     changed = apply_snapshot(sidecar.mirror, items, revision)
-    for item in changed:
-        _apply_item(sidecar, item)
+    _apply_items(sidecar, changed)
     _record_answer(sidecar, fetch.started_at)
     # a long value that took long to arrive may already be superseded
     is_changing = any(is_long(item) for item in changed)
@@ -221,8 +221,7 @@
     else:
         changed = apply_changes(sidecar.mirror, page)
     newest = {item.key: item for item in changed}
-    for item in newest.values():
-        _apply_item(sidecar, item)
+    _apply_items(sidecar, newest.values())
 
 
 def _begin_fetch(sidecar: Sidecar) -> _Fetch:
@@ -262,23 +261,35 @@
         )
 
 
+def _apply_items(sidecar: Sidecar, items: Iterable[Item]) -> None:
+    """Apply items one by one; one that can't be applied is logged, and the others are applied.
+
+    The copy of the store has advanced past all of them already, so none is read again.
+    """
+    for item in items:
+        try:
+            _apply_item(sidecar, item)
+        except ConfigurationError as error:
+            sidecar.log(
+                LogEvent.ENTRY_REFUSED, key=item.key, revision=item.revision, reason=error.message
+            )
+        except Exception as error:
+            reason = f"{item.key}: {describe_error(error)}"
+            sidecar.log(LogEvent.SYSTEM_FAILED, event_kind="item", reason=reason)
+
+
 def _apply_item(sidecar: Sidecar, item: Item) -> None:
     sidecar.versions.record_version(item)  # any sidecar may have to act as a relay
-    try:
-        if item.key == CONFIGURATION_KEY:
-            _apply_configuration(sidecar, item)
-        elif item.key.startswith(MEMBER_PREFIX):
-            _apply_member(sidecar, item)
-        elif item.key.startswith(ORDER_PREFIX):
-            _apply_order(sidecar, item)
-        elif item.key.startswith(TAKEOVER_PREFIX):
-            _apply_takeover(sidecar, item)
-        elif item.key.startswith(CRASH_PREFIX):
-            apply_stored_findings(sidecar, item)
-    except ConfigurationError as error:
-        sidecar.log(
-            LogEvent.ENTRY_REFUSED, key=item.key, revision=item.revision, reason=error.message
-        )
+    if item.key == CONFIGURATION_KEY:
+        _apply_configuration(sidecar, item)
+    elif item.key.startswith(MEMBER_PREFIX):
+        _apply_member(sidecar, item)
+    elif item.key.startswith(ORDER_PREFIX):
+        _apply_order(sidecar, item)
+    elif item.key.startswith(TAKEOVER_PREFIX):
+        _apply_takeover(sidecar, item)
+    elif item.key.startswith(CRASH_PREFIX):
+        apply_stored_findings(sidecar, item)
 
 
 def _apply_configuration(sidecar: Sidecar, item: Item) -> None:
--- a/tests/sidecar/test_odd_items.py
+++ b/tests/sidecar/test_odd_items.py
@@ -9,7 +9,7 @@
 from fakes.store import put_item
 from magnoliasill.mesh.members import Member
 from magnoliasill.mesh.records import encode_record
-from magnoliasill.sidecar import store_relay
+from magnoliasill.sidecar import store_relay, store_sync
 
 from . import simulated_fleet as simulation
 
@@ -58,6 +58,31 @@
         self.assert_followed()
 
 
+class OtherItemsTest(OddItemCase):
+    """Guards against an item that costs the others of its page."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        put_member = store_sync.put_member
+
+        def fail(table: object, member: Member) -> None:
+            if member.name == "odd":
+                raise ZeroDivisionError("unexpected")
+            put_member(table, member)
+
+        self.patch(store_sync, "put_member", fail)
+
+    # the copy of the store was already advanced, and the rest of the page was never applied
+    def test_they_are_applied_when_one_meets_an_unexpected_error(self) -> None:
+        for name in ("a", "odd", "z"):
+            member = Member(name, "dc-9", "vm-9:2", "stock", "v1", f"i-{name}", 1)
+            self.write(f"mesh/members/{name}", encode_record(member))
+        self.assert_followed()
+        self.assert_logged("mesh/members/odd")
+        for vm in self.fleet.vms.values():
+            self.assertEqual({"a", "z"}, {*vm.sidecar.members.by_service["stock"]})
+
+
 class OddMemberTest(WithScenarios, OddItemCase):
     """Guards against members that nobody can call, and that all sidecars reckon with."""
 
