Execute the other actions of a daemon when one fails, and refuse peer addresses that don't exist

What callers would see: a daemon that neither probes nor spreads anything any more. A member with an address such as ::::..:80 passed the check of addresses; the messaging library refuses to dial it, and the error ended the loop of the periodic work, since only the handling of an event was guarded, not its actions.

Addresses are parsed by ipaddress, and each action is executed by itself.

--- a/src/magnoliasill/core/validation.py
+++ b/src/magnoliasill/core/validation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from ipaddress import ip_address
 from typing import TYPE_CHECKING
 
 from ..takeovers.ramp import LAST_STAGE
@@ -39,7 +40,9 @@
 MAX_DATA_CENTRES = 64
 MAX_WANTED = 256
 MAX_COUNTS = 4_096
-_ADDRESS = re.compile(r"[0-9a-fA-F.:\[\]]{2,45}:(?P<port>[0-9]{1,5})", re.ASCII)
+_ADDRESS = re.compile(
+    r"(?P<ip>\[[0-9a-fA-F.:]{2,45}\]|[0-9a-fA-F.:]{2,45}):(?P<port>[0-9]{1,5})", re.ASCII
+)
 
 
 def find_problem(message: Message) -> str:
@@ -107,7 +110,13 @@
 def is_address(text: str) -> bool:
     """Return whether a text has the form `ip:port`."""
     match = _ADDRESS.fullmatch(text)
-    return match is not None and 1 <= int(match["port"]) <= MAX_PORT
+    if match is None or not 1 <= int(match["port"]) <= MAX_PORT:
+        return False
+    try:
+        ip_address(match["ip"].removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    return True
 
 
 def _find_digest_problem(digest: Digest) -> str:
--- a/src/magnoliasill/process/daemon.py
+++ b/src/magnoliasill/process/daemon.py
@@ -32,6 +32,7 @@
 from ..core.events import Event, MessageReceived, StoreFailed, Tick
 from ..core.messages import MemberRecord, decode_message, encode_message
 from ..core.node import Node
+from ..decoding import describe_error
 from ..error_catalogue import ERRORS
 from ..errors import (
     MagnoliasillError,
@@ -190,11 +191,18 @@
     try:
         actions = step(daemon.node, now, event)
     except Exception as error:  # a failure on one event must not stop the daemon
-        fields = {"event_kind": type(event).__name__, "reason": repr(error)}
-        _log(daemon, Log(LogEvent.SYSTEM_FAILED, fields))
+        _log_failure(daemon, type(event).__name__, error)
         return
     for action in actions:
-        _execute_action(daemon, action)
+        try:
+            _execute_action(daemon, action)
+        except Exception as error:  # the other actions have to be executed all the same
+            _log_failure(daemon, type(action).__name__, error)
+
+
+def _log_failure(daemon: Daemon, event_kind: str, error: Exception) -> None:
+    fields = {"event_kind": event_kind, "reason": describe_error(error)}
+    _log(daemon, Log(LogEvent.SYSTEM_FAILED, fields))
 
 
 def _execute_action(daemon: Daemon, action: Action) -> None:
