--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -200,6 +200,22 @@
         self.assert_in_time(fleet)
 
 
+class CancelledWatchTest(OutageCase):
+    """A relay's watch is cancelled, and those after it get no response."""
+
+    # a renewed lease went on to confirm the copy, as if the watch had been answered
+    def test_a_renewal_does_not_confirm_the_copy(self) -> None:
+        fleet = self.open_fleet(seed=1)
+        vm = fleet.vms[RELAY]
+        vm.lost_watches = 9
+        vm.sidecar.cancel_watch()
+        eventlet.sleep(0.01)
+        started = fleet.now
+        simulation.run_until(fleet, started + 0.8)
+        self.assertGreater(vm.sidecar.store_answered_at, started)  # a renewal was answered
+        self.assertLess(vm.sidecar.store_confirmed_at, started)
+
+
 class RegistrationTest(OutageCase):
     """The lease of a sidecar's record ends while its copy of the store is outdated."""
 
