Serve requests whose identifier or route has characters beyond ASCII

Cause: the header between sidecars is JSON in UTF-8, and its bytes beyond ASCII were replaced by U+FFFD, which no HTTP header can carry. They are escaped now. Two tests of test_odd_requests failed before; its third, with the odd bytes of test_odd_bytes at every port, passed already.

--- a/src/magnoliasill/mesh/hop_headers.py
+++ b/src/magnoliasill/mesh/hop_headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import attrs
 import msgspec
 
@@ -103,8 +105,11 @@
 
 
 def encode_header_value(fields: HopCall | GateReport) -> str:
-    """Return the encoded value of a header."""
-    return msgspec.json.encode(fields).decode("ascii", "replace")
+    """Return the encoded value of a header, in ASCII: other characters are escaped."""
+    encoded = msgspec.json.encode(fields)
+    if not encoded.isascii():
+        return json.dumps(json.loads(encoded), separators=(",", ":"))
+    return encoded.decode("ascii")
 
 
 def decode_call(text: str) -> HopCall | None:
