--- a/src/magnoliasill/mesh/fields.py
+++ b/src/magnoliasill/mesh/fields.py
@@ -22,7 +22,7 @@
 _PORT_PATTERN = (
     r"([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])"
 )
-_ADDRESS_PATTERN = rf"\A{_HOST_PATTERN}:{_PORT_PATTERN}\Z"
+_ENDPOINT_PATTERN = rf"\A{_HOST_PATTERN}:{_PORT_PATTERN}\Z"
 
 Count: TypeAlias = Annotated[int, Meta(ge=0, le=MAX_COUNT)]
 Slots: TypeAlias = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
@@ -31,7 +31,7 @@
 Share: TypeAlias = Annotated[float, Meta(ge=0.0, le=1.0)]
 LinkRate: TypeAlias = Annotated[float, Meta(ge=0.0, le=MAX_LINK_MBPS)]
 Name: TypeAlias = Annotated[str, Meta(max_length=MAX_NAME_LENGTH, pattern=_NAME_PATTERN)]
-Address: TypeAlias = Annotated[str, Meta(pattern=_ADDRESS_PATTERN)]
+Endpoint: TypeAlias = Annotated[str, Meta(pattern=_ENDPOINT_PATTERN)]
 Histogram: TypeAlias = Annotated[list[Count], Meta(min_length=BUCKETS, max_length=BUCKETS)]
 
 
@@ -40,6 +40,6 @@
     return len(text) <= MAX_NAME_LENGTH and re.search(_NAME_PATTERN, text) is not None
 
 
-def is_address(text: str) -> bool:
+def is_endpoint(text: str) -> bool:
     """Return whether a text has the form `host:port`, with a port that exists."""
-    return re.search(_ADDRESS_PATTERN, text) is not None
+    return re.search(_ENDPOINT_PATTERN, text) is not None
--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from .fields import Address, Count, LinkRate, Name, Slots  # noqa: TC001 - msgspec evaluates it
+from .fields import Count, Endpoint, LinkRate, Name, Slots  # noqa: TC001 - msgspec evaluates it
 from .server_notices import ServerNotice
 
 LAPSE_GRACE_S = 4.0  # a live member registers again within 2 s after the end of a store outage
@@ -39,7 +39,7 @@
 
     name: Name
     data_centre: Name
-    gate: Address
+    gate: Endpoint
     service: Name
     release: Name
     instance: Name
--- a/src/magnoliasill/platform/settings.py
+++ b/src/magnoliasill/platform/settings.py
@@ -9,7 +9,7 @@
 from ..codes import ErrorCode
 from ..decoding import describe_value
 from ..errors import SettingsError
-from ..mesh.fields import MAX_LINK_MBPS, is_address
+from ..mesh.fields import MAX_LINK_MBPS, is_endpoint
 from ..mesh.settings import Bounds, SidecarSettings
 
 if TYPE_CHECKING:
@@ -84,7 +84,7 @@
 
 def _read_address(fields: Mapping[str, Any], name: str) -> str:
     address = _require_field(fields, name, str)
-    if not is_address(address):
+    if not is_endpoint(address):
         message = f"the settings field {name} is no address: {describe_value(address)}"
         raise SettingsError(ErrorCode.SETTING_INVALID, message)
     return address
@@ -97,7 +97,7 @@
         return ""
     first = ports[0] if isinstance(ports, list) else None
     address = f"{ip}:{first + METRICS_PORT_OFFSET}" if isinstance(first, int) else ""
-    if not is_address(address):
+    if not is_endpoint(address):
         message = f"the settings field port_range is no list of ports: {describe_value(ports)}"
         raise SettingsError(ErrorCode.SETTING_INVALID, message)
     return address
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -173,9 +173,8 @@
     except GreenletExit:
         if not thread.dead:
             raise  # this loop itself was ended
-        sidecar.watching_store = (
-            False  # until a watch is answered, a renewed lease confirms nothing
-        )
+        # Until the next watch is answered, a renewed lease confirms nothing.
+        sidecar.watching_store = False
         return None
     finally:
         sidecar.cancel_watch = do_nothing
