--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -538,7 +538,7 @@
     def write(event: Any, **fields: Any) -> None:
         vm.events.append({"at": fleet.now, "event": event.name.lower(), **fields})
 
-    sidecar = vm.sidecar = Sidecar(
+    vm.sidecar = Sidecar(
         settings,
         StoreClient(lambda request: _call_store(fleet, vm, request)),
         Meters(),
