Resume the loops that follow the store before requests, however many are ready

Cause: eventlet resumes each ready green thread once before it looks for new events. With hundreds of ready requests such a turn takes up to seconds, and a watch or read of the store takes a turn for each of its steps (a read: 9.0 s by its log line). The class: work with a bound shares a queue with work without one.

Change: a hub that looks for events and timers of urgent green threads also within a turn, every 5 ms. Urgent are the loops that follow the store and keep the record, polls of relays, and the control and readiness ports, which had the same cause: heartbeats unanswered, 140 of 632. Polls have connections of their own, so that no request becomes urgent.

--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -51,6 +51,7 @@
 from .store_relay import CHANGES_PATH, handle_follower_poll
 from .store_sync import follow_store, remove_lapsed_members
 from .takeover_leader import run_takeover_leader
+from .urgent_hub import install_urgent_hub, is_urgent, set_urgent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -73,6 +74,7 @@
     Args:
         path: The settings file.
     """
+    install_urgent_hub()
     meters = Meters()
     try:
         settings = read_settings(path)
@@ -156,14 +158,14 @@
     registration = Registration()
     sidecar.wake_registration = registration.wake
     loops = [
-        eventlet.spawn(_run_with_restarts, sidecar, loop)
-        for loop in (
-            lambda: follow_store(sidecar),
-            lambda: keep_registered(sidecar, registration),
-            lambda: run_takeover_leader(sidecar),
-            lambda: run_release_watch(sidecar),
-            lambda: keep_findings_stored(sidecar),
-            lambda: _run_periodic_checks(sidecar),
+        eventlet.spawn(_run_with_restarts, sidecar, loop, urgent)
+        for loop, urgent in (
+            (lambda: follow_store(sidecar), True),
+            (lambda: keep_registered(sidecar, registration), True),
+            (lambda: run_takeover_leader(sidecar), False),
+            (lambda: run_release_watch(sidecar), False),
+            (lambda: keep_findings_stored(sidecar), False),
+            (lambda: _run_periodic_checks(sidecar), False),
         )
     ]
     return RunningSidecar(sidecar, sockets, servers, loops)
@@ -174,8 +176,9 @@
     return connect_client(settings.store, STORE_TIMEOUT_S, observe)
 
 
-def _run_with_restarts(sidecar: Sidecar, loop: Callable[[], None]) -> None:
-    """Run a loop forever; if it raises, log the error and restart it."""
+def _run_with_restarts(sidecar: Sidecar, loop: Callable[[], None], urgent: bool = False) -> None:
+    """Run a loop forever, urgently or not; if it raises, log the error and restart it."""
+    set_urgent(urgent)
     while True:
         try:
             loop()
@@ -191,11 +194,13 @@
         + IDLE_SLACK_S
     )
     peers = build_protocol(lambda: PEER_IDLE_S)
+    urgent = build_protocol(lambda: PEER_IDLE_S, urgent=True)
 
     def handle_sidecar_request(target: str, environ: dict[str, Any]) -> bytes | None:
         if urlsplit(target).path == COUNTS_PATH:
             return msgspec.json.encode(answer_counts_request(sidecar, target))
-        if target.startswith(CHANGES_PATH):
+        set_urgent(target.startswith(CHANGES_PATH))  # followers use a connection for nothing else
+        if is_urgent():
             return handle_follower_poll(sidecar, target)
         if target == NOTICE_PATH:
             return receive_notice(sidecar, environ["wsgi.input"].read(MAX_NOTICE_BYTES))
@@ -206,14 +211,14 @@
     ports = [
         (settings.callers, build_caller_application(sidecar), callers),
         (settings.gate, build_gate_application(sidecar, handle_sidecar_request), peers),
-        (settings.readiness, build_readiness_application(sidecar), peers),
-        (settings.control, build_control_application(sidecar), peers),
+        (settings.readiness, build_readiness_application(sidecar), urgent),
+        (settings.control, build_control_application(sidecar), urgent),
     ]
     if settings.metrics:
         ports.append((settings.metrics, build_metrics_application(sidecar), peers))
     sockets = [_listen(address) for address, _, _ in ports]
     servers = [
-        eventlet.spawn(serve_port, sock, application, protocol)
+        eventlet.spawn(serve_port, sock, application, protocol, protocol is urgent)
         for sock, (_, application, protocol) in zip(sockets, ports, strict=True)
     ]
     return sockets, servers
@@ -236,6 +241,7 @@
         remove_expired(sidecar.crash_findings.table, now)
         close_expired(sidecar.server_connections, now)
         close_expired(sidecar.peer_connections, now)
+        close_expired(sidecar.relay_connections, now)
         eventlet.sleep(CHECK_INTERVAL_S)
 
 
--- a/src/magnoliasill/sidecar/protocol.py
+++ b/src/magnoliasill/sidecar/protocol.py
@@ -7,6 +7,7 @@
 import eventlet.wsgi
 
 from ..calls.caller_protocol import CallerProtocol
+from .urgent_hub import set_urgent
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -36,11 +37,14 @@
 )
 
 
-def build_protocol(get_idle_timeout_s: Callable[[], float]) -> type[CallerProtocol]:
+def build_protocol(
+    get_idle_timeout_s: Callable[[], float], urgent: bool = False
+) -> type[CallerProtocol]:
     """Return the protocol class for one port.
 
     Args:
         get_idle_timeout_s: Returns the current idle timeout in seconds.
+        urgent: Whether requests at the port go before those at others.
     """
 
     class SidecarProtocol(CallerProtocol):
@@ -48,6 +52,8 @@
 
         def handle_one_request(self) -> None:
             """Apply the current idle timeout and serve one request."""
+            if urgent:
+                set_urgent(True)
             self.server.keepalive = get_idle_timeout_s()
             super().handle_one_request()
 
@@ -60,8 +66,11 @@
     return SidecarProtocol
 
 
-def serve_port(sock: Any, application: Callable[..., Any], protocol: type) -> None:
+def serve_port(
+    sock: Any, application: Callable[..., Any], protocol: type, urgent: bool = False
+) -> None:
     """Accept and serve connections on a listening socket until it is closed."""
+    set_urgent(urgent)
     eventlet.wsgi.server(
         sock,
         application,
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -45,6 +45,7 @@
     record_store_failure,
 )
 from .store_relay import find_relay, find_store_age, follow_relay, needs_own_read
+from .urgent_hub import spawn_urgent
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -166,7 +167,7 @@
         except StoreError as error:
             return error
 
-    thread = eventlet.spawn(watch)
+    thread = spawn_urgent(watch)
     sidecar.cancel_watch = thread.kill
     try:
         result = thread.wait()
