Ask other sources for changes while the relay has not answered; log what came into force late

Callers saw an outdated configuration (CONFIG), since VMs waited for one source after the other: 1.3 s for a poll that a relay left unanswered, as much for the next one, then 0.5 s for a read.

Cause, hypothesis 1: each step waited for a source that may not answer, while another was at hand.

Change: requests are hedged (sidecar/hedging). A relay holds a poll for 0.4 s at most; 0.2 s later a stand-in is asked at once, 0.2 s later the next, and the store as soon as the copy is so old that a read just fits into the time aimed at (READ_AGE_SHARE). The first answer counts; those that did not answer are left out. Who has an outdated copy and is no relay is not left out, which had made VMs with slow links relays. The copy counts as in sync when the relay confirmed it, not when the answer came. A read that was lost before the store answered another call is repeated at once.

Observability: the histogram configuration_delay (at most from acceptance to being in force; relays tell followers), and 2004 configuration_late above three quarters of the bound.

In the simulation a cancelled transfer no longer occupies the link, as its connection is closed.

--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -59,6 +59,14 @@
         reaction="if `copy_age_s` or `seconds` is near the time allowed to apply a change, check "
         "the VM's link and whether the store answers it",
     ),
+    LogEvent.CONFIGURATION_LATE: EventEntry(
+        "A configuration came into force when much of the time allowed for that had passed: the "
+        "most that may have passed since its acceptance, in seconds, and since the store answered "
+        "again, if it had failed.",
+        fields=("version", "source", "delay_s", "seconds", "copy_age_s", "store_returned_s"),
+        reaction="the other lines of the VM about its relays and the store say what it waited for; "
+        "a short `store_returned_s` explains the delay",
+    ),
     LogEvent.CONFIGURATION_REFUSED: EventEntry(
         "A newer configuration was rejected as a whole; the applied one stays.",
         fields=("version", "code", "reason"),
--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -24,7 +24,7 @@
     from .store_items import Item, Mirror
 
 FOLLOWERS_PER_RELAY = 24  # each sends it about 1 request/s
-MAX_AGE_S = 1.0  # since the store last answered; well below the time allowed to apply a change
+MAX_AGE_S = 0.8  # since the store last answered; well below the time allowed to apply a change
 RELAY_BACKOFF_S = 4.0  # how long a sidecar is no source of changes after it failed
 OUTDATED_BACKOFF_S = 1.0  # the same if only its copy was outdated, which may soon be over
 MAX_VALUE_BYTES = 1_048_576  # the store accepts no longer values
@@ -45,6 +45,7 @@
         long: Whether the value is too long to forward and has to come from `delta` or the store.
         delta: The delta from the follower's version to the new value, if that version is kept.
         packed: The compressed new value, if it is too long to forward and there is no delta.
+            Neither is sent if the follower holds this version.
     """
 
     key: str
@@ -67,6 +68,8 @@
         whole: Whether the relay knows all changes since the follower's revision.
         snapshot: Whether it sends all items instead, since it does not know all changes.
         reads_store: Whether the store answers the relay; if not, it may follow the follower.
+        configuration_age_s: The most seconds since the acceptance of the relay's configuration,
+            or None if the relay does not know.
     """
 
     changes: tuple[Change, ...]
@@ -75,6 +78,7 @@
     whole: bool = True
     snapshot: bool = False
     reads_store: bool = True
+    configuration_age_s: PositiveNumber | None = None
 
 
 @attrs.define
@@ -143,6 +147,28 @@
     return relays[position % len(relays)]
 
 
+def list_other_relays(
+    table: MemberTable,
+    name: str,
+    data_centre: str,
+    backoff: RelayBackoff,
+    now: float,
+    asked: Collection[str],
+) -> list[Member]:
+    """Return the members that may stand in for a relay that does not answer, the best first.
+
+    Args:
+        table: The member table, which may lack the sidecar.
+        name: The name of the sidecar that asks.
+        data_centre: The data centre of the sidecar.
+        backoff: The sidecars that are no source of changes now.
+        now: Seconds on the monotonic clock.
+        asked: The names of those that were asked already.
+    """
+    ranked = _rank_members(table, data_centre, backoff, now)
+    return [member for member in ranked if member.name != name and member.name not in asked]
+
+
 def _rank_members(
     table: MemberTable, data_centre: str, backoff: RelayBackoff, now: float
 ) -> list[Member]:
@@ -283,6 +309,8 @@
 def _build_change(item: Item, versions: LongValueVersions, held: Collection[int]) -> Change:
     if not is_long(item):
         return Change(item.key, item.revision, item.value, item.lease)
+    if item.revision in held:  # in a snapshot; the follower has this version
+        return Change(item.key, item.revision, None, item.lease, True)
     delta = versions.find_delta(item, held)
     packed = versions.pack_value(item) if delta is None else None
     return Change(item.key, item.revision, None, item.lease, True, delta, packed)
--- a/src/magnoliasill/sidecar/metrics.py
+++ b/src/magnoliasill/sidecar/metrics.py
@@ -28,6 +28,7 @@
     "hop": "From sending a request to a gate to its answer",
     "store": "From a request to the platform's store to its answer; watches left out",
     "copy_age": "Age of the local copy of the store when a configuration arrived",
+    "configuration_delay": "At most from a configuration's acceptance to its being in force",
     "convergence": "From hearing of a configuration to its being in force",
 }
 
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -137,6 +137,8 @@
         store_answered_at: When the store last answered any call of this sidecar.
         store_returned_at: When the store last answered after a failure.
         store_confirmed_at: When the store last confirmed the local copy, here or to the relay.
+        configuration_unseen_at: When the store last confirmed a copy without the newest received
+            configuration, here or to the relay: it was accepted later.
         store_doubtful_until: Until when a watch waits only shortly, since another call failed.
         watching_store: Whether this sidecar watches the store itself and the store responds.
         cancel_watch: Ends the current watch of the store, if there is one.
@@ -192,6 +194,7 @@
     store_answered_at: float = NEVER
     store_returned_at: float = NEVER
     store_confirmed_at: float = NEVER
+    configuration_unseen_at: float = NEVER
     store_doubtful_until: float = NEVER
     watching_store: bool = False
     cancel_watch: Callable[[], None] = do_nothing
--- a/src/magnoliasill/sidecar/store_relay.py
+++ b/src/magnoliasill/sidecar/store_relay.py
@@ -9,8 +9,9 @@
 import eventlet
 import msgspec
 
-from ..codes import LogEvent
-from ..errors import StoreError
+from ..codes import ErrorCode, LogEvent
+from ..decoding import describe_error
+from ..errors import MagnoliasillError
 from ..mesh.deltas import DeltaError, apply_delta
 from ..mesh.relays import (
     MAX_AGE_S,
@@ -19,27 +20,60 @@
     RelayResponse,
     choose_relay,
     list_held,
+    list_other_relays,
     relay_changes,
     should_answer,
     unpack_value,
 )
 from ..mesh.store_items import Item, Page
 from .member_requests import request_from_member
+from .state import NEVER
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from ..mesh.members import Member
     from ..mesh.relays import Change
     from .state import Sidecar
 
 CHANGES_PATH = "/mesh/changes"
-POLL_TIMEOUT_S = 0.9  # how long a relay holds a follower's poll when nothing changes
-RECOVERY_TIMEOUT_S = 0.4  # how long it is held while the relay gets its outdated copy confirmed
-RESPONSE_MARGIN_S = 0.4  # added to the poll timeout for the round trip on a busy VM
-READ_SHARE = 0.25  # of the time allowed to apply a change, for a read from the store
+POLL_TIMEOUT_S = 0.4  # how long a relay holds a follower's poll when nothing changes
+RECOVERY_TIMEOUT_S = 0.2  # how long it is held while the relay gets its outdated copy confirmed
+RESPONSE_MARGIN_S = 0.9  # added to the poll timeout; meanwhile other sources are asked
 MAX_STORE_AGE_S = 1e9  # upper bound; reported if the store has never confirmed the local copy
 POLL_INTERVAL_S = 0.02  # between checks for a change during a poll
 
 
+@attrs.frozen
+class RelayedChanges:
+    """The changes that a relay sent.
+
+    Attributes:
+        relay: The relay's name.
+        page: The changes, or all items.
+        confirmed_at: When the store confirmed them to the relay, in seconds on the local clock.
+        configuration_unseen_at: When the store last confirmed a copy to the relay without the
+            newest configuration, on that clock too.
+    """
+
+    relay: str
+    page: Page
+    confirmed_at: float
+    configuration_unseen_at: float
+
+
+class RelayError(MagnoliasillError):
+    """Raised when a relay's response can't be used.
+
+    Attributes:
+        response: The response, or None if there was none.
+    """
+
+    def __init__(self, reason: str, response: RelayResponse | None) -> None:
+        super().__init__(ErrorCode.NOT_READY, reason)
+        self.response = response
+
+
 def handle_follower_poll(sidecar: Sidecar, target: str) -> bytes | None:
     """Wait for a change and return the encoded response to a follower's poll.
 
@@ -54,19 +88,28 @@
     try:
         after = int(query.get("after", ["0"])[0])
         held = {int(revision) for revision in query.get("held", [])}
+        hold_s = min(float(query.get("hold", [POLL_TIMEOUT_S])[0]), POLL_TIMEOUT_S)
     except ValueError:
         return None
     started = sidecar.clock()
-    while not _should_answer(sidecar, after, started):
+    while not _should_answer(sidecar, after, started, hold_s):
         eventlet.sleep(POLL_INTERVAL_S)
     sidecar.meters.count("relay", "answered")
     age_s = find_store_age(sidecar)
-    response = relay_changes(sidecar.mirror, sidecar.versions, after, held, age_s)
-    return msgspec.json.encode(attrs.evolve(response, reads_store=_reads_store(sidecar)))
+    if after < sidecar.mirror.complete_since and query.get("snapshot") == ["0"]:
+        response = RelayResponse((), sidecar.mirror.revision, age_s, whole=False)
+    else:
+        response = relay_changes(sidecar.mirror, sidecar.versions, after, held, age_s)
+    unseen_at = sidecar.configuration_unseen_at
+    configuration_age_s = sidecar.clock() - unseen_at if unseen_at > NEVER else None
+    response = attrs.evolve(
+        response, reads_store=reads_store(sidecar), configuration_age_s=configuration_age_s
+    )
+    return msgspec.json.encode(response)
 
 
-def _should_answer(sidecar: Sidecar, after: int, started: float) -> bool:
-    if sidecar.clock() >= started + POLL_TIMEOUT_S or not _reads_store(sidecar):
+def _should_answer(sidecar: Sidecar, after: int, started: float, hold_s: float) -> bool:
+    if sidecar.clock() >= started + hold_s or not reads_store(sidecar):
         return True
     in_time = sidecar.clock() < started + RECOVERY_TIMEOUT_S
     has_copy = sidecar.mirror.revision > 0
@@ -75,7 +118,7 @@
     return should_answer(sidecar.mirror.revision, after, age_s, may_recover)
 
 
-def _reads_store(sidecar: Sidecar) -> bool:
+def reads_store(sidecar: Sidecar) -> bool:
     """Return whether this sidecar may read from the store, which answered it recently."""
     return sidecar.relay_backoff.is_available(sidecar.settings.name, sidecar.clock())
 
@@ -92,48 +135,86 @@
     )
 
 
-def needs_own_read(sidecar: Sidecar) -> bool:
-    """Return whether the local copy has to be confirmed by the store itself, after a relay failed.
-
-    It has to unless there is time for a poll of another relay that does not respond, and for the
-    read from the store after it.
-    """
-    bound_s = sidecar.settings.bounds.config_apply_s
-    latest_read_s = bound_s * (1 - READ_SHARE)
-    would_be_late = find_store_age(sidecar) + POLL_TIMEOUT_S + RESPONSE_MARGIN_S > latest_read_s
-    return _reads_store(sidecar) and would_be_late
+def list_stand_ins(sidecar: Sidecar, asked: Collection[str]) -> list[Member]:
+    """Return the sidecars to ask next while those asked so far have not answered."""
+    settings = sidecar.settings
+    return list_other_relays(
+        sidecar.members,
+        settings.name,
+        settings.data_centre,
+        sidecar.relay_backoff,
+        sidecar.clock(),
+        asked,
+    )
 
 
-def follow_relay(sidecar: Sidecar, relay: Member) -> Page | None:
-    """Poll a relay for changes.
+def poll_relay(
+    sidecar: Sidecar, relay: Member, hold_s: float, snapshot: bool = True
+) -> RelayedChanges:
+    """Poll a relay for changes, without applying them.
 
-    Returns:
-        The changes; None if the response was rejected, so that another source has to be used.
+    Args:
+        sidecar: State of the follower.
+        relay: The sidecar to poll.
+        hold_s: For how long it holds the poll when nothing changes, in seconds.
+        snapshot: Whether it is to send all items if it does not know all changes.
 
     Raises:
+        RelayError: If the response was rejected.
         StoreError: If a value had to be read from the store and that failed.
     """
-    started = sidecar.clock()
-    sidecar.watching_store = False
-    response = _fetch_changes(sidecar, relay)
+    response = _fetch_changes(sidecar, relay, hold_s, snapshot)
     reason = _find_distrust_reason(response)
     if reason:
-        without_store = response is not None and not response.reads_store
-        backoff_s = _choose_backoff(sidecar, response)
-        _suspend_relay(sidecar, relay, reason, started, backoff_s, without_store)
-        return None
+        raise RelayError(reason, response)
+    received_at = sidecar.clock()
+    items = tuple(_resolve_change(sidecar, change) for change in response.changes)
+    page = Page(items, response.revision, snapshot=response.snapshot)
+    age_s = response.configuration_age_s
+    unseen_at = NEVER if age_s is None else received_at - age_s
+    return RelayedChanges(relay.name, page, received_at - response.age_s, unseen_at)
+
+
+def is_outdated(error: BaseException | None) -> bool:
+    """Return whether a relay failed only in that its copy was not recent enough."""
+    response = error.response if isinstance(error, RelayError) else None
+    return response is not None and response.reads_store
+
+
+def adopt_relay(sidecar: Sidecar, changes: RelayedChanges) -> None:
+    """Record that a relay's changes are used, which confirm the local copy once applied."""
     sidecar.meters.count("relay", "followed")
-    sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, sidecar.clock() - response.age_s)
-    if sidecar.followed_relay != relay.name:
-        sidecar.followed_relay = relay.name
-        sidecar.log(LogEvent.RELAY_FOLLOWED, relay=relay.name, revision=response.revision)
-    try:
-        items = tuple(_resolve_change(sidecar, change) for change in response.changes)
-    except StoreError:
-        reason = "a value that it lacks could not be read"
-        _suspend_relay(sidecar, relay, reason, started, RELAY_BACKOFF_S)
-        raise
-    return Page(items, response.revision, snapshot=response.snapshot)
+    sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, changes.confirmed_at)
+    if sidecar.followed_relay != changes.relay:
+        sidecar.followed_relay = changes.relay
+        sidecar.log(LogEvent.RELAY_FOLLOWED, relay=changes.relay, revision=changes.page.revision)
+
+
+def suspend_relay(sidecar: Sidecar, name: str, error: BaseException | None, seconds: float) -> None:
+    """Use no changes from a relay for some time, after it failed or did not answer.
+
+    Args:
+        sidecar: State of the follower.
+        name: The relay's name.
+        error: How it failed, or None if it did not answer while another source did.
+        seconds: For how long it was asked.
+    """
+    response = error.response if isinstance(error, RelayError) else None
+    without_store = response is not None and not response.reads_store
+    backoff_s = _choose_backoff(sidecar, response)
+    sidecar.relay_backoff.suspend(name, sidecar.clock(), backoff_s, without_store)
+    if sidecar.followed_relay == name:
+        sidecar.followed_relay = ""
+    reason = "no response yet"
+    if error is not None:
+        reason = error.message if isinstance(error, MagnoliasillError) else describe_error(error)
+    sidecar.log(
+        LogEvent.RELAY_DISTRUSTED,
+        relay=name,
+        reason=reason,
+        revision=sidecar.mirror.revision,
+        seconds=round(seconds, 3),
+    )
 
 
 def _choose_backoff(sidecar: Sidecar, response: RelayResponse | None) -> float:
@@ -145,25 +226,6 @@
     return OUTDATED_BACKOFF_S if response.reads_store or has_returned else RELAY_BACKOFF_S
 
 
-def _suspend_relay(
-    sidecar: Sidecar,
-    relay: Member,
-    reason: str,
-    started: float,
-    backoff_s: float,
-    without_store: bool = False,
-) -> None:
-    sidecar.relay_backoff.suspend(relay.name, sidecar.clock(), backoff_s, without_store)
-    sidecar.followed_relay = ""
-    sidecar.log(
-        LogEvent.RELAY_DISTRUSTED,
-        relay=relay.name,
-        reason=reason,
-        revision=sidecar.mirror.revision,
-        seconds=round(sidecar.clock() - started, 3),
-    )
-
-
 def find_store_age(sidecar: Sidecar) -> float:
     """Return the seconds since the store last confirmed this sidecar's copy of its items."""
     return min(sidecar.clock() - sidecar.store_confirmed_at, MAX_STORE_AGE_S)
@@ -181,11 +243,23 @@
     return ""
 
 
-def _fetch_changes(sidecar: Sidecar, relay: Member) -> RelayResponse | None:
+def _fetch_changes(
+    sidecar: Sidecar, relay: Member, hold_s: float, snapshot: bool
+) -> RelayResponse | None:
     held = [("held", revision) for revision in list_held(sidecar.mirror)]
-    target = f"{CHANGES_PATH}?{urlencode([('after', sidecar.mirror.revision), *held])}"
+    query = [
+        ("after", sidecar.mirror.revision),
+        ("hold", hold_s),
+        ("snapshot", int(snapshot)),
+        *held,
+    ]
     response = request_from_member(
-        sidecar, relay, target, POLL_TIMEOUT_S + RESPONSE_MARGIN_S, RelayResponse
+        sidecar,
+        relay,
+        f"{CHANGES_PATH}?{urlencode(query)}",
+        POLL_TIMEOUT_S + RESPONSE_MARGIN_S,
+        RelayResponse,
+        pool=sidecar.relay_connections,
     )
     if response is None:
         sidecar.meters.count("relay", "unread")
@@ -195,6 +269,9 @@
 def _resolve_change(sidecar: Sidecar, change: Change) -> Item:
     if not change.long:
         return Item(change.key, change.revision, change.value, change.lease)
+    known = sidecar.mirror.items.get(change.key)
+    if known is not None and known.value is not None and known.revision == change.revision:
+        return known
     value = _decode_long_value(sidecar, change)
     if value is not None:
         return Item(change.key, change.revision, value, change.lease)
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from functools import partial
+from math import isfinite
+from typing import TYPE_CHECKING, TypeAlias
 
 import attrs
 import eventlet
@@ -34,6 +36,7 @@
     decode_order,
 )
 from .crash_store import apply_stored_findings
+from .hedging import Source, ask_first
 from .server_notices import restore_leaving
 from .state import (
     NEVER,
@@ -44,11 +47,21 @@
     record_store_answer,
     record_store_failure,
 )
-from .store_relay import find_relay, find_store_age, follow_relay, needs_own_read
+from .store_relay import (
+    POLL_TIMEOUT_S,
+    adopt_relay,
+    find_relay,
+    find_store_age,
+    is_outdated,
+    list_stand_ins,
+    poll_relay,
+    reads_store,
+    suspend_relay,
+)
 from .urgent_hub import spawn_urgent
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Iterator, Sequence
 
     from ..mesh.members import Member
     from .state import Sidecar
@@ -57,21 +70,33 @@
 # lost after the second, which leaves time to read the change and to send it to followers.
 WATCH_SHARE = 0.5
 RESPONSE_SHARE = 0.25
+LATE_SHARE = 0.75  # a configuration that takes longer is logged
+READ_SHARE = 0.25  # for a read of all items over a slow link
+READ_AGE_SHARE = 0.45  # the age of the local copy at which the store itself is asked
+WATCH_PATIENCE_SHARE = 0.2  # after the end of a watch, until others are asked as well
+HEDGE_S = 0.2  # for an answer that should come at once, until another source is asked as well
+MIN_PATIENCE_S = 0.02
+LONG_READ_S = 1.0  # several versions may follow one another in such a time
+MAX_RELAYS_ASKED = 5
 SHORT_WATCH_S = 0.4  # while it is in doubt whether the store answers
 # Batches changes that arrive close together into one call; well below the time allowed to apply
 # a change.
-BATCH_DELAY_S = 0.5
-FOLLOWER_BATCH_DELAY_S = 0.25  # the same batching when a relay is polled
+BATCH_DELAY_S = 0.25
+FOLLOWER_BATCH_DELAY_S = 0.1  # the same batching when a relay is polled
 RETRY_MIN_S = 0.3
 RETRY_MAX_S = 0.7  # detects a recovered store within this; shorter delays cost more rejected calls
 # After a longer gap the current items are read: a watch would first deliver all that was superseded
 # in between, for as long as the gap and the size of the versions make it.
-MAX_WATCH_GAP_S = 1.0
+MAX_WATCH_GAP_S = 0.5
 # With this many bytes of superseded versions in a page, the current items are read next instead of
 # further changes.
 MAX_REPLACED_BYTES = 16_384
+STORE = "store"  # the name of the store as a source
 ALL_KEYS = ""  # key prefix that matches every item
 
+# Applies what a source answered; returns the seconds to wait before it is asked again.
+Apply: TypeAlias = "Callable[[], float]"
+
 
 @attrs.frozen
 class _Fetch:
@@ -89,77 +114,162 @@
 def follow_store(sidecar: Sidecar) -> None:
     """Apply changes of the store as they come, until the process ends."""
     while True:
-        started = sidecar.clock()
-        relay = find_relay(sidecar)
-        try:
-            if relay is None:
-                _sync_with_store(sidecar)
-            else:
-                _sync_with_relay(sidecar, relay)
-        except HistoryLostError:
-            sidecar.meters.count("store", "history_lost")
-            sidecar.in_sync_at = NEVER
-        except StoreError as error:
-            sidecar.meters.count("store", "watch_failed")
-            sidecar.watching_store = False
-            if sidecar.store_answered_at > started:
-                continue  # the call was lost before the store answered a later one
-            record_store_failure(sidecar, error.message)
-            own_name = sidecar.settings.name
-            sidecar.relay_backoff.suspend(own_name, sidecar.clock(), RELAY_BACKOFF_S)
-            if find_relay(sidecar) is None:
-                eventlet.sleep(sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
-
-
-def _sync_with_relay(sidecar: Sidecar, relay: Member) -> None:
-    fetch = _begin_fetch(sidecar)
-    page = follow_relay(sidecar, relay)
-    if page is None:
-        if needs_own_read(sidecar):
-            read_all_items(sidecar)
-        return
-    apply_page(sidecar, page)
-    sidecar.in_sync_at = sidecar.clock()
-    _log_configuration(sidecar, page.items, relay.name, fetch)
-    eventlet.sleep(FOLLOWER_BATCH_DELAY_S if page.items else 0.0)
+        started, relay = sidecar.clock(), find_relay(sidecar)
+        outcome = ask_first(choose_sources(sidecar, relay))
+        for name, error in outcome.failures.items():
+            # Others than the relay need no copy as recent as that of a relay.
+            if not is_outdated(error) or (relay is not None and name == relay.name):
+                _record_failure(sidecar, name, error, started)
+        for name, seconds in outcome.unanswered.items():
+            _record_silence(sidecar, name, seconds)
+        if outcome.answer is not None:
+            eventlet.sleep(outcome.answer())
+        elif STORE in outcome.failures and find_relay(sidecar) is None:
+            eventlet.sleep(sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
+
+
+def choose_sources(sidecar: Sidecar, relay: Member | None) -> Iterator[Source[Apply]]:
+    """Yield the sources of changes in the order in which to ask them.
+
+    First comes the relay that this sidecar follows, or the store if it follows none, then others
+    that may stand in. The store is asked at the latest when the local copy is so old that reading
+    it takes the rest of the time that is aimed at.
+
+    Args:
+        sidecar: State of this sidecar.
+        relay: The sidecar that it follows, or None for the store.
+    """
+    asked = [sidecar.settings.name]
+    asks_store = relay is None
+    if relay is None:
+        yield _build_store_source(sidecar)
+    else:
+        asked.append(relay.name)
+        due_s = _find_store_due(sidecar)
+        hold_s = POLL_TIMEOUT_S if due_s > 0 else 0.0
+        patience_s = max(min(hold_s + HEDGE_S, due_s - HEDGE_S), HEDGE_S)
+        yield Source(relay.name, lambda: _ask_relay(sidecar, relay, hold_s), patience_s)
+    while len(asked) <= MAX_RELAYS_ASKED:
+        may_ask_store = not asks_store and reads_store(sidecar)
+        if may_ask_store and _find_store_due(sidecar) <= 0:
+            asks_store = True
+            yield Source(STORE, lambda: _read_store(sidecar), HEDGE_S)
+            continue
+        stand_in = next(iter(list_stand_ins(sidecar, asked)), None)
+        if stand_in is None:
+            break
+        asked.append(stand_in.name)
+        due_s = _find_store_due(sidecar) if may_ask_store else HEDGE_S
+        patience_s = max(min(due_s, HEDGE_S), MIN_PATIENCE_S)
+        yield Source(stand_in.name, partial(_ask_stand_in, sidecar, stand_in), patience_s)
+    if not asks_store and reads_store(sidecar):
+        yield Source(STORE, lambda: _read_store(sidecar), HEDGE_S)
 
 
-def _sync_with_store(sidecar: Sidecar) -> None:
-    sidecar.followed_relay = ""
+def _find_store_due(sidecar: Sidecar) -> float:
+    """Return the seconds until the store itself should be read to confirm the local copy."""
+    return READ_AGE_SHARE * sidecar.settings.bounds.config_apply_s - find_store_age(sidecar)
+
+
+def _build_store_source(sidecar: Sidecar) -> Source[Apply]:
+    allowed_s = sidecar.settings.bounds.config_apply_s
     if sidecar.clock() - sidecar.in_sync_at > MAX_WATCH_GAP_S:
-        read_all_items(sidecar)
-        return
+        return Source(STORE, lambda: _read_store(sidecar), READ_SHARE * allowed_s)
+    in_doubt = sidecar.clock() < sidecar.store_doubtful_until
+    wait_s = SHORT_WATCH_S if in_doubt else WATCH_SHARE * allowed_s
+    return Source(
+        STORE, lambda: _watch_store(sidecar, wait_s), wait_s + WATCH_PATIENCE_SHARE * allowed_s
+    )
+
+
+def _record_failure(
+    sidecar: Sidecar, name: str, error: BaseException | None, started: float
+) -> None:
+    """Record that a source failed since a request to the sources began."""
+    if name != STORE:
+        suspend_relay(sidecar, name, error, sidecar.clock() - started)
+    elif isinstance(error, HistoryLostError):
+        sidecar.meters.count("store", "history_lost")
+        sidecar.in_sync_at = NEVER
+    elif error is not None:
+        sidecar.meters.count("store", "watch_failed")
+        sidecar.watching_store = False
+        if sidecar.store_answered_at <= started:  # else it answered a later call
+            reason = error.message if isinstance(error, StoreError) else describe_error(error)
+            record_store_failure(sidecar, reason)
+            _suspend_own_reads(sidecar)
+
+
+def _record_silence(sidecar: Sidecar, name: str, seconds: float) -> None:
+    """Record that a source has not answered for some seconds, while another one did."""
+    if name != STORE:
+        if seconds >= HEDGE_S:
+            suspend_relay(sidecar, name, None, seconds)
+    elif sidecar.watching_store and seconds > WATCH_SHARE * sidecar.settings.bounds.config_apply_s:
+        sidecar.meters.count("store", "watch_failed")
+        sidecar.watching_store = False
+        _suspend_own_reads(sidecar)
+
+
+def _suspend_own_reads(sidecar: Sidecar) -> None:
+    sidecar.relay_backoff.suspend(sidecar.settings.name, sidecar.clock(), RELAY_BACKOFF_S)
+
+
+def _ask_stand_in(sidecar: Sidecar, member: Member) -> Apply:
+    """Ask a member for changes at once; one that can only send all items is of no use."""
+    return _ask_relay(sidecar, member, 0.0, snapshot=False)
+
+
+def _ask_relay(sidecar: Sidecar, relay: Member, hold_s: float, snapshot: bool = True) -> Apply:
     fetch = _begin_fetch(sidecar)
-    page = _watch_store(sidecar)
-    if page is None:
-        return
-    sidecar.meters.count("store", "watch")
-    _record_answer(sidecar, sidecar.clock())
-    sidecar.watching_store = True
-    apply_page(sidecar, page)
-    _log_configuration(sidecar, page.items, "watch", fetch)
-    # a watch returns every intermediate version, a read only the latest
-    superseded = count_replaced_bytes(page) >= MAX_REPLACED_BYTES
-    sidecar.in_sync_at = NEVER if superseded else sidecar.clock()
-    if page.items:
-        eventlet.sleep(BATCH_DELAY_S)
+    changes = poll_relay(sidecar, relay, hold_s, snapshot)
 
+    def apply() -> float:
+        sidecar.watching_store = False
+        unseen_at = max(sidecar.store_confirmed_at, changes.configuration_unseen_at)
+        apply_page(sidecar, changes.page)
+        adopt_relay(sidecar, changes)
+        sidecar.in_sync_at = changes.confirmed_at
+        _log_configuration(sidecar, changes.page.items, relay.name, fetch, unseen_at)
+        return FOLLOWER_BATCH_DELAY_S if changes.page.items else 0.0
 
-def _record_answer(sidecar: Sidecar, confirmed_at: float) -> None:
-    record_store_answer(sidecar)
-    sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, confirmed_at)
+    return apply
 
 
-def _watch_store(sidecar: Sidecar) -> Page | None:
+def _watch_store(sidecar: Sidecar, wait_s: float) -> Apply | None:
     """Wait for changes in the store; return None if the wait was cancelled.
 
     It is cancelled when another call to the store fails, since the connection of the watch may be
     silent too. The next waits are short then: each of their answers confirms the local copy.
     """
-    in_doubt = sidecar.clock() < sidecar.store_doubtful_until
-    allowed_s = sidecar.settings.bounds.config_apply_s
-    wait_s = SHORT_WATCH_S if in_doubt else WATCH_SHARE * allowed_s
-    lost_after_s = RESPONSE_SHARE * allowed_s
+    fetch = _begin_fetch(sidecar)
+    page = _await_page(sidecar, wait_s)
+    if page is None:
+        return None
+
+    def apply() -> float:
+        sidecar.meters.count("store", "watch")
+        sidecar.followed_relay = ""
+        unseen_at = sidecar.store_confirmed_at
+        _record_answer(sidecar, sidecar.clock())
+        sidecar.watching_store = True
+        apply_page(sidecar, page)
+        _log_configuration(sidecar, page.items, "watch", fetch, unseen_at)
+        # a watch returns every intermediate version, a read only the latest
+        superseded = count_replaced_bytes(page) >= MAX_REPLACED_BYTES
+        sidecar.in_sync_at = NEVER if superseded else sidecar.clock()
+        return BATCH_DELAY_S if page.items else 0.0
+
+    return apply
+
+
+def _record_answer(sidecar: Sidecar, confirmed_at: float) -> None:
+    record_store_answer(sidecar)
+    sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, confirmed_at)
+
+
+def _await_page(sidecar: Sidecar, wait_s: float) -> Page | None:
+    lost_after_s = RESPONSE_SHARE * sidecar.settings.bounds.config_apply_s
 
     def watch() -> Page | StoreError | None:
         try:
@@ -185,8 +295,19 @@
     return result
 
 
-def read_all_items(sidecar: Sidecar) -> None:
-    """Read all items from the store, page by page, and apply those that differ.
+def _read_page(sidecar: Sidecar, after: str) -> Page:
+    """Read a page; repeat a call that was lost before the store answered another one."""
+    while True:
+        started = sidecar.clock()
+        try:
+            return sidecar.store.read_page(ALL_KEYS, after)
+        except StoreError:
+            if sidecar.store_answered_at <= started:
+                raise
+
+
+def _read_store(sidecar: Sidecar) -> Apply:
+    """Read all items from the store, page by page.
 
     Raises:
         StoreError: If the store did not respond.
@@ -196,20 +317,28 @@
     items: list[Item] = []
     revision, after = None, ""
     while True:
-        page = sidecar.store.read_page(ALL_KEYS, after)
+        page = _read_page(sidecar, after)
         sidecar.meters.count("store", "read")
         revision = page.revision if revision is None else revision
         items.extend(page.items)
         if not page.more or not page.items:
             break
         after = page.items[-1].key
-    changed = apply_snapshot(sidecar.mirror, items, revision)
-    _apply_items(sidecar, changed)
-    _record_answer(sidecar, fetch.started_at)
-    # a long value that took long to arrive may already be superseded
-    is_changing = any(is_long(item) for item in changed)
-    sidecar.in_sync_at = fetch.started_at if is_changing else sidecar.clock()
-    _log_configuration(sidecar, items, "read", fetch)
+
+    def apply() -> float:
+        sidecar.followed_relay = ""
+        unseen_at = sidecar.store_confirmed_at
+        changed = apply_snapshot(sidecar.mirror, items, revision)
+        _apply_items(sidecar, changed)
+        _record_answer(sidecar, fetch.started_at)
+        # what took long to arrive may already be superseded
+        took_long = sidecar.clock() - fetch.started_at > LONG_READ_S
+        may_be_old = took_long or any(is_long(item) for item in changed)
+        sidecar.in_sync_at = fetch.started_at if may_be_old else sidecar.clock()
+        _log_configuration(sidecar, changed, "read", fetch, unseen_at)
+        return 0.0
+
+    return apply
 
 
 def apply_page(sidecar: Sidecar, page: Page) -> None:
@@ -232,8 +361,18 @@
     return _Fetch(sidecar.clock(), copy_age_s)
 
 
-def _log_configuration(sidecar: Sidecar, items: Sequence[Item], source: str, fetch: _Fetch) -> None:
-    """Log how versions of the configuration arrived, if a response had any."""
+def _log_configuration(
+    sidecar: Sidecar, items: Sequence[Item], source: str, fetch: _Fetch, unseen_at: float
+) -> None:
+    """Log how versions of the configuration arrived, if a response had any.
+
+    Args:
+        sidecar: State of this sidecar, which has applied the items.
+        items: The items that the response had.
+        source: Where they came from.
+        fetch: The request for them.
+        unseen_at: When the store last confirmed a copy without the newest version.
+    """
     versions = [item for item in items if item.key == CONFIGURATION_KEY and item.value is not None]
     if not versions:
         return
@@ -251,6 +390,26 @@
         seconds=round(sidecar.clock() - fetch.started_at, 3),
         copy_age_s=fetch.copy_age_s,
     )
+    sidecar.configuration_unseen_at = unseen_at
+    if unseen_at > NEVER and sidecar.table is not None:
+        _record_delay(sidecar, source, fetch, sidecar.clock() - unseen_at)
+
+
+def _record_delay(sidecar: Sidecar, source: str, fetch: _Fetch, delay_s: float) -> None:
+    """Record the most seconds that passed from a version's acceptance to its being in force."""
+    sidecar.meters.observe("configuration_delay", delay_s)
+    if delay_s <= LATE_SHARE * sidecar.settings.bounds.config_apply_s:
+        return
+    returned_s = sidecar.clock() - sidecar.store_returned_at
+    sidecar.log(
+        LogEvent.CONFIGURATION_LATE,
+        version=sidecar.table.version,
+        source=source,
+        delay_s=round(delay_s, 3),
+        seconds=round(sidecar.clock() - fetch.started_at, 3),
+        copy_age_s=fetch.copy_age_s,
+        store_returned_s=round(returned_s, 3) if isfinite(returned_s) else None,
+    )
 
 
 def remove_lapsed_members(sidecar: Sidecar) -> None:
--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -211,7 +211,12 @@
     """Return a replacement for `request_from_member` that calls the relay's handler."""
 
     def ask(
-        sidecar: Sidecar, member: Member, target: str, timeout_s: float, response_type: Any
+        sidecar: Sidecar,
+        member: Member,
+        target: str,
+        timeout_s: float,
+        response_type: Any,
+        **_: Any,
     ) -> Any:
         with eventlet.Timeout(timeout_s, False):
             eventlet.sleep(PEER_DELAY_S)
@@ -646,10 +651,18 @@
 
 
 def _transfer(fleet: SimulatedFleet, vm: Vm, size: int) -> None:
-    """Wait until a VM's link has carried a number of bytes, after all those before."""
-    vm.link_free_at = max(vm.link_free_at, fleet.now) + size / vm.link_bytes_per_s
-    vm.bytes_received += size
-    eventlet.sleep(vm.link_free_at - fleet.now)
+    """Wait until a VM's link has carried a number of bytes, after all those before.
+
+    Who cancels the request closes its connection: what was not sent by then stays unsent.
+    """
+    needed_s = size / vm.link_bytes_per_s
+    done_at = vm.link_free_at = max(vm.link_free_at, fleet.now) + needed_s
+    try:
+        eventlet.sleep(done_at - fleet.now)
+    finally:
+        unsent_s = min(max(done_at - fleet.now, 0.0), needed_s)
+        vm.link_free_at -= unsent_s
+        vm.bytes_received += int(size - unsent_s * vm.link_bytes_per_s)
 
 
 def _check_versions(fleet: SimulatedFleet) -> None:
--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -179,6 +179,7 @@
         fleet = self.open_fleet(seed=1)
         vm, reads = fleet.vms[RELAY], []
         vm.loops[0].kill()
+        vm.cut = True  # other VMs could answer before the read fails
         self.patch(vm.sidecar, "in_sync_at", NEVER)
 
         def read_page(*_: object) -> None:
@@ -233,6 +234,7 @@
         fleet = self.open_fleet(seed=1)
         vm = fleet.vms[RELAY]
         vm.lost_watches = 9
+        vm.cut = True  # other VMs could confirm the copy
         vm.sidecar.cancel_watch()
         eventlet.sleep(0.01)
         started = fleet.now
