Confirm the copy by answers of a watch only, which wait a fifth of the bound

Change: renewals confirm nothing, and relays renew as often as others (1.3 s instead of 0.5 s). A watch waits 0.4 s of a bound of 2 s, so that its answers keep the copy as recent as renewals did; a lost one is noticed 0.6 s sooner.

--- a/src/magnoliasill/sidecar/registration.py
+++ b/src/magnoliasill/sidecar/registration.py
@@ -14,7 +14,6 @@
 from ..mesh.store_items import Condition, Put, Transaction
 from .server_notices import restore_leaving
 from .state import STORE_DOUBT_S, build_own_record, record_store_answer
-from .store_relay import find_relay
 
 if TYPE_CHECKING:
     from ..mesh.members import Member
@@ -23,9 +22,6 @@
 
 LEASE_S = 4.0  # a dead VM's record expires within this; failed requests to it reveal it sooner
 RENEW_S = 1.3  # three renewals per lease
-# A relay renews more often, so that its followers learn whether it still reaches the store before
-# they stop trusting it.
-RELAY_RENEW_S = 0.5
 RETRY_MIN_S = 0.3
 RETRY_MAX_S = 0.9  # a lapsed record is restored well within 2 seconds
 
@@ -59,9 +55,9 @@
     """Write and renew this sidecar's record, until the process ends."""
     while True:
         try:
-            pause_s = RELAY_RENEW_S if find_relay(sidecar) is None else RENEW_S
+            pause_s = RENEW_S
             if _register(sidecar, registration):
-                _record_confirmation(sidecar)
+                record_store_answer(sidecar)
         except LeaseEndedError:
             sidecar.log(LogEvent.REGISTRATION_LOST, lease=registration.lease)
             registration.lease, registration.stored_record, registration.revision = 0, None, 0
@@ -85,13 +81,6 @@
         registration.changed = Event()
 
 
-def _record_confirmation(sidecar: Sidecar) -> None:
-    """Record that the store answers; a watch that runs meanwhile would have heard of changes."""
-    record_store_answer(sidecar)
-    if sidecar.watching_store:
-        sidecar.store_confirmed_at = sidecar.clock()
-
-
 def _register(sidecar: Sidecar, registration: Registration) -> bool:
     """Write or renew the record; return whether there was one to register."""
     record = build_own_record(sidecar)
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -68,7 +68,7 @@
 
 # Shares of the time allowed to apply a change. A watch waits for the first; its response counts as
 # lost after the second, which leaves time to read the change and to send it to followers.
-WATCH_SHARE = 0.5
+WATCH_SHARE = 0.2
 RESPONSE_SHARE = 0.25
 LATE_SHARE = 0.75  # a configuration that takes longer is logged
 READ_SHARE = 0.25  # for a read of all items over a slow link
