Give a relay the time for which it may hold a poll, and leave it out for 1 s at first

A poll is held only for as long as leaves time for a stand-in and the read; a VM that was silent once is left out for 1 s, then for 4 s. Also: a hold that is no number counts as the longest (OddPollTest), the store as a source has a name that no VM can have, and a VM whose call was lost before the store answered another one does not pause.

--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -90,10 +90,25 @@
     Attributes:
         suspended_until: When their suspension ends, by name.
         without_store: Those of them that responded, and said that the store does not answer them.
+        silent: Those that did not respond in time when they were last asked.
     """
 
     suspended_until: dict[str, float] = attrs.field(factory=dict)
     without_store: set[str] = attrs.field(factory=set)
+    silent: set[str] = attrs.field(factory=set)
+
+    def suspend_silent(self, name: str, now: float) -> None:
+        """Use no changes from a sidecar that did not respond in time: for longer if it is so again.
+
+        The first time, the reason may be this sidecar's own link.
+
+        Args:
+            name: The sidecar's name.
+            now: Seconds on the monotonic clock.
+        """
+        duration_s = RELAY_BACKOFF_S if name in self.silent else OUTDATED_BACKOFF_S
+        self.silent.add(name)
+        self.suspend(name, now, duration_s)
 
     def suspend(
         self, name: str, now: float, duration_s: float, without_store: bool = False
@@ -122,7 +137,8 @@
         return now >= self.suspended_until.get(name, now)
 
     def restore(self, name: str) -> None:
-        """Use changes from a sidecar again."""
+        """Use changes from a sidecar again, which has answered."""
+        self.silent.discard(name)
         self.suspended_until.pop(name, None)
 
 
--- a/src/magnoliasill/sidecar/hedging.py
+++ b/src/magnoliasill/sidecar/hedging.py
@@ -41,13 +41,13 @@
 
     Attributes:
         answer: The first useful answer, or None if there was none.
-        winner: The name of the source that gave it, or an empty string.
+        winner: The name of the source that gave it, or None.
         failures: The errors of the sources that failed, by name; None for a useless answer.
         unanswered: The seconds since each source was asked that has not answered, by name.
     """
 
     answer: Answer | None = None
-    winner: str = ""
+    winner: str | None = None
     failures: dict[str, BaseException | None] = attrs.field(factory=dict)
     unanswered: dict[str, float] = attrs.field(factory=dict)
 
@@ -77,7 +77,7 @@
             if _await_answer(results, outcome, source.patience_s):
                 break
         give_up_at = clock() + LAST_PATIENCE_S
-        while not outcome.winner and len(outcome.failures) < len(threads):
+        while outcome.winner is None and len(outcome.failures) < len(threads):
             left_s = give_up_at - clock()
             if left_s <= 0:
                 break
--- a/src/magnoliasill/sidecar/store_relay.py
+++ b/src/magnoliasill/sidecar/store_relay.py
@@ -88,9 +88,11 @@
     try:
         after = int(query.get("after", ["0"])[0])
         held = {int(revision) for revision in query.get("held", [])}
-        hold_s = min(float(query.get("hold", [POLL_TIMEOUT_S])[0]), POLL_TIMEOUT_S)
+        hold_s = float(query.get("hold", [POLL_TIMEOUT_S])[0])
     except ValueError:
         return None
+    if not 0 <= hold_s <= POLL_TIMEOUT_S:  # nor if it is no number
+        hold_s = POLL_TIMEOUT_S
     started = sidecar.clock()
     while not _should_answer(sidecar, after, started, hold_s):
         eventlet.sleep(POLL_INTERVAL_S)
@@ -184,6 +186,7 @@
 def adopt_relay(sidecar: Sidecar, changes: RelayedChanges) -> None:
     """Record that a relay's changes are used, which confirm the local copy once applied."""
     sidecar.meters.count("relay", "followed")
+    sidecar.relay_backoff.restore(changes.relay)
     sidecar.store_confirmed_at = max(sidecar.store_confirmed_at, changes.confirmed_at)
     if sidecar.followed_relay != changes.relay:
         sidecar.followed_relay = changes.relay
@@ -201,8 +204,11 @@
     """
     response = error.response if isinstance(error, RelayError) else None
     without_store = response is not None and not response.reads_store
-    backoff_s = _choose_backoff(sidecar, response)
-    sidecar.relay_backoff.suspend(name, sidecar.clock(), backoff_s, without_store)
+    if error is None:
+        sidecar.relay_backoff.suspend_silent(name, sidecar.clock())
+    else:
+        backoff_s = _choose_backoff(sidecar, response)
+        sidecar.relay_backoff.suspend(name, sidecar.clock(), backoff_s, without_store)
     if sidecar.followed_relay == name:
         sidecar.followed_relay = ""
     reason = "no response yet"
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -64,6 +64,7 @@
     from collections.abc import Callable, Iterable, Iterator, Sequence
 
     from ..mesh.members import Member
+    from .hedging import Outcome
     from .state import Sidecar
 
 # Shares of the time allowed to apply a change. A watch waits for the first; its response counts as
@@ -76,6 +77,7 @@
 WATCH_PATIENCE_SHARE = 0.2  # after the end of a watch, until others are asked as well
 HEDGE_S = 0.2  # for an answer that should come at once, until another source is asked as well
 MIN_PATIENCE_S = 0.02
+MIN_HOLD_S = 0.1  # limits how often a relay is polled whose own copy is not recent
 LONG_READ_S = 1.0  # several versions may follow one another in such a time
 MAX_RELAYS_ASKED = 5
 SHORT_WATCH_S = 0.4  # while it is in doubt whether the store answers
@@ -91,7 +93,7 @@
 # With this many bytes of superseded versions in a page, the current items are read next instead of
 # further changes.
 MAX_REPLACED_BYTES = 16_384
-STORE = "store"  # the name of the store as a source
+STORE = ""  # the name of the store as a source; no VM has it
 ALL_KEYS = ""  # key prefix that matches every item
 
 # Applies what a source answered; returns the seconds to wait before it is asked again.
@@ -124,10 +126,16 @@
             _record_silence(sidecar, name, seconds)
         if outcome.answer is not None:
             eventlet.sleep(outcome.answer())
-        elif STORE in outcome.failures and find_relay(sidecar) is None:
+        elif _has_no_source(sidecar, outcome, started):
             eventlet.sleep(sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
 
+def _has_no_source(sidecar: Sidecar, outcome: Outcome[Apply], started: float) -> bool:
+    """Return whether the store failed, has answered nothing else since, and no relay is left."""
+    failed = STORE in outcome.failures and sidecar.store_answered_at <= started
+    return failed and find_relay(sidecar) is None
+
+
 def choose_sources(sidecar: Sidecar, relay: Member | None) -> Iterator[Source[Apply]]:
     """Yield the sources of changes in the order in which to ask them.
 
@@ -145,10 +153,8 @@
         yield _build_store_source(sidecar)
     else:
         asked.append(relay.name)
-        due_s = _find_store_due(sidecar)
-        hold_s = POLL_TIMEOUT_S if due_s > 0 else 0.0
-        patience_s = max(min(hold_s + HEDGE_S, due_s - HEDGE_S), HEDGE_S)
-        yield Source(relay.name, lambda: _ask_relay(sidecar, relay, hold_s), patience_s)
+        hold_s = _choose_hold(sidecar)
+        yield Source(relay.name, lambda: _ask_relay(sidecar, relay, hold_s), hold_s + HEDGE_S)
     while len(asked) <= MAX_RELAYS_ASKED:
         may_ask_store = not asks_store and reads_store(sidecar)
         if may_ask_store and _find_store_due(sidecar) <= 0:
@@ -166,6 +172,14 @@
         yield Source(STORE, lambda: _read_store(sidecar), HEDGE_S)
 
 
+def _choose_hold(sidecar: Sidecar) -> float:
+    """Return the seconds for which the relay may hold a poll, so that a stand-in can follow it."""
+    due_s = _find_store_due(sidecar)
+    if due_s <= 0:
+        return 0.0
+    return min(max(due_s - 2 * HEDGE_S, MIN_HOLD_S), POLL_TIMEOUT_S)
+
+
 def _find_store_due(sidecar: Sidecar) -> float:
     """Return the seconds until the store itself should be read to confirm the local copy."""
     return READ_AGE_SHARE * sidecar.settings.bounds.config_apply_s - find_store_age(sidecar)
--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -157,6 +157,21 @@
         self.assert_in_time(fleet)
 
 
+class OddPollTest(WithScenarios, OutageCase):
+    """A follower asks a relay to hold its poll for a time that makes no sense."""
+
+    scenarios = [(hold, {"hold": hold}) for hold in ("nan", "inf", "-1", "1e99")]
+
+    # a poll that no time ends would be held for ever
+    def test_it_is_held_for_the_longest_time(self) -> None:
+        fleet = self.open_fleet(seed=1)
+        sidecar = fleet.vms[RELAY].sidecar
+        started, revision = fleet.now, sidecar.mirror.revision
+        poll = f"/mesh/changes?after={revision}&hold={self.hold}"
+        self.assertIsNotNone(store_relay.handle_follower_poll(sidecar, poll))
+        self.assertAlmostEqual(store_relay.POLL_TIMEOUT_S, fleet.now - started, delta=0.05)
+
+
 class StoreReturnTest(OutageCase):
     """The store answers again after seconds, while calls from before are still unanswered."""
 
