--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -41,6 +41,7 @@
 from .crash_store import keep_findings_stored
 from .gate_port import build_gate_application
 from .header_parser import install_head_parser
+from .item_application import remove_lapsed_members
 from .log_writer import LogWriter, open_log_writer, run_log_writer, write_pending
 from .metrics import Meters
 from .protocol import IDLE_SLACK_S, PEER_IDLE_S, build_protocol, serve_port
@@ -49,7 +50,7 @@
 from .release_watch import run_release_watch
 from .state import Sidecar, find_run_wait_left
 from .store_relay import CHANGES_PATH, handle_follower_poll
-from .store_sync import follow_store, remove_lapsed_members
+from .store_sync import follow_store
 from .takeover_leader import run_takeover_leader
 from .urgent_hub import install_urgent_hub, is_urgent, set_urgent
 
--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -30,13 +30,14 @@
 from magnoliasill.mesh.settings import Bounds, SidecarSettings
 from magnoliasill.platform.store import StoreClient, StoreRequest
 from magnoliasill.sidecar.daemon import STORE_TIMEOUT_S
+from magnoliasill.sidecar.item_application import remove_lapsed_members
 from magnoliasill.sidecar.metrics import Meters
 from magnoliasill.sidecar.registration import Registration, keep_registered
 from magnoliasill.sidecar.release_counts import COUNTS_PATH, answer_counts_request
 from magnoliasill.sidecar.release_watch import run_release_watch
 from magnoliasill.sidecar.state import NEVER, Sidecar
 from magnoliasill.sidecar.store_relay import handle_follower_poll
-from magnoliasill.sidecar.store_sync import follow_store, remove_lapsed_members
+from magnoliasill.sidecar.store_sync import follow_store
 from magnoliasill.sidecar.takeover_leader import run_takeover_leader
 
 if TYPE_CHECKING:
