--- a/tests/mesh/test_relays.py
+++ b/tests/mesh/test_relays.py
@@ -125,6 +125,21 @@
         self.assertEqual("vm-000", find_relay(table, "vm-002").name)
 
 
+class BackoffTest(testtools.TestCase):
+    """A sidecar that did not respond in time is left out for longer if it is so again."""
+
+    # one lost answer, perhaps on the asker's own link, cost a relay its followers for 4 s
+    def test_the_second_silence_in_a_row_lasts_longer(self) -> None:
+        backoff = RelayBackoff()
+        backoff.suspend_silent("vm-1", 10.0)
+        self.assertEqual([False, True], [backoff.is_available("vm-1", at) for at in (10.9, 11.1)])
+        backoff.suspend_silent("vm-1", 12.0)
+        self.assertEqual([False, True], [backoff.is_available("vm-1", at) for at in (15.9, 16.1)])
+        backoff.restore("vm-1")
+        backoff.suspend_silent("vm-1", 20.0)
+        self.assertTrue(backoff.is_available("vm-1", 21.1))
+
+
 class AnswerTest(testtools.TestCase):
     """When a relay answers a poll; followers lost 0.9 s with each one that was outdated."""
 
@@ -180,6 +195,14 @@
         self.assertLess(len(change.packed), len(long.value) / 10)
         self.assertEqual(long.value, unpack_value(change.packed))
 
+    # a restarted relay sent long values again to all followers that already held them
+    def test_a_snapshot_lacks_the_long_values_that_the_follower_holds(self) -> None:
+        value = b"x" * (MAX_RELAYED_BYTES + 1)
+        apply_snapshot(self.mirror, [Item("a", 9, value)], 9)
+        held, lacking = self.relay(4, held=[9]).changes[0], self.relay(4, held=[8]).changes[0]
+        self.assertEqual((True, None, None), (held.long, held.delta, held.packed))
+        self.assertEqual(value, unpack_value(lacking.packed))
+
     def test_a_damaged_or_too_long_compressed_value_is_refused(self) -> None:
         packed = zlib.compress(b"x" * 1000)
         for damaged in (b"", b"x", packed[:-1], zlib.compress(b"x" * (MAX_VALUE_BYTES + 1))):
--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -122,6 +122,8 @@
         late_s: The longest time for which it lacked an accepted configuration, while the store
             had served it for the fleet's `contact_s`.
         late_while_refused_s: The same for the time in which the store did not serve it.
+        overconfirmed_s: The most by which its copy counted as confirmed after the acceptance of a
+            configuration that it lacked.
         bytes_received: The bytes that its link has delivered.
         events: The log events of its sidecar.
         loops: The green threads of its loops.
@@ -146,6 +148,7 @@
     served_since: float = 0.0
     late_s: float = 0.0
     late_while_refused_s: float = 0.0
+    overconfirmed_s: float = 0.0
     bytes_received: int = 0
     events: list[dict[str, Any]] = attrs.field(factory=list)
     loops: list[Any] = attrs.field(factory=list)
@@ -678,6 +681,8 @@
             if fleet.now - vm.calm_since < fleet.contact_s:
                 continue
             late_s = fleet.now - accepted_at
+            confirmed_s = vm.sidecar.store_confirmed_at - accepted_at
+            vm.overconfirmed_s = max(vm.overconfirmed_s, confirmed_s)
             if vm.refused or vm.silent:
                 vm.late_while_refused_s = max(vm.late_while_refused_s, late_s)
             elif fleet.now - vm.served_since >= fleet.contact_s:
--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -23,6 +23,7 @@
 TARGET_S = 1.5  # of the smaller deployments, whose bound is 2 s
 MAX_STRETCH_S = 5.0  # the platform's extension of that bound for a VM that the store turns away
 RELAY = "vm-0-00"
+ROUND_TRIP_S = 0.02  # to the store or another VM, in the simulation
 
 
 class OutageCase(testtools.TestCase):
@@ -258,6 +259,17 @@
         self.assertLess(vm.sidecar.store_confirmed_at, started)
 
 
+class FalseConfirmationTest(OutageCase):
+    """VMs with slow links become relays, and renew their leases while changes are on the way."""
+
+    # a renewed lease confirmed copies without changes that had been accepted up to 1.2 s before
+    def test_a_copy_is_not_confirmed_after_a_change_that_it_lacks(self) -> None:
+        fleet = self.open_fleet(seed=31, vms=23)
+        simulation.play_relay_faults(fleet, ("power",) * 4, 0.26)
+        confirmed = {name: round(vm.overconfirmed_s, 2) for name, vm in fleet.vms.items()}
+        self.assertEqual({}, {name: s for name, s in confirmed.items() if s > ROUND_TRIP_S})
+
+
 class RegistrationTest(OutageCase):
     """The lease of a sidecar's record ends while its copy of the store is outdated."""
 
