--- a/tests/sidecar/test_odd_items.py
+++ b/tests/sidecar/test_odd_items.py
@@ -13,7 +13,7 @@
 from fakes.store import put_item
 from magnoliasill.mesh.members import Member
 from magnoliasill.mesh.records import encode_record
-from magnoliasill.sidecar import release_counts, store_relay, store_sync
+from magnoliasill.sidecar import item_application, release_counts, store_relay
 
 from . import simulated_fleet as simulation
 
@@ -134,14 +134,14 @@
 
     def setUp(self) -> None:
         super().setUp()
-        put_member = store_sync.put_member
+        put_member = item_application.put_member
 
         def fail(table: object, member: Member) -> None:
             if member.name == "odd":
                 raise ZeroDivisionError("unexpected")
             put_member(table, member)
 
-        self.patch(store_sync, "put_member", fail)
+        self.patch(item_application, "put_member", fail)
 
     # the copy of the store was already advanced, and the rest of the page was never applied
     def test_they_are_applied_when_one_meets_an_unexpected_error(self) -> None:
