--- a/src/magnoliasill/sidecar/log_writer.py
+++ b/src/magnoliasill/sidecar/log_writer.py
@@ -10,6 +10,7 @@
 import attrs
 import eventlet
 import eventlet.patcher
+import msgspec
 import structlog
 
 from ..codes import LogEvent
@@ -110,7 +111,7 @@
         _BufferLogger(log_writer),
         processors=[
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.JSONRenderer(),
+            structlog.processors.JSONRenderer(_encode_line),
         ],
         daemon=name,
         data_centre=data_centre,
@@ -128,6 +129,10 @@
     return log_writer, write
 
 
+def _encode_line(fields: Any, **_: Any) -> str:
+    return msgspec.json.encode(fields, enc_hook=repr).decode()
+
+
 def _is_allowed(log_writer: LogWriter, event: LogEvent) -> bool:
     if log_writer.buffered_bytes >= MAX_BUFFERED_BYTES:
         return False
