Check the caller and the deadline directly before a request is sent on, and end overdue requests within a turn

Cause: a caller's close and the end of a wait in the gate's queue are noticed by a loop that waits for its turn like every request, and nobody looked again when the request's own turn came. With turns of a second a request was sent on although its caller had left before, or although its deadline had passed in the meantime.

Change: the loop that ends such requests is urgent, and ends all that it finds in the same search. Directly before a request is sent to a server or to another VM, its caller's connection is checked, and at the gate its deadline.

Measured: LateLoopTest fails on (a request whose caller has left runs, one past its deadline is sent on, no check before a hop).

--- a/src/magnoliasill/calls/cancellation.py
+++ b/src/magnoliasill/calls/cancellation.py
@@ -10,6 +10,7 @@
 import attrs
 import greenlet
 from eventlet.greenthread import kill
+from eventlet.hubs import get_hub
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -41,6 +42,24 @@
         """Let the call continue even if its caller disconnects."""
         self.calls.discard(self)
 
+    def check_connected(self) -> None:
+        """Raise `CallerDisconnectedError` if the caller has closed its connection by now."""
+        if _is_closed(self.sock):
+            raise CallerDisconnectedError
+
+    def begin_run(self, is_cancellable: bool) -> None:
+        """Prepare to send the call to a backend server.
+
+        Args:
+            is_cancellable: Whether it may be cancelled while it runs there.
+
+        Raises:
+            CallerDisconnectedError: If the caller has closed its connection by now.
+        """
+        self.check_connected()
+        if not is_cancellable:
+            self.stop_watching()
+
 
 @contextmanager
 def watch_caller(calls: set[WatchedCall], environ: dict[str, Any]) -> Iterator[WatchedCall]:
@@ -60,7 +79,7 @@
 
 
 def cancel_disconnected(calls: set[WatchedCall], now: float) -> int:
-    """Cancel every watched call whose caller has disconnected.
+    """Cancel every watched call whose caller has disconnected, without waiting for its end.
 
     Args:
         calls: The set of watched calls.
@@ -73,11 +92,15 @@
         call for call in calls if now - call.started_at >= MIN_CALL_AGE_S and _is_closed(call.sock)
     ]
     for call in disconnected:
-        if call in calls:
-            kill(call.greenlet, CallerDisconnectedError)
+        get_hub().schedule_call_global(0, _cancel, call)
     return len(disconnected)
 
 
+def _cancel(call: WatchedCall) -> None:
+    if call in call.calls:
+        kill(call.greenlet, CallerDisconnectedError)
+
+
 def _is_closed(sock: Any) -> bool:
     try:
         return not sock.fd.recv(1, socket.MSG_PEEK)
--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from contextlib import contextmanager
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -124,8 +125,8 @@
         message = "the daemon stops before the request can be expected to finish"
         raise CallError(ErrorCode.NOT_READY, message, STOPPING_RETRY_AFTER_S)
     with watch_caller(sidecar.watched_calls, environ) as watch, _register_thread(sidecar):
-        if not route.idempotent:
-            request.on_start = watch.stop_watching
+        request.check_caller = watch.check_connected
+        request.on_start = partial(watch.begin_run, route.idempotent)
         body = read_body(environ, table.limits.body_bytes)
         message = Message(environ["REQUEST_METHOD"], target, remove_sidecar_headers(headers), body)
         return forward_request(sidecar, request, message)
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -167,6 +167,7 @@
             (lambda: run_release_watch(sidecar), False),
             (lambda: keep_findings_stored(sidecar), False),
             (lambda: _run_periodic_checks(sidecar), False),
+            (lambda: _end_overdue_requests(sidecar), True),
         )
     ]
     return RunningSidecar(sidecar, sockets, servers, loops)
@@ -233,11 +234,18 @@
         raise SettingsError(ErrorCode.PORT_IN_USE, f"{address}: {error}") from error
 
 
-def _run_periodic_checks(sidecar: Sidecar) -> None:
+def _end_overdue_requests(sidecar: Sidecar) -> None:
+    """End the requests whose callers have left or that can no longer be served, in time."""
     while True:
         now = monotonic()
         cancel_disconnected(sidecar.watched_calls, now)
         dispatch_waiting(sidecar.gate, now)
+        eventlet.sleep(CHECK_INTERVAL_S)
+
+
+def _run_periodic_checks(sidecar: Sidecar) -> None:
+    while True:
+        now = monotonic()
         remove_lapsed_members(sidecar)
         remove_expired(sidecar.crash_findings.table, now)
         close_expired(sidecar.server_connections, now)
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -51,7 +51,7 @@
 from .crash_reports import apply_records
 from .gate_port import handle_gate_request
 from .http_exchange import BETWEEN_VMS_TIMEOUTS, BrokenError, Message, NotSentError, Reply, exchange
-from .state import find_request_wait_left, find_takeover
+from .state import do_nothing, find_request_wait_left, find_takeover
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -86,7 +86,9 @@
         target_at: The latency target: a later response is worth less to the caller.
         answer_deadline: By when the caller gets a response, from a backend server or an error.
         caller_deadline: When the caller stops waiting.
-        on_start: Called before the request runs on this VM's backend server, or None.
+        check_caller: Raises `CallerDisconnectedError` if the caller has closed its connection.
+        on_start: Called before the request runs on this VM's backend server, or None; it may raise
+            the same.
         attempted_members: The members that the request was sent to, in order.
     """
 
@@ -100,6 +102,7 @@
     target_at: float
     answer_deadline: float
     caller_deadline: float
+    check_caller: Callable[[], None] = do_nothing
     on_start: Callable[[], None] | None = None
     attempted_members: list[str] = attrs.field(factory=list)
 
@@ -349,6 +352,7 @@
         if member.name == sidecar.settings.name:
             result = _attempt_locally(sidecar, request, call, guarded.message)
         else:
+            request.check_caller()
             result = _attempt_remotely(
                 sidecar, call, guarded.message, member, request.answer_deadline
             )
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -115,7 +116,7 @@
         delivery_s = estimate_delivery(
             sidecar.egress, call.route, sidecar.settings.link_mbps, sidecar.clock()
         )
-        on_start = watch.stop_watching if not call.idempotent else None
+        on_start = partial(watch.begin_run, call.idempotent)
         return handle_gate_request(sidecar, call, message, on_start, delivery_s)
 
 
@@ -151,7 +152,8 @@
         sidecar: The sidecar's state.
         call: The request's metadata from the sending sidecar.
         message: The HTTP request.
-        on_start: Called before the request is sent to the backend server.
+        on_start: Called before the request is sent to the backend server; it raises
+            `CallerDisconnectedError` if the caller has left by then.
         delivery_s: Seconds from the end of its run until its answer is expected to be sent.
 
     Raises:
@@ -187,6 +189,8 @@
     sidecar.running_requests[call.identifier] = call.repeat
     try:
         refusal_reason = _find_refusal_reason(sidecar, call, guarded)
+        if not refusal_reason and sidecar.clock() >= deadline:
+            refusal_reason = "deadline"
         if refusal_reason:
             return _refuse(sidecar, call, refusal_reason, arrived_at)
         if on_start is not None:
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
 import attrs
 import eventlet
 import testtools
 from testscenarios import WithScenarios
 
+from magnoliasill.calls.cancellation import CallerDisconnectedError, WatchedCall
 from magnoliasill.mesh.evidence import RouteCounts
 from magnoliasill.mesh.hop_headers import (
     CALL_HEADER,
@@ -17,9 +19,13 @@
     encode_header_value,
 )
 from magnoliasill.mesh.takeovers import Phase, Takeover
+from magnoliasill.sidecar import daemon, gate_port
 from magnoliasill.sidecar.gate_port import handle_gate_request
 from magnoliasill.sidecar.http_exchange import Message
 
+if TYPE_CHECKING:
+    from magnoliasill.sidecar.state import Sidecar
+
 from . import fleet as harness
 from .fleet import build_answer, build_rule, open_fleet, put_configuration, send, wait_for
 
@@ -560,6 +566,61 @@
         self.assertEqual(0, self.stock.runs["g-3"])
 
 
+class LateLoopTest(CallCase):
+    """The checks that end requests come too late, as in a process with long turns."""
+
+    def setUp(self) -> None:
+        self.patch(daemon, "cancel_disconnected", lambda calls, now: 0)
+        super().setUp()
+        self.sidecar = self.fleet.sidecars[0].sidecar
+
+    def send_and_leave(self, identifier: str) -> None:
+        sock = harness.connect(self.sidecar.settings.callers)
+        head = f"GET /shop/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {identifier}\r\n\r\n"
+        sock.sendall(head.encode())
+        wait_for(lambda: self.sidecar.gate.waiting, "the request is not queued")
+        sock.close()
+
+    # requests were sent on up to 1.4 s after their callers had left
+    def test_a_request_whose_caller_has_left_is_not_sent_on(self) -> None:
+        self.sidecar.gate.slots = 1
+        self.shop.work_s = 0.2
+        first = eventlet.spawn(send, self.fleet, 0, "/shop/x", "l-1")
+        wait_for(lambda: self.shop.running == 1, "the request is not running")
+        self.send_and_leave("l-2")
+        self.assertEqual(200, first.wait()[0])
+        wait_for(lambda: not self.sidecar.open_callers, "the request has not ended")
+        self.assertEqual((0, 0), (self.shop.runs["l-2"], self.sidecar.gate.running))
+
+    def test_nor_to_another_vm(self) -> None:
+        left = []
+
+        def check_caller() -> None:
+            left.append(True)
+            raise CallerDisconnectedError
+
+        self.patch(WatchedCall, "check_connected", lambda call: check_caller())
+        with harness.connect(self.sidecar.settings.callers) as sock:
+            sock.sendall(b"GET /stock/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: l-3\r\n\r\n")
+            wait_for(lambda: left, "the caller was not checked")
+        self.assertEqual([], self.stock.requests)
+
+    # a request that got its slot in time was sent on after its deadline, when its turn came
+    def test_a_request_whose_deadline_has_passed_is_not_sent_on(self) -> None:
+        def wait_for_slot(sidecar: Sidecar, call: HopCall, now: float, *_: float) -> str:
+            sidecar.gate.running += 1
+            sidecar.gate.running_new += 1
+            while sidecar.clock() < now + call.time_left_s:
+                eventlet.sleep(0.01)
+            return ""
+
+        self.patch(gate_port, "_wait_for_slot", wait_for_slot)
+        status, headers, _ = send(self.fleet, 0, "/shop/x", "l-4", deadline_ms=100)
+        self.assertEqual(503, status)
+        self.assertIn("retry-after", headers)
+        self.assertEqual([], self.shop.requests)
+
+
 class LoadTest(CallCase):
     def test_slots_are_never_exceeded(self) -> None:
         self.fleet.sidecars[1].sidecar.gate.slots = 3
