Refuse new requests while the event loop is late, and tell senders how late it is

What callers saw: under three times the usual requests, sidecars took in all of them, and each step of each request waited for turns of the event loop of up to two seconds; callers got nothing until their deadline.

Cause: the process has limits for its server's slots, and none for itself. How late its loop was did not count when a request was admitted or a gate was chosen. The time left of a request counted from when it was read, however long it had waited to be read.

Change: the lag of the loop is measured (histogram loop_lag, gauge loop_lag_mean_seconds). From 0.03 s on a growing share of new requests is refused at the port, at 0.3 s all of them, with the usual Retry-After; requests that others wait for only if their own steps outlast the time left. Gates report their lag, and placement adds the steps of a request there. The times of a request count from before its wait to be read.

--- a/src/magnoliasill/mesh/hop_headers.py
+++ b/src/magnoliasill/mesh/hop_headers.py
@@ -84,6 +84,7 @@
         run_s: Seconds that the request ran at the backend server, or 0.
         pace: The durations of the server's requests as a multiple of those at all servers.
         link_s: Seconds until the VM's link has sent the answers passed to it.
+        lag_s: Seconds that a step of a request waits for its turn in the gate's process.
     """
 
     ran: str
@@ -102,6 +103,7 @@
     run_s: Number = 0.0
     pace: Number = 1.0
     link_s: Number = 0.0
+    lag_s: PositiveNumber = 0.0
 
 
 def encode_header_value(fields: HopCall | GateReport) -> str:
--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -62,6 +62,7 @@
         failing: The share of failed answers, by its latest report.
         pace: The durations of its requests as a multiple of those at all servers of its service.
         link_s: The seconds until its link has sent the answers passed to it, by its latest report.
+        lag_s: The seconds that a step of a request waits for its turn there, by that report.
         in_flight: The number of this sidecar's requests to it that have no answer yet.
         avoid_until: Until when it gets no requests, because it was unreachable or closed.
         avoid_s: How long it is avoided the next time that it is unreachable.
@@ -77,6 +78,7 @@
     failing: float = 0.0
     pace: float = 1.0
     link_s: float = 0.0
+    lag_s: float = 0.0
     in_flight: int = 0
     avoid_until: float = 0.0
     avoid_s: float = UNREACHABLE_MIN_S
@@ -256,6 +258,7 @@
         failing: The share of failed answers.
         pace: The durations of its requests as a multiple of those at all servers of its service.
         link_s: The seconds until its link has sent the answers passed to it.
+        lag_s: The seconds that a step of a request waits for its turn in the gate's process.
     """
 
     busy: int
@@ -263,6 +266,7 @@
     failing: float = 0.0
     pace: float = 1.0
     link_s: float = 0.0
+    lag_s: float = 0.0
 
 
 def record_load(table: MemberTable, member: Member, report: LoadReport, now: float) -> None:
@@ -280,6 +284,7 @@
     condition.failing = report.failing
     condition.pace = report.pace
     condition.link_s = report.link_s
+    condition.lag_s = report.lag_s
     condition.reported_at = now
     condition.avoid_s = UNREACHABLE_MIN_S
     busy_share = report.busy / member.slots
--- a/src/magnoliasill/mesh/placement.py
+++ b/src/magnoliasill/mesh/placement.py
@@ -15,6 +15,7 @@
 import attrs
 
 from .egress import SMALL_ANSWER_BYTES, find_transfer_seconds
+from .loop_lag import STEPS
 from .members import (
     Member,
     MemberCondition,
@@ -210,6 +211,7 @@
     if member.name == context.vm:
         return seconds
     seconds += find_transfer_seconds(context.answer_bytes, member.link_mbps)
+    seconds += STEPS * weight * condition.lag_s
     if context.answer_bytes > SMALL_ANSWER_BYTES:
         seconds += kin.link_s + weight * (condition.link_s - kin.link_s)
     if member.data_centre == context.data_centre:
--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -21,8 +21,15 @@
 from .bodies import read_body
 from .forwarding import Request, forward_request
 from .http_exchange import Message, Reply
+from .load_shedding import refuse_excess
 from .protocol import close_if_stopping, count_open_request, list_headers, read_target, send_reply
-from .state import find_parent, find_parent_retry, find_request_wait_left, is_closing
+from .state import (
+    find_own_lag,
+    find_parent,
+    find_parent_retry,
+    find_request_wait_left,
+    is_closing,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -100,6 +107,7 @@
     route = _find_route(table, environ, target)
     _check_header_size(table, headers)
     now = log_context.started_at
+    arrived_at = now - find_own_lag(sidecar)  # it was read when the turn of its connection came
     parent = find_parent_retry(sidecar, caller_metadata.identifier)
     time_left_samples = sidecar.time_left_samples.setdefault(route.name, TimeLeftSamples())
     time_left_s = (
@@ -113,9 +121,11 @@
         nested=parent is not None,
         parent_is_retry=bool(parent),
         arrived_at=now,
-        target_at=now + route.target_s - estimate_earlier_wait(time_left_samples, time_left_s),
-        answer_deadline=now + min(time_left_s, route.timeout_s),
-        caller_deadline=now + time_left_s,
+        target_at=arrived_at
+        + route.target_s
+        - estimate_earlier_wait(time_left_samples, time_left_s),
+        answer_deadline=arrived_at + min(time_left_s, route.timeout_s),
+        caller_deadline=arrived_at + time_left_s,
     )
     log_context.request = request
     count_request(sidecar.retry_budget, request.service, now)
@@ -124,6 +134,7 @@
     if find_request_wait_left(sidecar, route.name, request.answer_deadline) <= 0:
         message = "the daemon stops before the request can be expected to finish"
         raise CallError(ErrorCode.NOT_READY, message, STOPPING_RETRY_AFTER_S)
+    refuse_excess(sidecar, request)
     with watch_caller(sidecar.watched_calls, environ) as watch, _register_thread(sidecar):
         request.check_caller = watch.check_connected
         request.on_start = partial(watch.begin_run, route.idempotent)
--- a/src/magnoliasill/sidecar/control_port.py
+++ b/src/magnoliasill/sidecar/control_port.py
@@ -23,6 +23,7 @@
 from .metrics import format_meters
 from .protocol import close_if_stopping
 from .server_notices import restore_leaving, withdraw_server
+from .state import find_own_lag
 from .store_relay import find_store_age
 
 if TYPE_CHECKING:
@@ -163,6 +164,7 @@
         "store_available": float(sidecar.store_reachable),
         "store_age_seconds": find_store_age(sidecar),
         "open_requests": sidecar.open_requests,
+        "loop_lag_mean_seconds": find_own_lag(sidecar),
         "gate_running": gate.running,
         "gate_waiting": len(gate.waiting),
         "suspect_requests": len(sidecar.crash_findings.table.suspects),
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -42,6 +42,7 @@
 from .gate_port import build_gate_application
 from .header_parser import install_head_parser
 from .item_application import remove_lapsed_members
+from .load_shedding import measure_lag
 from .log_writer import LogWriter, open_log_writer, run_log_writer, write_pending
 from .metrics import Meters
 from .protocol import IDLE_SLACK_S, PEER_IDLE_S, build_protocol, serve_port
@@ -168,6 +169,7 @@
             (lambda: keep_findings_stored(sidecar), False),
             (lambda: _run_periodic_checks(sidecar), False),
             (lambda: _end_overdue_requests(sidecar), True),
+            (lambda: measure_lag(sidecar), False),
         )
     ]
     return RunningSidecar(sidecar, sockets, servers, loops)
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -436,7 +436,12 @@
     if report is not None:
         _record_notice(sidecar, member, report, now)
         load_report = LoadReport(
-            report.busy, report.mean_s, report.failing, report.pace, report.link_s
+            report.busy,
+            report.mean_s,
+            report.failing,
+            report.pace,
+            report.link_s,
+            report.lag_s,
         )
         record_load(sidecar.members, member, load_report, now)
         if _lacks_capacity(sidecar, request, report.reason, now - seconds):
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -55,7 +55,7 @@
 from .release_guard import is_withheld
 from .server_liveness import has_server_ended
 from .server_notices import adopt_limit, record_response_notice
-from .state import find_run_wait_left, is_gate_closing
+from .state import find_own_lag, find_run_wait_left, is_gate_closing
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -117,7 +117,20 @@
             sidecar.egress, call.route, sidecar.settings.link_mbps, sidecar.clock()
         )
         on_start = partial(watch.begin_run, call.idempotent)
-        return handle_gate_request(sidecar, call, message, on_start, delivery_s)
+        return handle_gate_request(
+            sidecar, _deduct_lag(sidecar, call), message, on_start, delivery_s
+        )
+
+
+def _deduct_lag(sidecar: Sidecar, call: HopCall) -> HopCall:
+    """Return a request's metadata with the times that are left after it waited to be read."""
+    lag_s = find_own_lag(sidecar)
+    return attrs.evolve(
+        call,
+        time_left_s=call.time_left_s - lag_s,
+        target_left_s=call.target_left_s - lag_s,
+        wait_left_s=call.wait_left_s - lag_s,
+    )
 
 
 def _send_control_response(body: bytes | None, start_response: Any) -> Iterable[bytes]:
@@ -435,6 +448,7 @@
         failing=round(gate.failing, 3),
         pace=round(gate.pace, 3),
         link_s=round(find_backlog(sidecar.egress, now), 4),
+        lag_s=round(find_own_lag(sidecar), 4),
         closed=not accepts_requests(backend) or is_gate_closing(sidecar),
         leaving=backend.leaving_at is not None,
         limit_per_s=backend.limit_per_s,
--- a/src/magnoliasill/sidecar/metrics.py
+++ b/src/magnoliasill/sidecar/metrics.py
@@ -12,6 +12,7 @@
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 COUNTERS = {
     "requests": ("outcome", "Requests of callers, by how they ended"),
+    "shed": ("reason", "Requests of callers refused since the event loop was late"),
     "attempts": ("outcome", "Requests sent to gates, by how that ended"),
     "gate": ("outcome", "Requests at the own gate, by how that ended"),
     "store": ("outcome", "Requests to the platform's store, by outcome"),
@@ -23,6 +24,7 @@
 }
 HISTOGRAMS = {
     "request": "From a request's arrival to its answer",
+    "loop_lag": "How late the event loop resumed what was due",
     "queue": "From a request's arrival at the gate to its start",
     "server": "From the start of a request at the backend server to its answer",
     "hop": "From sending a request to a gate to its answer",
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -17,6 +17,7 @@
 from ..mesh.crash_findings import CrashFindings
 from ..mesh.egress import Egress
 from ..mesh.gate import MAX_WAIT_S, Gate
+from ..mesh.loop_lag import LoopLag, find_lag
 from ..mesh.members import Member, MemberTable
 from ..mesh.planned_stop import find_latest_start
 from ..mesh.relays import LongValueVersions, RelayBackoff
@@ -116,6 +117,7 @@
             does.
         backend: State of the backend server that this sidecar fronts.
         gate: Admission gate of that server: its running and waiting requests.
+        loop_lag: How late this process resumes what is due.
         dispatch_scheduled: Whether a timer is set for the gate's next start under a rate limit.
         route_counts: Counts of that server's responses by route.
         running_requests: Requests running at that server, by identifier; True marks a retry.
@@ -174,6 +176,7 @@
     watches_release: bool = False
     backend: Backend = attrs.field(factory=Backend)
     gate: Gate = attrs.field(factory=Gate)
+    loop_lag: LoopLag = attrs.field(factory=LoopLag)
     dispatch_scheduled: bool = False
     route_counts: dict[str, RouteCounts] = attrs.field(factory=dict)
     running_requests: dict[str, bool] = attrs.field(factory=dict)
@@ -300,6 +303,11 @@
     return schedule is not None and sidecar.clock() >= schedule.gate_closes_at
 
 
+def find_own_lag(sidecar: Sidecar) -> float:
+    """Return the seconds that a step of a request waits for its turn in this process."""
+    return find_lag(sidecar.loop_lag, sidecar.clock())
+
+
 def find_request_wait_left(sidecar: Sidecar, route: str, answer_deadline: float) -> float:
     """Return the seconds within which a caller's request must start at a backend server.
 
--- a/tests/sidecar/test_calls.py
+++ b/tests/sidecar/test_calls.py
@@ -18,8 +18,9 @@
     HopCall,
     encode_header_value,
 )
+from magnoliasill.mesh.loop_lag import HIGH_LAG_S
 from magnoliasill.mesh.takeovers import Phase, Takeover
-from magnoliasill.sidecar import daemon, gate_port
+from magnoliasill.sidecar import caller_port, daemon, gate_port, load_shedding
 from magnoliasill.sidecar.gate_port import handle_gate_request
 from magnoliasill.sidecar.http_exchange import Message
 
@@ -620,6 +621,27 @@
         self.assertIn("retry-after", headers)
         self.assertEqual([], self.shop.requests)
 
+    # a process that was late took in what it could not serve, until nothing was served at all
+    def test_new_requests_are_refused_at_once_while_the_loop_is_late(self) -> None:
+        self.patch(load_shedding, "find_own_lag", lambda sidecar: HIGH_LAG_S)
+        status, headers, _ = send(self.fleet, 0, "/shop/x", "l-5")
+        self.assertEqual(503, status)
+        self.assertIn("retry-after", headers)
+        self.assertEqual([], self.shop.requests)
+
+    def test_a_request_that_another_waits_for_is_served_if_there_is_time(self) -> None:
+        self.sidecar.running_requests["l-6"] = False
+        self.patch(load_shedding, "find_own_lag", lambda sidecar: HIGH_LAG_S)
+        self.assertEqual(200, send(self.fleet, 0, "/shop/x", "l-6.1")[0])
+        self.assertEqual(503, send(self.fleet, 0, "/shop/x", "l-6.2", deadline_ms=1000)[0])
+
+    # the time left counted from when a request was read, not from when it arrived
+    def test_the_wait_for_a_turn_counts_as_time_that_has_passed(self) -> None:
+        for module in (caller_port, gate_port):
+            self.patch(module, "find_own_lag", lambda sidecar: 0.3)
+        send(self.fleet, 0, "/stock/x", "l-7", deadline_ms=1500)
+        self.assertLessEqual(int(self.stock.requests[0][2]["request-deadline"]), 900)
+
 
 class LoadTest(CallCase):
     def test_slots_are_never_exceeded(self) -> None:
