Put what sidecars ask each other, and the judging of releases, before requests

Cause: the same as that of late configurations: what has a bound waits behind what has none. Only polls of relays had connections of their own and were urgent.

Change: all that sidecars ask each other goes over connections of its own, is answered by urgent green threads, and is asked by them: counts, stops, findings of ended servers, the loops of the takeover's leader, of the release watch and of the stored findings. A forwarded request is never urgent. The hub moves to the package's root, for the product's own interface.

--- a/src/magnoliasill/sidecar/crash_reports.py
+++ b/src/magnoliasill/sidecar/crash_reports.py
@@ -25,6 +25,7 @@
 )
 from ..mesh.members import find_condition
 from ..mesh.records import decode_crash_records, encode_record
+from ..urgent_hub import set_urgent, spawn_urgent
 from .member_requests import request_from_member
 
 if TYPE_CHECKING:
@@ -58,6 +59,7 @@
     """Tell others that a server may have ended under a request, unless its own gate denies it."""
 
     def ask_gate() -> None:
+        set_urgent(True)
         records = _describe_requests(sidecar, service, [fingerprint])
         answer = _exchange_records(sidecar, member, NOTICE_PATH, records, GATE_TIMEOUT_S)
         if answer is not None:
@@ -102,6 +104,7 @@
 
 def _send_reports(sidecar: Sidecar) -> None:
     """Send all that is unsent to the gates of the services, and have it written to the store."""
+    set_urgent(True)
     reports = sidecar.crash_reports
     unsent, reports.unsent, reports.due_at = reports.unsent, set(), inf
     if not unsent:
@@ -114,7 +117,7 @@
         for first in range(0, len(fingerprints), MAX_NOTICE_RECORDS):
             chosen = fingerprints[first : first + MAX_NOTICE_RECORDS]
             for member in others:
-                eventlet.spawn(_notify_member, sidecar, member, service, chosen)
+                spawn_urgent(_notify_member, sidecar, member, service, chosen)
 
 
 def _list_reachable_gates(sidecar: Sidecar, service: str) -> list[Member]:
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -25,6 +25,7 @@
 from ..mesh.retries import RetryBudget
 from ..platform.settings import read_settings
 from ..platform.store import connect_client
+from ..urgent_hub import install_urgent_hub, set_urgent
 from .caller_port import build_caller_application
 from .control_port import (
     build_control_application,
@@ -53,7 +54,6 @@
 from .store_relay import CHANGES_PATH, handle_follower_poll
 from .store_sync import follow_store
 from .takeover_leader import run_takeover_leader
-from .urgent_hub import install_urgent_hub, is_urgent, set_urgent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -164,9 +164,9 @@
         for loop, urgent in (
             (lambda: follow_store(sidecar), True),
             (lambda: keep_registered(sidecar, registration), True),
-            (lambda: run_takeover_leader(sidecar), False),
-            (lambda: run_release_watch(sidecar), False),
-            (lambda: keep_findings_stored(sidecar), False),
+            (lambda: run_takeover_leader(sidecar), True),
+            (lambda: run_release_watch(sidecar), True),
+            (lambda: keep_findings_stored(sidecar), True),
             (lambda: _run_periodic_checks(sidecar), False),
             (lambda: _end_overdue_requests(sidecar), True),
             (lambda: measure_lag(sidecar), False),
@@ -201,10 +201,11 @@
     urgent = build_protocol(lambda: PEER_IDLE_S, urgent=True)
 
     def handle_sidecar_request(target: str, environ: dict[str, Any]) -> bytes | None:
-        if urlsplit(target).path == COUNTS_PATH:
+        set_urgent(True)  # other sidecars use this connection for nothing else
+        path = urlsplit(target).path
+        if path == COUNTS_PATH:
             return msgspec.json.encode(answer_counts_request(sidecar, target))
-        set_urgent(target.startswith(CHANGES_PATH))  # followers use a connection for nothing else
-        if is_urgent():
+        if path == CHANGES_PATH:
             return handle_follower_poll(sidecar, target)
         if target == NOTICE_PATH:
             return receive_notice(sidecar, environ["wsgi.input"].read(MAX_NOTICE_BYTES))
@@ -252,7 +253,7 @@
         remove_expired(sidecar.crash_findings.table, now)
         close_expired(sidecar.server_connections, now)
         close_expired(sidecar.peer_connections, now)
-        close_expired(sidecar.relay_connections, now)
+        close_expired(sidecar.control_connections, now)
         eventlet.sleep(CHECK_INTERVAL_S)
 
 
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -36,6 +36,7 @@
 from ..mesh.planned_stop import observe_duration
 from ..mesh.rate_limits import assign_turn
 from ..platform.headers import add_sidecar_headers, parse_response_headers
+from ..urgent_hub import set_urgent
 from .answer_pacing import pace_answer
 from .bodies import read_body
 from .crash_guard import (
@@ -95,6 +96,7 @@
         call = decode_call(environ.get("HTTP_" + CALL_HEADER.upper().replace("-", "_"), ""))
         if call is None:
             return _send_control_response(control(read_target(environ), environ), start_response)
+        set_urgent(False)  # the connection may have been used by the sender itself before
         count_open_request(sidecar, environ)
         try:
             gate_result = _handle_call(sidecar, environ, call)
--- a/src/magnoliasill/sidecar/hedging.py
+++ b/src/magnoliasill/sidecar/hedging.py
@@ -9,7 +9,7 @@
 from eventlet.hubs import get_hub
 from eventlet.queue import LightQueue
 
-from .urgent_hub import spawn_urgent
+from ..urgent_hub import spawn_urgent
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
--- a/src/magnoliasill/sidecar/member_requests.py
+++ b/src/magnoliasill/sidecar/member_requests.py
@@ -10,7 +10,6 @@
 from .http_exchange import Message, exchange
 
 if TYPE_CHECKING:
-    from ..calls.connections import ConnectionPool
     from ..mesh.members import Member
     from .state import Sidecar
 
@@ -24,7 +23,6 @@
     timeout_s: float,
     response_type: type[Answer],
     body: bytes | None = None,
-    pool: ConnectionPool | None = None,
 ) -> Answer | None:
     """Return a member's decoded response, or None if it was late or could not be decoded.
 
@@ -35,13 +33,12 @@
         timeout_s: Seconds to wait for the response.
         response_type: The type to decode the JSON body into.
         body: The body of the request, which is sent with POST then, or None.
-        pool: The connections to use, or None for those that forwarded requests use, too.
     """
     method = "GET" if body is None else "POST"
     message = Message(method, target, [("Host", member.gate)], body)
     deadline = sidecar.clock() + timeout_s
     try:
-        response = exchange(pool or sidecar.peer_connections, member.gate, message, deadline, True)
+        response = exchange(sidecar.control_connections, member.gate, message, deadline, True)
         answer = b"".join((response.body, *(response.remaining_chunks or ())))
         return decode_json(answer, response_type)
     except (MagnoliasillError, DecodingError, HTTPException, OSError):
--- a/src/magnoliasill/sidecar/protocol.py
+++ b/src/magnoliasill/sidecar/protocol.py
@@ -7,7 +7,7 @@
 import eventlet.wsgi
 
 from ..calls.caller_protocol import CallerProtocol
-from .urgent_hub import set_urgent
+from ..urgent_hub import set_urgent
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
--- a/src/magnoliasill/sidecar/release_counts.py
+++ b/src/magnoliasill/sidecar/release_counts.py
@@ -26,6 +26,7 @@
 )
 from ..mesh.reviews import judge_completed_release, start_review
 from ..mesh.takeovers import ReleaseStop
+from ..urgent_hub import inherit_urgency
 from .member_requests import request_from_member
 from .state import find_takeover
 
@@ -137,7 +138,7 @@
     members = list(sidecar.members.by_service.get(service, {}).values())
     pool = eventlet.GreenPool()
     for member, counts in pool.imap(
-        lambda member: (member, _fetch_counts(sidecar, member, target)), members
+        inherit_urgency(lambda member: (member, _fetch_counts(sidecar, member, target))), members
     ):
         if counts is None:
             continue
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -126,7 +126,8 @@
         passed_attempts: Identifiers of non-idempotent attempts that were passed to that server.
         server_connections: Connections to that server.
         peer_connections: Connections to other sidecars.
-        relay_connections: Connections to other sidecars for polls only, which go before requests.
+        control_connections: Connections to other sidecars for what sidecars ask each other, which
+            goes before callers' requests.
         answer_bytes: Moving average of the response size in bytes, by route.
         typical_runs: Moving average of the duration at all backend servers in seconds, by route.
         egress: The use of this VM's link by answers to other VMs.
@@ -184,7 +185,7 @@
     passed_attempts: OrderedDict[str, None] = attrs.field(factory=OrderedDict)
     server_connections: ConnectionPool = attrs.field(factory=ConnectionPool)
     peer_connections: ConnectionPool = attrs.field(factory=ConnectionPool)
-    relay_connections: ConnectionPool = attrs.field(factory=ConnectionPool)
+    control_connections: ConnectionPool = attrs.field(factory=ConnectionPool)
     answer_bytes: dict[str, float] = attrs.field(factory=dict)
     typical_runs: dict[str, float] = attrs.field(factory=dict)
     egress: Egress = attrs.field(factory=Egress)
--- a/src/magnoliasill/sidecar/store_relay.py
+++ b/src/magnoliasill/sidecar/store_relay.py
@@ -270,7 +270,6 @@
         f"{CHANGES_PATH}?{urlencode(query)}",
         POLL_TIMEOUT_S + RESPONSE_MARGIN_S,
         RelayResponse,
-        pool=sidecar.relay_connections,
     )
     if response is None:
         sidecar.meters.count("relay", "unread")
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -23,6 +23,7 @@
 from ..platform.operator_configuration import (
     CONFIGURATION_KEY,
 )
+from ..urgent_hub import spawn_urgent
 from .hedging import Source, ask_first
 from .item_application import apply_items, apply_page
 from .state import (
@@ -42,7 +43,6 @@
     reads_store,
     suspend_relay,
 )
-from .urgent_hub import spawn_urgent
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator, Sequence
--- a/src/magnoliasill/sidecar/takeover_leader.py
+++ b/src/magnoliasill/sidecar/takeover_leader.py
@@ -25,6 +25,7 @@
     start_takeover,
 )
 from ..platform.operator_configuration import STATUS_PREFIX, encode_status
+from ..urgent_hub import inherit_urgency, spawn_urgent
 from .release_counts import (
     collect_counts,
     count_servers,
@@ -84,7 +85,7 @@
             if not _acquire_or_renew(sidecar, leadership):
                 continue
             advance = partial(_try_to_advance, sidecar, leadership)
-            for error in list(pool.imap(advance, open_orders)):
+            for error in list(pool.imap(inherit_urgency(advance), open_orders)):
                 if error is not None:
                     raise error
         except (ConditionFailedError, LeaseEndedError) as error:
@@ -259,7 +260,7 @@
     if evaluation.verdict is Verdict.BAD:
         stop = ReleaseStop(order.service, order.release, open_order.revision, evaluation.reason)
         record_stop(sidecar, stop)
-        eventlet.spawn(collect_counts, sidecar, open_order)  # does not wait for the store
+        spawn_urgent(collect_counts, sidecar, open_order)  # does not wait for the store
     return evaluation
 
 
--- a/src/magnoliasill/sidecar/urgent_hub.py
+++ b/src/magnoliasill/urgent_hub.py
@@ -9,7 +9,7 @@
 
 import heapq
 from contextlib import suppress
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import eventlet
 import eventlet.hubs
@@ -20,6 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+Result = TypeVar("Result")
+
 select = patcher.original("select")
 
 CHECK_INTERVAL_S = 0.005  # between searches for urgent events while others are served
@@ -163,12 +165,17 @@
     setattr(getcurrent(), _URGENT, urgent)
 
 
-def spawn_urgent(function: Callable[..., Any], *arguments: Any) -> Any:
-    """Run a function in a new green thread that is urgent if the running one is."""
+def inherit_urgency(function: Callable[..., Result]) -> Callable[..., Result]:
+    """Return a function for a new green thread, which is urgent there if the running one is."""
     urgent = is_urgent()
 
-    def run() -> Any:
+    def run(*arguments: Any) -> Result:
         set_urgent(urgent)
         return function(*arguments)
 
-    return eventlet.spawn(run)
+    return run
+
+
+def spawn_urgent(function: Callable[..., Any], *arguments: Any) -> Any:
+    """Run a function in a new green thread that is urgent if the running one is."""
+    return eventlet.spawn(inherit_urgency(function), *arguments)
--- a/tests/sidecar/test_urgent_hub.py
+++ b/tests/test_urgent_hub.py
@@ -9,7 +9,7 @@
 import testtools
 from eventlet.green import socket
 
-from magnoliasill.sidecar.urgent_hub import UrgentHub, is_urgent, set_urgent, spawn_urgent
+from magnoliasill.urgent_hub import UrgentHub, is_urgent, set_urgent, spawn_urgent
 
 if TYPE_CHECKING:
     from collections.abc import Callable
