Own interface: loops before calls, and no call past its deadline or without its caller

Change: the daemon runs on the urgent hub, its loops and what they ask of the store are urgent. A call is sent only before its deadline, and after a look at its caller's connection.

Not done: the own interface does not measure the lag of its loop, and does not refuse calls for it.

--- a/src/magnoliasill/calls/call.py
+++ b/src/magnoliasill/calls/call.py
@@ -10,9 +10,12 @@
 from ..balancing.deadlines import read_deadline
 from ..codes import ErrorCode
 from ..errors import CallError
+from .cancellation import ignore_caller
 from .uploads import BUFFERED_PREFIX_BYTES, Upload
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..versions.routing import RouteTarget
 
 MAX_CHUNKED_BYTES = 4_000_000  # chunked bodies are buffered, as their length is not known upfront
@@ -48,6 +51,7 @@
         deadline: Seconds on the monotonic clock by which the caller needs the response.
         new_connection: Whether to send it over a new connection. A reused one may still have an
             earlier response pending, or a middlebox may have dropped its state for it.
+        check_caller: Raises `CallerDisconnectedError` if the caller has closed its connection.
     """
 
     method: str
@@ -58,6 +62,7 @@
     key: str
     deadline: float
     new_connection: bool = False
+    check_caller: Callable[[], None] = ignore_caller
 
 
 def read_call(environ: dict[str, Any], path: str, target: RouteTarget, now: float) -> Call:
--- a/src/magnoliasill/calls/caller_application.py
+++ b/src/magnoliasill/calls/caller_application.py
@@ -5,6 +5,8 @@
 from time import perf_counter
 from typing import TYPE_CHECKING, Any
 
+import attrs
+
 from ..claims.idempotency import run_once
 from ..codes import ErrorCode
 from ..errors import CallError
@@ -116,6 +118,7 @@
     if proxy.node.crashes.suspects:
         reject_blocked_call(proxy.node, call, proxy.clock() + proxy.clock_offset)
     if target.route.idempotent:
-        with watch_caller(proxy.watched, environ):
-            return forward()
+        with watch_caller(proxy.watched, environ) as watch:
+            watched_call = attrs.evolve(call, check_caller=watch.check_connected)
+            return forward_call(proxy, target, watched_call)
     return run_once(proxy.node, proxy.peers, target.service.service, call, forward)
--- a/src/magnoliasill/calls/cancellation.py
+++ b/src/magnoliasill/calls/cancellation.py
@@ -22,6 +22,10 @@
     """The caller closed its connection before its call was answered."""
 
 
+def ignore_caller() -> None:
+    """Check nothing, for a call that goes on without its caller."""
+
+
 @attrs.define(eq=False)
 class WatchedCall:
     """A call that is cancelled when its caller disconnects.
--- a/src/magnoliasill/calls/dispatch.py
+++ b/src/magnoliasill/calls/dispatch.py
@@ -122,7 +122,7 @@
     woken = False
     while True:
         pick = Pick(has_candidates=True)
-        if woken or not load.waiting:
+        if now < request.deadline and (woken or not load.waiting):
             pick = _pick(dispatcher, node, request, tried, now)
         if pick.upstream is not None:
             pick.upstream.in_flight += 1
--- a/src/magnoliasill/calls/forwarder.py
+++ b/src/magnoliasill/calls/forwarder.py
@@ -117,6 +117,7 @@
     started = proxy.clock()
     result = None
     try:
+        call.check_caller()
         result = proxy.exchange(proxy.connections, address, call, call.deadline - started)
     finally:
         ended = proxy.clock()
--- a/src/magnoliasill/process/daemon.py
+++ b/src/magnoliasill/process/daemon.py
@@ -45,6 +45,7 @@
 from ..publishing.change_requests import ChangeContext
 from ..spreading.relays import release_relay_slot
 from ..store import connect_store
+from ..urgent_hub import install_urgent_hub, set_urgent, spawn_urgent
 from .administration import AdministrationContext, build_administration_application
 from .deferred_commands import defer, run_deferred
 from .logs import bind_logger, configure_logs, write_log
@@ -96,6 +97,7 @@
 
 
 def _run_command(**flags: Any) -> None:
+    install_urgent_hub()
     configure_logs()
     try:
         settings = load_settings(flags, os.environ)
@@ -122,8 +124,7 @@
     daemon = build_daemon(settings)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: _request_stop(daemon))
-    eventlet.spawn(receive_from_peers, daemon.peers, lambda data: _handle_peer_data(daemon, data))
-    eventlet.spawn(_run_ticks, daemon)
+    start_loops(daemon)
     application = build_application(daemon.proxy)
     caller_server = eventlet.spawn(_run_wsgi_server, caller_listener, application, CallerProtocol)
     eventlet.spawn(
@@ -137,6 +138,21 @@
     _stop(daemon, caller_listener, caller_server)
 
 
+def start_loops(daemon: Daemon) -> None:
+    """Start the loops that spread configurations and keep the member table, before all calls."""
+
+    def receive() -> None:
+        set_urgent(True)
+        receive_from_peers(daemon.peers, lambda data: _handle_peer_data(daemon, data))
+
+    def tick() -> None:
+        set_urgent(True)
+        _run_ticks(daemon)
+
+    eventlet.spawn(receive)
+    eventlet.spawn(tick)
+
+
 def build_daemon(settings: Settings) -> Daemon:
     """Create a daemon's state and open its peer socket."""
     logger = bind_logger(settings.name, settings.data_centre)
@@ -208,7 +224,7 @@
 def _execute_action(daemon: Daemon, action: Action) -> None:
     match action:
         case SendMessage(address=address) if address == daemon.node.own.peer_address:
-            eventlet.spawn(submit, daemon, MessageReceived(action.message))
+            spawn_urgent(submit, daemon, MessageReceived(action.message))
         case SendMessage():
             data = encode_message(action.message)
             kind = type(action.message).__name__
@@ -222,7 +238,7 @@
         case Log():
             _log(daemon, action)
         case _:
-            eventlet.spawn(_perform_store_request, daemon, action)
+            spawn_urgent(_perform_store_request, daemon, action)
 
 
 def _log(daemon: Daemon, log_entry: Log) -> None:
--- a/tests/calls/test_forwarder.py
+++ b/tests/calls/test_forwarder.py
@@ -11,6 +11,8 @@
 
 from magnoliasill.balancing.retries import MAX_ATTEMPTS, MAX_RETRY_TOKENS, RETRY_RATIO
 from magnoliasill.calls.call import Call
+from magnoliasill.calls.cancellation import CallerDisconnectedError
+from magnoliasill.calls.dispatch import list_tracked_upstreams
 from magnoliasill.calls.exchange import CallResponse, ExchangeResult
 from magnoliasill.calls.forwarder import forward_call
 from magnoliasill.calls.proxy_state import Proxy
@@ -125,6 +127,34 @@
     return harness
 
 
+class LateTurnTest(testtools.TestCase):
+    """A call whose turn comes after its deadline, or after its caller has left."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.harness = build_harness(lambda address, attempt: "ok")
+
+    def forward(self, **changes: object) -> CallResponse:
+        call = Call("GET", "/view", "/view", {}, None, "", self.harness.now + 5.0)
+        route = Route("view", "GET", "/view", idempotent=True)
+        target = RouteTarget(self.harness.service, route)
+        return forward_call(self.harness.proxy, target, attrs.evolve(call, **changes))
+
+    # it was sent to a backend server with a time-out of a millisecond
+    def test_a_call_past_its_deadline_is_refused(self) -> None:
+        error = self.assertRaises(CallError, self.forward, deadline=self.harness.now)
+        self.assertEqual((ErrorCode.OVERLOADED, []), (error.code, self.harness.sent))
+
+    def test_a_call_whose_caller_has_left_is_not_sent(self) -> None:
+        def check_caller() -> None:
+            raise CallerDisconnectedError
+
+        self.assertRaises(CallerDisconnectedError, self.forward, check_caller=check_caller)
+        upstreams = list_tracked_upstreams(self.harness.proxy.dispatcher)
+        in_flight = sum(upstream.in_flight for upstream in upstreams)
+        self.assertEqual(([], 0), (self.harness.sent, in_flight))
+
+
 class FaultMatrixTest(WithScenarios, testtools.TestCase):
     """Every pair of endings of the first two attempts, on idempotent and other routes."""
 
--- a/tests/process/test_daemon.py
+++ b/tests/process/test_daemon.py
@@ -3,12 +3,40 @@
 from __future__ import annotations
 
 from types import SimpleNamespace
+from typing import TYPE_CHECKING
 
+import eventlet
 import testtools
 
 from magnoliasill.codes import LogEvent
 from magnoliasill.core.events import Tick
 from magnoliasill.process import daemon
+from magnoliasill.urgent_hub import is_urgent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class UrgencyTest(testtools.TestCase):
+    """What spreads configurations and finds failed members does not wait behind calls."""
+
+    # gossip, member probes and the relays' reads of the store waited for turns of the event loop
+    def test_loops_and_what_they_ask_of_the_store_are_urgent(self) -> None:
+        urgencies: dict[str, bool] = {}
+
+        def record(name: str) -> Callable[..., None]:
+            return lambda *_: urgencies.__setitem__(name, is_urgent())
+
+        def tick(state: SimpleNamespace) -> None:
+            urgencies["tick"] = is_urgent()
+            daemon._execute_action(state, "a read")
+
+        self.patch(daemon, "receive_from_peers", record("receive"))
+        self.patch(daemon, "_perform_store_request", record("store"))
+        self.patch(daemon, "_run_ticks", tick)
+        daemon.start_loops(SimpleNamespace(peers=None))
+        eventlet.sleep(0.01)
+        self.assertEqual({"receive": True, "tick": True, "store": True}, urgencies)
 
 
 class FailedActionTest(testtools.TestCase):
