Say in the failure why the fake store did not answer

The message now has its exit status, its port, its log and the load. Not reproduced here; the entries stay.

--- a/fakes/processes.py
+++ b/fakes/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import random
 import signal
 import socket
@@ -24,6 +25,7 @@
 PORTS_PER_BLOCK = 100
 HTTP_TIMEOUT_S = 5.0
 STOP_TIMEOUT_S = 15.0
+LOG_EXCERPT_CHARACTERS = 2_000
 POLL_INTERVAL_S = 0.05
 _block_locks: list[socket.socket] = []  # bound to the first port of each block that is taken
 ROOT = Path(__file__).resolve().parent.parent
@@ -127,7 +129,12 @@
     (port,) = find_ports(1)
     command = [sys.executable, "-m", "fakes.store_server", "--port", str(port)]
     fleet = Fleet(folder, port, _spawn(command, folder / "store.log"))
-    wait_until(lambda: _is_responding(f"{HOST}:{port}", "/control/counts"), 20.0, "fake store")
+    try:
+        wait_until(lambda: _is_responding(f"{HOST}:{port}", "/control/counts"), 20.0, "fake store")
+    except TimeoutError as error:
+        log = (folder / "store.log").read_text(errors="replace")[-LOG_EXCERPT_CHARACTERS:]
+        status = f"exit status {fleet.store.poll()}, load {os.getloadavg()[0]:.0f}"
+        raise TimeoutError(f"{error}; port {port}, {status}, log: {log}") from error
     return fleet
 
 
