--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -65,6 +65,7 @@
 
 MAX_REMEMBERED_ATTEMPTS = 20_000  # more than arrive while an attempt may still be sent again
 NO_BODY_LIMIT = 1 << 40  # the sidecar that the caller uses enforces the limit
+MIN_DEDUCTED_LAG_S = 0.005
 CANCELLED_STATUS = "499 Client Closed Request"
 
 
@@ -127,6 +128,8 @@
 def _deduct_lag(sidecar: Sidecar, call: HopCall) -> HopCall:
     """Return a request's metadata with the times that are left after it waited to be read."""
     lag_s = find_own_lag(sidecar)
+    if lag_s < MIN_DEDUCTED_LAG_S:
+        return call
     return attrs.evolve(
         call,
         time_left_s=call.time_left_s - lag_s,
--- a/src/magnoliasill/sidecar/load_shedding.py
+++ b/src/magnoliasill/sidecar/load_shedding.py
@@ -16,7 +16,7 @@
     from .forwarding import Request
     from .state import Sidecar
 
-MEASUREMENT_INTERVAL_S = 0.02
+MEASUREMENT_INTERVAL_S = 0.05
 
 
 def measure_lag(sidecar: Sidecar) -> None:
