--- a/bench/relay_faults.py
+++ b/bench/relay_faults.py
@@ -10,12 +10,15 @@
 import json
 import sys
 from collections import Counter
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import fire
 
 from .seeds import run_seeds
 
+if TYPE_CHECKING:
+    from tests.sidecar.simulated_fleet import SimulatedFleet
+
 # data centres, VMs in each, and those of them with a fast link
 SHAPES = ((4, 4, 4), (2, 23, 2), (2, 8, 2), (3, 5, 5))
 FAULTS = (
@@ -37,6 +40,18 @@
 BOUND_S = 2.0
 
 
+def _open_fleet(seed: int, shape: tuple[int, int, int]) -> SimulatedFleet:
+    """Return a fleet whose sidecars have a configuration and follow their relays."""
+    from magnoliasill.sidecar import store_relay
+    from tests.sidecar import simulated_fleet as simulation
+
+    data_centres, vms, fast = shape
+    fleet = simulation.open_simulated_fleet(seed, data_centres, vms, range(fast))
+    store_relay.request_from_member = simulation.ask_simulated_member(fleet)
+    simulation.run_until(fleet, 4.0)
+    return fleet
+
+
 def run_seed(
     seed: int,
     shape: tuple[int, int, int] = (2, 23, 2),
@@ -51,13 +66,9 @@
         faults: How the most followed VMs fail.
         gap_s: The time between two configurations, in seconds.
     """
-    from magnoliasill.sidecar import store_relay
     from tests.sidecar import simulated_fleet as simulation
 
-    data_centres, vms, fast = shape
-    fleet = simulation.open_simulated_fleet(seed, data_centres, vms, range(fast))
-    store_relay.request_from_member = simulation.ask_simulated_member(fleet)
-    simulation.run_until(fleet, 4.0)
+    fleet = _open_fleet(seed, shape)
     simulation.play_relay_faults(fleet, faults, gap_s)
     latest = max(fleet.vms.values(), key=lambda vm: vm.late_s)
     polls = Counter()
@@ -90,13 +101,9 @@
         silent: Whether the store leaves all without an answer instead of refusing.
         faults: How the most followed VMs fail.
     """
-    from magnoliasill.sidecar import store_relay
     from tests.sidecar import simulated_fleet as simulation
 
-    data_centres, vms, fast = shape
-    fleet = simulation.open_simulated_fleet(seed, data_centres, vms, range(fast))
-    store_relay.request_from_member = simulation.ask_simulated_member(fleet)
-    simulation.run_until(fleet, 4.0)
+    fleet = _open_fleet(seed, shape)
     calm = simulation.play_faults_after_return(fleet, share, silent, faults)
     result = {
         "late_s": round(max(fleet.vms[name].late_s for name in calm), 2),
