--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -116,13 +116,17 @@
 class Fleet:
     """The deployment, its record and what its servers ran."""
 
-    def __init__(self, services: list[str], record: Record) -> None:
+    def __init__(self, services: list[str], record: Record, link_mbps: float) -> None:
         network, self.base = _find_network(len(services))
         self.record = record
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         self.store = Store(f"{network}.250:{self.base + PORTS['store']}")
         self.work_s = 0.05
+        self.timeout_s = 4.0  # of all routes
+        self.answer_bytes = 0  # of a large answer; 0 for a short one
+        self.link_mbps = link_mbps
         self.runs: list[Run] = []
+        self.ended: dict[str, float] = {}  # when a server had sent its whole answer
         self.instances = 0
         self.vms = [
             Vm(f"vm-{number}", f"{network}.{number}", self.base, f"zone-{number % 2}", service)
@@ -193,7 +197,7 @@
             f'app_addr = "{vm.address("app")}"\nservice_name = "{vm.service}"\n'
             f"[listen_addrs]\n{addresses}\n"
             "[limits]\ncpu_share = 0.86\ncpu_cores = 1\nmemory_mb = 300\nmax_fds = 4100\n"
-            "link_mbps = 1000.0\ndisk_mb = 0\n"
+            f"link_mbps = {self.link_mbps}\ndisk_mb = 0\n"
             f'[platform]\naddress = "{self.store.address}"\nform = "kv"\n'
             "writes_per_s = 400\nreads_per_s = 2000\nhistory_s = 20\nvalue_bytes = 1048576\n"
             "ttl_min_s = 1\n"
@@ -213,7 +217,11 @@
                 "target_latency_s": 1.0,
                 "priority": 1,
                 "match_criteria": {"prefix": prefix},
-                "route_action": {"service_name": service, "timeout_s": 4.0, "max_attempts": 2},
+                "route_action": {
+                    "service_name": service,
+                    "timeout_s": self.timeout_s,
+                    "max_attempts": 2,
+                },
             }
             for prefix, (service, kind) in routes.items()
         ]
@@ -349,8 +357,13 @@
             "Server-Load": "1,0,9",
             "Keep-Alive": "timeout=10",
         }
-        writer.write(encode_message("HTTP/1.1 200 OK", reply, f"done {digest}".encode()))
+        answer = f"done {digest}".encode().ljust(self.answer_bytes, b".")
+        writer.write(encode_message("HTTP/1.1 200 OK", reply, answer))
         await writer.drain()
+        while writer.transport.get_write_buffer_size():
+            await asyncio.sleep(0.01)
+        self.ended[identifier] = time.monotonic()
+        self.record.write(f"run {identifier} has ended, its whole answer is sent")
 
 
 def _find_network(count: int) -> tuple[str, int]:
@@ -376,7 +389,7 @@
     return True
 
 
-def run_case(folder: str, services: list[str], play: Any) -> int:
+def run_case(folder: str, services: list[str], play: Any, link_mbps: float = 1000.0) -> int:
     """Play a case and return its exit status: 1 if the rule broke, 0 if it held, 2 if neither.
 
     Args:
@@ -384,12 +397,13 @@
         services: The service of each VM.
         play: A coroutine function; it gets the fleet and whether to cause the disruption, and
             returns a description of each breach.
+        link_mbps: The rate of each VM's link, as its settings tell it.
     """
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> list[str]:
-        fleet = Fleet(services, record)
+        fleet = Fleet(services, record, link_mbps)
         try:
             async with asyncio.timeout(110):
                 await fleet.start()
