--- a/review/1/case.py
+++ b/review/1/case.py
@@ -92,4 +92,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(sys.argv[1], SERVICES, play))
+    sys.exit(run_case(sys.argv[1], SERVICES, play, zones=1))
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -116,7 +116,7 @@
 class Fleet:
     """The deployment, its record and what its servers ran."""
 
-    def __init__(self, services: list[str], record: Record, link_mbps: float) -> None:
+    def __init__(self, services: list[str], record: Record, link_mbps: float, zones: int) -> None:
         network, self.base = _find_network(len(services))
         self.record = record
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
@@ -129,7 +129,7 @@
         self.ended: dict[str, float] = {}  # when a server had sent its whole answer
         self.instances = 0
         self.vms = [
-            Vm(f"vm-{number}", f"{network}.{number}", self.base, f"zone-{number % 2}", service)
+            Vm(f"vm-{number}", f"{network}.{number}", self.base, f"zone-{number % zones}", service)
             for number, service in enumerate(services, 1)
         ]
         self._tasks: list[asyncio.Task] = []
@@ -389,7 +389,9 @@
     return True
 
 
-def run_case(folder: str, services: list[str], play: Any, link_mbps: float = 1000.0) -> int:
+def run_case(
+    folder: str, services: list[str], play: Any, link_mbps: float = 1000.0, zones: int = 2
+) -> int:
     """Play a case and return its exit status: 1 if the rule broke, 0 if it held, 2 if neither.
 
     Args:
@@ -398,12 +400,13 @@
         play: A coroutine function; it gets the fleet and whether to cause the disruption, and
             returns a description of each breach.
         link_mbps: The rate of each VM's link, as its settings tell it.
+        zones: The number of zones.
     """
     record = Record(Path(folder) / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> list[str]:
-        fleet = Fleet(services, record, link_mbps)
+        fleet = Fleet(services, record, link_mbps, zones)
         try:
             async with asyncio.timeout(110):
                 await fleet.start()
