--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,8 +11,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.common.fleet import HOST, Fleet, SetupError, run_case
-from review.common.http1 import CHUNK_BYTES, Answer, send_request
+from review.fleet import HOST, Fleet, SetupError, run_case
+from review.http1 import CHUNK_BYTES, Answer, send_request
 
 SERVICES = ["records"] * 7 + ["front"] * 6
 CALM_S = 4.0
@@ -92,4 +92,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(sys.argv[1], SERVICES, play, zones=1))
+    sys.exit(run_case(sys.argv[1], sys.argv[2] != "0", SERVICES, play, zones=1))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,8 +11,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2]))
 
-from review.common.fleet import HOST, Fleet, SetupError, run_case
-from review.common.http1 import send_request
+from review.fleet import HOST, Fleet, SetupError, run_case
+from review.http1 import send_request
 
 SERVICES = ["old", "old", "new", "new"]
 KIND = "idempotent"
@@ -126,4 +126,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(sys.argv[1], SERVICES, play))
+    sys.exit(run_case(sys.argv[1], sys.argv[2] != "0", SERVICES, play))
--- a/review/common/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins of the review's scripts: the store, servers and clients."""
--- a/review/common/fleet.py
+++ b/review/fleet.py
@@ -19,7 +19,7 @@
 from .http1 import MessageError, encode_message, read_body, read_head, send_request
 from .store import Store
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 PORTS = {"inbound": 0, "app": 1, "ready": 2, "outbound": 4, "control": 6, "store": 9}
 BOUNDS = [
     "seed_lag_s=3",
@@ -390,12 +390,18 @@
 
 
 def run_case(
-    folder: str, services: list[str], play: Any, link_mbps: float = 1000.0, zones: int = 2
+    folder: str,
+    trouble: bool,
+    services: list[str],
+    play: Any,
+    link_mbps: float = 1000.0,
+    zones: int = 2,
 ) -> int:
     """Play a case and return its exit status: 1 if the rule broke, 0 if it held, 2 if neither.
 
     Args:
         folder: The folder for the record.
+        trouble: Whether to cause the disruption.
         services: The service of each VM.
         play: A coroutine function; it gets the fleet and whether to cause the disruption, and
             returns a description of each breach.
@@ -403,7 +409,6 @@
         zones: The number of zones.
     """
     record = Record(Path(folder) / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> list[str]:
         fleet = Fleet(services, record, link_mbps, zones)
