--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,7 +38,7 @@
 
 async def play(fleet: Fleet, trouble: bool) -> list[str]:
     """Publish versions before and after the drill; look at what the last one changes."""
-    old = {"/work/": ("old", KIND)}
+    old = {"/jobs/": ("old", KIND)}
     fleet.publish(1, old)
     await fleet.wait_ready()
     probes: list[Probe] = []
@@ -65,7 +65,7 @@
         for version, routes in enumerate(versions, 2):  # the operator writes them again
             fleet.publish(version, routes)
     await asyncio.sleep(CALM_S)
-    acknowledged_at = fleet.publish(5, {"/work/": ("new", KIND), "/fresh/": ("new", KIND)})
+    acknowledged_at = fleet.publish(5, {"/jobs/": ("new", KIND), "/fresh/": ("new", KIND)})
     await asyncio.sleep(WATCHED_S)
     if sending.done():
         await sending
@@ -75,7 +75,7 @@
 
 def _find_breaches(fleet: Fleet, probes: list[Probe], acknowledged_at: float) -> list[str]:
     runs = {run.identifier: run for run in fleet.runs}
-    before = [probe for probe in probes if probe.at < acknowledged_at and "/work/" in probe.target]
+    before = [probe for probe in probes if probe.at < acknowledged_at and "/jobs/" in probe.target]
     served = sum(probe.status == 200 for probe in before)
     fleet.record.write(f"before the last version: {served} of {len(before)} requests served")
     if served < 0.8 * len(before):
@@ -104,7 +104,7 @@
     async with asyncio.TaskGroup() as group:
         while True:
             for vm in fleet.vms:
-                for prefix in ("/work/", "/fresh/"):
+                for prefix in ("/jobs/", "/fresh/"):
                     identifier = f"p-{next(numbers):05}"
                     group.create_task(_probe(fleet, vm, prefix + identifier, identifier, probes))
             await asyncio.sleep(INTERVAL_S * 2)
