--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -59,6 +59,14 @@
         reaction="if `copy_age_s` or `seconds` is near the time allowed to apply a change, check "
         "the VM's link and whether the store answers it",
     ),
+    LogEvent.LINK_FILLED: EventEntry(
+        "What this process read or wrote within a second took much of its VM's network link; the "
+        "bytes by kind: `bodies` of requests at gates, `answers` of gates, `callers`, `store`, and "
+        "`control` for what sidecars ask each other.",
+        fields=("direction", "share", "kinds"),
+        reaction="if it lasts, find out which service fills the link, and give its VMs a faster "
+        "one or the service more servers",
+    ),
     LogEvent.CONFIGURATION_LATE: EventEntry(
         "A configuration came into force when much of the time allowed for that had passed: the "
         "most that may have passed since its acceptance, in seconds, and since the store answered "
--- a/src/magnoliasill/platform/store.py
+++ b/src/magnoliasill/platform/store.py
@@ -88,6 +88,7 @@
     timeout_s: float,
     observe: Callable[[float], None] = lambda seconds: None,
     limit_time: LimitTime = _leave_unlimited,
+    observe_size: Callable[[int], None] = lambda size: None,
 ) -> StoreClient:
     """Return a client with a connection pool, without connecting yet.
 
@@ -97,6 +98,7 @@
         observe: Called with the seconds that each answered request took, except watches.
         limit_time: Returns a context that raises a `TimeoutError` after some seconds. The read
             timeout ends a silence, but no response that goes on without end.
+        observe_size: Called with the bytes of each answer's body.
     """
     # SOCKET_OPTIONS detect a dead connection; without them, a watch on one would miss every
     # change until its wait is over
@@ -127,6 +129,7 @@
             raise StoreError(ErrorCode.STORE_UNAVAILABLE, str(error)) from error
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise _build_no_response_error(store_request, str(error)) from error
+        observe_size(len(content))
         if not store_request.wait_s:
             observe(monotonic() - started)
         era = response.headers.get(ERA_HEADER)
--- a/src/magnoliasill/sidecar/caller_port.py
+++ b/src/magnoliasill/sidecar/caller_port.py
@@ -26,6 +26,7 @@
 from .bodies import read_body
 from .forwarding import Request, forward_request
 from .http_exchange import Message, Reply
+from .link_use import count_received, count_sent
 from .load_shedding import refuse_excess
 from .protocol import (
     ARRIVED_KEY,
@@ -79,6 +80,8 @@
             return []
         close_if_stopping(sidecar, environ)
         _log_answered(sidecar, log_context, reply)
+        if log_context.request is None or not log_context.request.nested:
+            count_sent(sidecar, "callers", len(reply.body))
         return send_reply(reply, start_response)
 
     return application
@@ -162,6 +165,8 @@
         request.check_caller = watch.check_connected
         request.on_start = partial(watch.begin_run, route.idempotent)
         body = read_body(environ, table.limits.body_bytes)
+        if not request.nested:
+            count_received(sidecar, "callers", len(body) if isinstance(body, bytes) else 0)
         sent_headers = remove_sidecar_headers(headers)
         if table.teams is not None:
             sent_headers = replace_team_headers(sent_headers, access.team and access.team.name)
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -45,6 +45,7 @@
 from .gate_port import build_gate_application
 from .header_parser import install_head_parser
 from .item_application import remove_lapsed_members
+from .link_use import count_store_answer, watch_link_use
 from .load_shedding import measure_lag
 from .log_writer import LogWriter, open_log_writer, run_log_writer, write_pending
 from .metrics import Meters
@@ -179,7 +180,7 @@
         run_quota_reports,
         _end_overdue_requests,
     )
-    other_loops = (_run_periodic_checks, *([measure_lag] if measures_lag else []))
+    other_loops = (_run_periodic_checks, watch_link_use, *([measure_lag] if measures_lag else []))
     loops = [
         eventlet.spawn(_run_with_restarts, sidecar, partial(loop, sidecar), loop in urgent_loops)
         for loop in (*urgent_loops, *other_loops)
@@ -189,7 +190,9 @@
 
 def _connect_store(settings: SidecarSettings, meters: Meters) -> StoreClient:
     observe = partial(meters.observe, "store")
-    return connect_client(settings.store, STORE_TIMEOUT_S, observe, limit_time)
+    return connect_client(
+        settings.store, STORE_TIMEOUT_S, observe, limit_time, partial(count_store_answer, meters)
+    )
 
 
 def _reconnect_store(sidecar: Sidecar, settings: SidecarSettings) -> None:
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -49,6 +49,7 @@
 from .evacuations import record_evacuated
 from .gate_port import handle_gate_request
 from .http_exchange import BETWEEN_VMS_TIMEOUTS, BrokenError, Message, NotSentError, Reply, exchange
+from .link_use import count_received, count_sent
 from .placements import PlacedRequest, Search, build_placement, widen_search, will_be_late
 from .state import do_nothing, find_request_wait_left
 
@@ -395,6 +396,7 @@
     is_long = isinstance(message.body, LongBody)
     hop_message = attrs.evolve(message, headers=headers, expects_continue=is_long)
     deadline = answer_deadline + RESPONSE_GRACE_S
+    count_sent(sidecar, "bodies", len(message.body) if isinstance(message.body, bytes) else 0)
     try:
         reply = exchange(
             sidecar.peer_connections,
@@ -408,6 +410,7 @@
         return AttemptResult(AttemptOutcome.UNREACHED, error.message)
     except BrokenError as error:
         return AttemptResult(AttemptOutcome.UNKNOWN, f"{type(error).__name__}: {error.message}")
+    count_received(sidecar, "answers", len(reply.body))
     report_values = [
         value for name, value in reply.headers if name.lower() == REPORT_HEADER.lower()
     ]
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -64,6 +64,7 @@
 )
 from .evacuations import find_evacuation_refusal, find_own_order
 from .http_exchange import BrokenError, Match, Message, NotSentError, Reply, TimedOutError, exchange
+from .link_use import count_received, count_sent
 from .protocol import close_if_stopping, count_open_request, list_headers, read_target, send_reply
 from .release_guard import is_withheld
 from .server_liveness import has_server_ended
@@ -109,7 +110,10 @@
     def application(environ: dict[str, Any], start_response: Any) -> Iterable[bytes]:
         call = decode_call(environ.get("HTTP_" + CALL_HEADER.upper().replace("-", "_"), ""))
         if call is None:
-            return _send_control_response(control(read_target(environ), environ), start_response)
+            body = control(read_target(environ), environ)
+            count_received(sidecar, "control", int(environ.get("CONTENT_LENGTH") or 0))
+            count_sent(sidecar, "control", len(body or b""))
+            return _send_control_response(body, start_response)
         set_urgent(False)  # the connection may have been used by the sender itself before
         count_open_request(sidecar, environ)
         try:
@@ -130,7 +134,7 @@
         if is_deferred(environ) and call.fingerprint is not None:
             body: bytes | LongBody | None = defer_body(environ, NO_BODY_LIMIT)
         else:
-            body = read_body(environ, NO_BODY_LIMIT)
+            body = _read_counted(sidecar, environ)
         message = Message(environ["REQUEST_METHOD"], read_target(environ), headers, body)
         delivery_s = estimate_delivery(
             sidecar.egress, call.route, sidecar.settings.link_mbps, sidecar.clock()
@@ -141,6 +145,18 @@
         )
 
 
+def _read_counted(sidecar: Sidecar, environ: dict[str, Any]) -> bytes | LongBody | None:
+    """Read a body and count it; also one of which only a part came."""
+    try:
+        body = read_body(environ, NO_BODY_LIMIT)
+    except CallerDisconnectedError:
+        sidecar.meters.count("gate", "body_cut")
+        raise
+    size = len(body) if isinstance(body, bytes) else 0
+    count_received(sidecar, "bodies", size)
+    return body
+
+
 def _deduct_lag(sidecar: Sidecar, call: HopCall) -> HopCall:
     """Return a request's metadata with the times that are left after it waited to be read."""
     lag_s = find_own_lag(sidecar)
@@ -169,6 +185,7 @@
         status = "503 Not Run" if gate_result.report.ran == "no" else "502 Outcome Unknown"
         start_response(status, [report_header, ("Content-Length", "0")])
         return []
+    count_sent(sidecar, "answers", len(reply.body))
     body = send_reply(reply, start_response, report_header)
     return pace_answer(sidecar, call.route, reply, body)
 
--- a/src/magnoliasill/sidecar/member_requests.py
+++ b/src/magnoliasill/sidecar/member_requests.py
@@ -7,7 +7,8 @@
 
 from ..decoding import DecodingError, decode_json
 from ..errors import MagnoliasillError
-from .http_exchange import Message, exchange
+from .http_exchange import Message, NotSentError, TimedOutError, exchange
+from .link_use import count_received, count_sent
 
 if TYPE_CHECKING:
     from ..mesh.members import Member
@@ -41,9 +42,28 @@
     deadline = sidecar.clock() + timeout_s
     try:
         response = exchange(sidecar.control_connections, member.gate, message, deadline, True)
-        return decode_json(_read_body(response), response_type)
-    except (MagnoliasillError, DecodingError, HTTPException, OSError):
-        return None  # the caller of this function counts the failure and decides what to do
+        answer = _read_body(response)
+        decoded = decode_json(answer, response_type)
+    except (MagnoliasillError, DecodingError, HTTPException, OSError) as error:
+        # The caller of this function decides what to do.
+        sidecar.meters.count("member_requests", _name_failure(error))
+        return None
+    sidecar.meters.count("member_requests", "answered")
+    count_sent(sidecar, "control", len(body or b""))
+    count_received(sidecar, "control", len(answer))
+    return decoded
+
+
+def _name_failure(error: Exception) -> str:
+    """Return the label under which a failure is counted."""
+    match error:
+        case NotSentError():
+            return "unreached"
+        case TimedOutError():
+            return "late"
+        case DecodingError():
+            return "undecodable"
+    return "broken"
 
 
 def _read_body(response: Reply) -> bytes:
--- a/src/magnoliasill/sidecar/metrics.py
+++ b/src/magnoliasill/sidecar/metrics.py
@@ -23,6 +23,8 @@
     "store": ("outcome", "Requests to the platform's store, by outcome"),
     "configuration": ("source", "Versions received, by how; superseded: with a newer one"),
     "relay": ("outcome", "Requests for changes at a relay, there and here"),
+    "member_requests": ("outcome", "Requests to other sidecars, by how they ended"),
+    "link": ("kind", "Bytes over the network link of the VM, by direction and kind"),
     "crashes": ("outcome", "Findings of servers that ended under requests, by what became of them"),
     "quotas": ("outcome", "Requests of teams with a quota, and reports on them"),
     "cold": ("source", "Times at which the own server became cold, by sign, and what it said"),
