--- a/tests/sidecar/simulated_calls.py
+++ b/tests/sidecar/simulated_calls.py
@@ -54,6 +54,7 @@
 NOTICE_DELAY_S = 0.5  # requests that begin on a VM count this long after it passed a limit on
 MAX_OVERSHOOT = 1.5
 EXTRA_REQUESTS = 5
+HEAD_BYTES = 600  # of a request on its way to a gate
 
 
 @attrs.frozen
@@ -119,6 +120,9 @@
         down: Whether its sidecar is down.
         events: The log events of its sidecars.
         loop: The green thread of the sidecar's periodic checks.
+        link_bytes_per_s: The rate at which its link receives, or 0 for any rate.
+        link_free_at: When its link has delivered all that was sent to it so far.
+        longest_delay_s: The longest time that a message has waited for the link.
     """
 
     sidecar: Sidecar
@@ -127,6 +131,9 @@
     down: bool = False
     events: list[dict[str, Any]] = attrs.field(factory=list)
     loop: Any = None
+    link_bytes_per_s: float = 0.0
+    link_free_at: float = 0.0
+    longest_delay_s: float = 0.0
 
 
 @attrs.define
@@ -196,6 +203,15 @@
     return fleet
 
 
+def limit_link(fleet: CallFleet, name: str, mbps: float) -> None:
+    """Give a VM a link of a limited rate, which its record names, too."""
+    vm = fleet.vms[name]
+    vm.link_bytes_per_s = mbps * 1e6 / 8
+    vm.sidecar.settings = attrs.evolve(vm.sidecar.settings, link_mbps=mbps)
+    vm.sidecar.wake_registration()
+    eventlet.sleep(2 * RECORD_DELAY_S)
+
+
 def name_limit(fleet: CallFleet, server: SimulatedServer, limit: str | None) -> None:
     """Have a backend server name a limit in its responses from now on, or none."""
     server.limit = limit
@@ -295,6 +311,7 @@
     idempotent: bool = True,
     deadline_s: float = 1.2,
     target_s: float = 0.3,
+    body: bytes | None = None,
 ) -> Reply:
     """Send one request through a VM's sidecar, as its callers' port does.
 
@@ -306,6 +323,7 @@
         idempotent: Whether it may run more than once.
         deadline_s: The seconds until its caller stops waiting.
         target_s: The latency target in seconds.
+        body: Its body, or None.
 
     Raises:
         CallError: If it was refused or has no response.
@@ -333,9 +351,10 @@
         answer_deadline=now + deadline_s,
         caller_deadline=now + deadline_s,
     )
+    headers = [("Attempt-Id", identifier)]
     try:
         reply = forward_request(
-            sidecar, request, Message("GET", "/", [("Attempt-Id", identifier)], None)
+            sidecar, request, Message("POST" if body else "GET", "/", headers, body)
         )
     except CallError as error:
         if error.code is not ErrorCode.OUTCOME_UNKNOWN:
@@ -514,12 +533,26 @@
     store_sync.apply_page(sidecar, Page(tuple(items), revision))
 
 
+def carry_to(fleet: CallFleet, vm: SimulatedVm, size: int) -> None:
+    """Wait until a VM's link has delivered a number of bytes, behind all that was sent before.
+
+    What is on the way arrives also if its sender gives up.
+    """
+    if not vm.link_bytes_per_s:
+        return
+    waits_until = max(vm.link_free_at, fleet.now)
+    vm.longest_delay_s = max(vm.longest_delay_s, waits_until - fleet.now)
+    vm.link_free_at = waits_until + size / vm.link_bytes_per_s
+    eventlet.sleep(vm.link_free_at - fleet.now)
+
+
 def _exchange_with_gate(
     fleet: CallFleet, pool: Any, address: str, message: Message, *args: Any, **options: Any
 ) -> Reply:
     """Deliver a request to another VM's gate, as `exchange` does."""
     vm = fleet.vms[address.partition(":")[0]]
     eventlet.sleep(HOP_DELAY_S)
+    carry_to(fleet, vm, HEAD_BYTES + len(message.body or b""))
     if vm.down:
         raise NotSentError(ErrorCode.NOT_RUN, "connection refused")
     starts = vm.starts
