Ask for the bodies of requests in turn, where they fill a thin link

Cause: sidecars sent bodies at once, however many others did. Those of 60 kB on links of 10 Mbit/s queued in the network for seconds, connections (0.25 s), polls and reads of the store ended in timeouts behind them, and what was given up had used the link and was sent again.

A sender now asks before it sends a body that takes the gate's link 20 ms or more, as it did for streamed bodies. The gate asks for two at a time, in the order in which they were announced, and refuses what can't arrive in time before any byte of it is sent; its reports name the wait, which placement adds. A body that is not asked for until the deadline did not run. Links whose rate is high or not named are used as before.

--- a/src/magnoliasill/mesh/hop_headers.py
+++ b/src/magnoliasill/mesh/hop_headers.py
@@ -40,7 +40,7 @@
         crashes: What the sender knows of servers that ended under equal requests, or None.
         typical_s: The usual duration of the route's requests at all servers in seconds, or 0.
         fingerprint: The hash that identifies equal requests, or None if the gate can compute it;
-            a long body follows only once the gate asks for it.
+            the body follows only once the gate asks for it.
     """
 
     identifier: str
@@ -87,6 +87,7 @@
         run_s: Seconds that the request ran at the backend server, or 0.
         pace: The durations of the server's requests as a multiple of those at all servers.
         link_s: Seconds until the VM's link has sent the answers passed to it.
+        inbound_s: Seconds until the bodies that the gate waits for have come over that link.
         lag_s: Seconds that a step of a request waits for its turn in the gate's process.
         evacuated_at: The position in the store's history of the order to evacuate the gate's data
             centre, or 0.
@@ -111,6 +112,7 @@
     run_s: Number = 0.0
     pace: Number = 1.0
     link_s: Number = 0.0
+    inbound_s: PositiveNumber = 0.0
     lag_s: PositiveNumber = 0.0
     evacuated_at: Count = 0
     open_slots: Count = 0
--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -62,6 +62,7 @@
         failing: The share of failed answers, by its latest report.
         pace: The durations of its requests as a multiple of those at all servers of its service.
         link_s: The seconds until its link has sent the answers passed to it, by its latest report.
+        inbound_s: The seconds until the bodies that it waits for have arrived, by that report.
         lag_s: The seconds that a step of a request waits for its turn there, by that report.
         open_slots: The requests that its gate lets run at once while it paces the server, by that
             report, or 0 for all slots.
@@ -80,6 +81,7 @@
     failing: float = 0.0
     pace: float = 1.0
     link_s: float = 0.0
+    inbound_s: float = 0.0
     lag_s: float = 0.0
     open_slots: int = 0
     in_flight: int = 0
@@ -98,10 +100,12 @@
     Attributes:
         busy_share: The number of requests that run or wait, as a multiple of the slots.
         link_s: The seconds until a link has sent the answers passed to it.
+        inbound_s: The seconds until the bodies that a gate waits for have arrived.
     """
 
     busy_share: float = 0.0
     link_s: float = 0.0
+    inbound_s: float = 0.0
 
 
 @attrs.define
@@ -263,6 +267,7 @@
         link_s: The seconds until its link has sent the answers passed to it.
         lag_s: The seconds that a step of a request waits for its turn in the gate's process.
         open_slots: The requests that the gate lets run at once while it paces the server, or 0.
+        inbound_s: The seconds until the bodies that the gate waits for have arrived.
     """
 
     busy: int
@@ -272,6 +277,7 @@
     link_s: float = 0.0
     lag_s: float = 0.0
     open_slots: int = 0
+    inbound_s: float = 0.0
 
 
 def record_load(table: MemberTable, member: Member, report: LoadReport, now: float) -> None:
@@ -289,11 +295,14 @@
     condition.failing = report.failing
     condition.pace = report.pace
     condition.link_s = report.link_s
+    condition.inbound_s = report.inbound_s
     condition.lag_s = report.lag_s
     condition.open_slots = report.open_slots
     condition.reported_at = now
     condition.avoid_s = UNREACHABLE_MIN_S
     busy_share = report.busy / member.slots
-    load = table.loads.setdefault(member.service, ServiceLoad(busy_share, report.link_s))
+    first = ServiceLoad(busy_share, report.link_s, report.inbound_s)
+    load = table.loads.setdefault(member.service, first)
     load.busy_share += LOAD_SMOOTHING * (busy_share - load.busy_share)
     load.link_s += LOAD_SMOOTHING * (report.link_s - load.link_s)
+    load.inbound_s += LOAD_SMOOTHING * (report.inbound_s - load.inbound_s)
--- a/src/magnoliasill/mesh/placement.py
+++ b/src/magnoliasill/mesh/placement.py
@@ -18,6 +18,7 @@
 
 from .egress import SMALL_ANSWER_BYTES, find_transfer_seconds
 from .exclusions import Exclusion
+from .ingress import is_announced
 from .loop_lag import STEPS
 from .members import (
     Member,
@@ -64,6 +65,7 @@
         ordered_release: The release of a newer order that has no takeover yet, or empty.
         takeover: The service's latest takeover, or None.
         answer_bytes: The usual size of an answer.
+        body_bytes: The length of the request's body, or 0 if it has none or is not known.
         typical_s: The usual duration of the route's requests in seconds, or 0 if not known.
         late: Whether the request may be served past its target.
         finish_by: When it must be served, in seconds on the monotonic clock.
@@ -81,6 +83,7 @@
     ordered_release: str = ""
     takeover: Takeover | None = None
     answer_bytes: float = 0.0
+    body_bytes: int = 0
     typical_s: float = 0.0
     late: bool = False
     finish_by: float = inf
@@ -292,6 +295,9 @@
     seconds += STEPS * weight * condition.lag_s
     if context.answer_bytes > SMALL_ANSWER_BYTES:
         seconds += kin.link_s + weight * (condition.link_s - kin.link_s)
+    if is_announced(context.body_bytes, member.link_mbps):
+        seconds += find_transfer_seconds(context.body_bytes, member.link_mbps)
+        seconds += kin.inbound_s + weight * (condition.inbound_s - kin.inbound_s)
     if member.data_centre == context.data_centre:
         return seconds
     return seconds + REMOTE_COST_S + REMOTE_COST_S_PER_BYTE * context.answer_bytes
--- a/src/magnoliasill/sidecar/bodies.py
+++ b/src/magnoliasill/sidecar/bodies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from io import BytesIO
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -88,6 +89,20 @@
     return LongBody(b"", environ["wsgi.input"], length, limit)
 
 
+def announce_body(body: bytes | LongBody) -> LongBody:
+    """Return a body to send once the other end asks for it; a short one can be sent again."""
+    if isinstance(body, LongBody):
+        return body
+    return LongBody(body, BytesIO(), len(body), len(body))
+
+
+def measure_body(body: bytes | LongBody | None) -> int:
+    """Return the length of a body in bytes, 0 for one in chunks."""
+    if isinstance(body, LongBody):
+        return body.length or 0
+    return len(body or b"")
+
+
 def is_deferred(environ: dict[str, Any]) -> bool:
     """Return whether the sender of a request waits to be asked for the body."""
     return environ.get("HTTP_EXPECT", "").lower() == "100-continue"
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -21,6 +21,7 @@
 from ..decoding import describe_error
 from ..errors import CallError, MagnoliasillError, SettingsError
 from ..mesh.gate import dispatch_waiting
+from ..mesh.ingress import pass_overdue_turns
 from ..mesh.planned_stop import plan_stop
 from ..mesh.retries import RetryBudget
 from ..platform.settings import read_settings
@@ -271,6 +272,7 @@
         now = monotonic()
         cancel_disconnected(sidecar.watched_calls, now)
         dispatch_waiting(sidecar.gate, now)
+        pass_overdue_turns(sidecar.ingress, now)
         eventlet.sleep(CHECK_INTERVAL_S)
 
 
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -18,6 +18,7 @@
     decode_report,
     encode_header_value,
 )
+from ..mesh.ingress import is_announced
 from ..mesh.members import (
     SILENCE_THRESHOLD_S,
     LoadReport,
@@ -35,7 +36,7 @@
 from ..mesh.retry_after import RetryAfterState, choose_retry_after, count_arrival
 from ..mesh.routes import DEFAULT_PRIORITY
 from ..mesh.server_notices import record_cold, record_limit, use_turn
-from .bodies import LongBody
+from .bodies import LongBody, announce_body, measure_body
 from .crash_guard import (
     BLOCKED_REASON,
     ELSEWHERE_REASON,
@@ -182,7 +183,7 @@
     count_arrival(retry_after_state, request.arrived_at)
     candidates = None
     while len(request.attempted_members) < MAX_ATTEMPTS and _has_time_for_attempt(sidecar, request):
-        placement = _build_placement(sidecar, request, state)
+        placement = _build_placement(sidecar, request, message, state)
         if candidates is None:
             candidates = choose_release_members(sidecar.members, placement, sidecar.random)
         if is_suspect_request(sidecar, guarded):
@@ -206,7 +207,7 @@
         # A new release may fail a request only once: later attempts avoid it.
         if state.servers_reached and state.allow_limited_release:
             state.allow_limited_release, candidates = False, None
-    return _build_final_reply(sidecar, request, state, retry_after_state)
+    return _build_final_reply(sidecar, request, message, state, retry_after_state)
 
 
 def _avoid_own_vm(sidecar: Sidecar, candidates: list[Member]) -> list[Member]:
@@ -222,13 +223,16 @@
     )
 
 
-def _build_placement(sidecar: Sidecar, request: Request, state: _AttemptState) -> PlacementContext:
+def _build_placement(
+    sidecar: Sidecar, request: Request, message: Message, state: _AttemptState
+) -> PlacementContext:
     placed = PlacedRequest(
         request.service,
         request.route.name,
         request.nested,
         request.target_at,
         request.answer_deadline,
+        measure_body(message.body),
     )
     return build_placement(sidecar, placed, state)
 
@@ -287,7 +291,11 @@
 
 
 def _build_final_reply(
-    sidecar: Sidecar, request: Request, state: _AttemptState, retry_after_state: RetryAfterState
+    sidecar: Sidecar,
+    request: Request,
+    message: Message,
+    state: _AttemptState,
+    retry_after_state: RetryAfterState,
 ) -> Reply:
     if state.failed_reply is not None:
         return state.failed_reply
@@ -297,7 +305,7 @@
         reason = "backend servers ended while they ran equal requests"
         raise CallError(ErrorCode.REQUEST_BLOCKED, reason, state.blocked_s)
     left_s = request.caller_deadline - sidecar.clock()
-    placement = _build_placement(sidecar, request, state)
+    placement = _build_placement(sidecar, request, message, state)
     candidates = choose_release_members(sidecar.members, placement, sidecar.random)
     limit_wait = find_limit_wait(sidecar.members, candidates, placement)
     retry_after_s = choose_retry_after(retry_after_state, left_s, sidecar.random, limit_wait)
@@ -317,7 +325,7 @@
 ) -> AttemptResult:
     condition = find_condition(sidecar.members, member)
     notice = find_notice(sidecar.members, member.instance, member.born)
-    now = sidecar.clock()
+    now, message_body = sidecar.clock(), guarded.message.body
     call = HopCall(
         identifier=request.identifier,
         service=member.service,
@@ -337,7 +345,7 @@
         limit_age_s=round(max(now - notice.heard_at, 0.0), 3) if notice.limit_per_s else 0.0,
         crashes=describe_suspect(sidecar, guarded),
         typical_s=round(sidecar.typical_runs.get(request.route.name, 0.0), 4),
-        fingerprint=guarded.fingerprint if isinstance(guarded.message.body, LongBody) else None,
+        fingerprint=guarded.fingerprint if _is_asked_for(message_body, member) else None,
     )
     use_turn(notice, now)
     condition.in_flight += 1
@@ -393,10 +401,11 @@
     sidecar: Sidecar, call: HopCall, message: Message, member: Member, answer_deadline: float
 ) -> AttemptResult:
     headers = [*message.headers, (CALL_HEADER, encode_header_value(call))]
-    is_long = isinstance(message.body, LongBody)
-    hop_message = attrs.evolve(message, headers=headers, expects_continue=is_long)
+    is_asked_for = call.fingerprint is not None
+    body = announce_body(message.body) if is_asked_for else message.body
+    hop_message = attrs.evolve(message, headers=headers, body=body, expects_continue=is_asked_for)
     deadline = answer_deadline + RESPONSE_GRACE_S
-    count_sent(sidecar, "bodies", len(message.body) if isinstance(message.body, bytes) else 0)
+    count_sent(sidecar, "bodies", 0 if is_asked_for else measure_body(body))
     try:
         reply = exchange(
             sidecar.peer_connections,
@@ -421,6 +430,11 @@
     return _classify_report(attrs.evolve(reply, headers=headers), report)
 
 
+def _is_asked_for(body: bytes | LongBody | None, member: Member) -> bool:
+    """Return whether a body is sent to another VM only once its gate asks for it."""
+    return isinstance(body, LongBody) or is_announced(measure_body(body), member.link_mbps)
+
+
 def _classify_report(reply: Reply | None, report: GateReport) -> AttemptResult:
     if report.ran == "yes":
         return AttemptResult(AttemptOutcome.ANSWERED, "", reply, report)
@@ -448,6 +462,7 @@
             report.link_s,
             report.lag_s,
             report.open_slots,
+            report.inbound_s,
         )
         record_load(sidecar.members, member, load_report, now)
         if _lacks_capacity(sidecar, request, report.reason, now - seconds):
--- a/src/magnoliasill/sidecar/gate_port.py
+++ b/src/magnoliasill/sidecar/gate_port.py
@@ -42,13 +42,14 @@
     decode_call,
     encode_header_value,
 )
+from ..mesh.ingress import estimate_arrival
 from ..mesh.pace import Outcome
 from ..mesh.planned_stop import observe_duration
 from ..mesh.rate_limits import assign_turn
 from ..platform.headers import add_sidecar_headers, parse_response_headers
 from ..urgent_hub import set_urgent
 from .answer_pacing import pace_answer
-from .bodies import LongBody, defer_body, is_deferred, read_body
+from .body_turns import BodyRefusedError, find_receiver, read_at_once
 from .cold_servers import record_reset_server, record_served_run, record_unreached_server
 from .crash_guard import (
     ELSEWHERE_REASON,
@@ -78,8 +79,7 @@
     from .state import Sidecar
 
 MAX_REMEMBERED_ATTEMPTS = 20_000  # more than arrive while an attempt may still be sent again
-NO_BODY_LIMIT = 1 << 40  # the sidecar that the caller uses enforces the limit
-MIN_DEDUCTED_LAG_S = 0.005
+MIN_DEDUCTED_S = 0.005
 CANCELLED_STATUS = "499 Client Closed Request"
 
 
@@ -131,42 +131,26 @@
 def _handle_call(sidecar: Sidecar, environ: dict[str, Any], call: HopCall) -> GateResult:
     headers = [pair for pair in list_headers(environ) if pair[0].lower() != CALL_HEADER.lower()]
     with watch_caller(sidecar.watched_calls, environ) as watch:
-        if is_deferred(environ) and call.fingerprint is not None:
-            body: bytes | LongBody | None = defer_body(environ, NO_BODY_LIMIT)
-        else:
-            body = _read_counted(sidecar, environ)
+        receive_body = find_receiver(sidecar, call, environ)
+        body = None if receive_body else read_at_once(sidecar, call, environ)
         message = Message(environ["REQUEST_METHOD"], read_target(environ), headers, body)
         delivery_s = estimate_delivery(
             sidecar.egress, call.route, sidecar.settings.link_mbps, sidecar.clock()
         )
         on_start = partial(watch.begin_run, call.idempotent)
-        return handle_gate_request(
-            sidecar, _deduct_lag(sidecar, call), message, on_start, delivery_s
-        )
-
-
-def _read_counted(sidecar: Sidecar, environ: dict[str, Any]) -> bytes | LongBody | None:
-    """Read a body and count it; also one of which only a part came."""
-    try:
-        body = read_body(environ, NO_BODY_LIMIT)
-    except CallerDisconnectedError:
-        sidecar.meters.count("gate", "body_cut")
-        raise
-    size = len(body) if isinstance(body, bytes) else 0
-    count_received(sidecar, "bodies", size)
-    return body
+        call = _deduct_time(call, find_own_lag(sidecar))
+        return handle_gate_request(sidecar, call, message, on_start, delivery_s, receive_body)
 
 
-def _deduct_lag(sidecar: Sidecar, call: HopCall) -> HopCall:
-    """Return a request's metadata with the times that are left after it waited to be read."""
-    lag_s = find_own_lag(sidecar)
-    if lag_s < MIN_DEDUCTED_LAG_S:
+def _deduct_time(call: HopCall, seconds: float) -> HopCall:
+    """Return a request's metadata with the times that are left some seconds later."""
+    if seconds < MIN_DEDUCTED_S:
         return call
     return attrs.evolve(
         call,
-        time_left_s=call.time_left_s - lag_s,
-        target_left_s=call.target_left_s - lag_s,
-        wait_left_s=call.wait_left_s - lag_s,
+        time_left_s=call.time_left_s - seconds,
+        target_left_s=call.target_left_s - seconds,
+        wait_left_s=call.wait_left_s - seconds,
     )
 
 
@@ -196,6 +180,7 @@
     message: Message,
     on_start: Callable[[], None] | None = None,
     delivery_s: float = 0.0,
+    receive_body: Callable[[HopCall], bytes | None] | None = None,
 ) -> GateResult:
     """Run a request on the backend server once a slot is free, or refuse it.
 
@@ -206,6 +191,7 @@
         on_start: Called before the request is sent to the backend server; it raises
             `CallerDisconnectedError` if the caller has left by then.
         delivery_s: Seconds from the end of its run until its answer is expected to be sent.
+        receive_body: Receives a body that the sender has only announced, or None.
 
     Raises:
         CallerDisconnectedError: If the caller closed its connection.
@@ -214,23 +200,50 @@
     guarded = GuardedRequest(call.service, message, call.fingerprint or b"")
     adopt_limit(sidecar, call)
     prepare_suspect(sidecar, call, guarded)
-    gate_result = _admit_and_run(sidecar, call, guarded, arrived_at, on_start, delivery_s)
+    deadline = arrived_at + call.time_left_s
+    refusal_reason = _find_refusal_reason(sidecar, call, guarded)
+    if not refusal_reason and receive_body is not None:
+        call, refusal_reason = _receive_body(sidecar, call, guarded, arrived_at, receive_body)
+    if refusal_reason:
+        gate_result = _refuse(sidecar, call, refusal_reason, arrived_at)
+    else:
+        gate_result = _admit_and_run(
+            sidecar, call, guarded, arrived_at, deadline, on_start, delivery_s
+        )
     report = add_knowledge(sidecar, call, guarded, gate_result.report)
     return attrs.evolve(gate_result, report=report)
 
 
+def _receive_body(
+    sidecar: Sidecar,
+    call: HopCall,
+    guarded: GuardedRequest,
+    arrived_at: float,
+    receive_body: Callable[[HopCall], bytes | None],
+) -> tuple[HopCall, str]:
+    """Receive the body of a request.
+
+    Returns:
+        The metadata with the times that are left then, and why the request is refused, or an empty
+        string.
+    """
+    current, reason = _deduct_time(call, sidecar.clock() - arrived_at), ""
+    try:
+        guarded.message = attrs.evolve(guarded.message, body=receive_body(current))
+    except BodyRefusedError as error:
+        reason = error.message
+    return _deduct_time(call, sidecar.clock() - arrived_at), reason
+
+
 def _admit_and_run(
     sidecar: Sidecar,
     call: HopCall,
     guarded: GuardedRequest,
     arrived_at: float,
+    deadline: float,
     on_start: Callable[[], None] | None,
     delivery_s: float,
 ) -> GateResult:
-    refusal_reason = _find_refusal_reason(sidecar, call, guarded)
-    if refusal_reason:
-        return _refuse(sidecar, call, refusal_reason, arrived_at)
-    deadline = arrived_at + call.time_left_s
     refusal_reason = _wait_for_slot(
         sidecar, call, sidecar.clock(), deadline - delivery_s, delivery_s
     )
@@ -511,6 +524,7 @@
         failing=round(gate.failing, 3),
         pace=round(gate.pace, 3),
         link_s=round(find_backlog(sidecar.egress, now), 4),
+        inbound_s=round(estimate_arrival(sidecar.ingress, 0.0), 4),
         lag_s=round(find_own_lag(sidecar), 4),
         evacuated_at=find_own_order(sidecar),
         open_slots=0 if (slots := count_open_slots(gate)) >= gate.slots else slots,
--- a/src/magnoliasill/sidecar/http_exchange.py
+++ b/src/magnoliasill/sidecar/http_exchange.py
@@ -299,6 +299,8 @@
         connection.http.close()
         if connection.idle_since is not None:
             drop_unproven_connections(pool, address, sent_at)
+        if _is_body_unsent(message):
+            raise NotSentError(ErrorCode.NOT_RUN, "the body was not asked for in time") from error
         if monotonic() < deadline - TIMER_TOLERANCE_S:  # TCP_USER_TIMEOUT of the kernel
             raise BrokenError(
                 ErrorCode.OUTCOME_UNKNOWN, "the other end stopped acknowledging data"
--- a/src/magnoliasill/sidecar/placements.py
+++ b/src/magnoliasill/sidecar/placements.py
@@ -42,6 +42,7 @@
         nested: Whether this VM's backend server sent it while processing another request.
         target_at: The latency target, in seconds on the monotonic clock.
         answer_deadline: By when the caller gets a response.
+        body_bytes: The length of its body, or 0 if it has none or is not known.
     """
 
     service: str
@@ -49,6 +50,7 @@
     nested: bool
     target_at: float
     answer_deadline: float
+    body_bytes: int = 0
 
 
 def will_be_late(sidecar: Sidecar, route: str, target_at: float) -> bool:
@@ -99,6 +101,7 @@
         ordered_release=ordered_release,
         takeover=takeover,
         answer_bytes=sidecar.answer_bytes.get(request.route, 0.0),
+        body_bytes=request.body_bytes,
         typical_s=sidecar.typical_runs.get(request.route, 0.0),
         late=search.late,
         finish_by=_find_finish_time(request, search, now),
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -20,6 +20,7 @@
 from ..mesh.egress import Egress
 from ..mesh.evacuations import Evacuations
 from ..mesh.gate import MAX_WAIT_S, Gate
+from ..mesh.ingress import Ingress
 from ..mesh.loop_lag import LoopLag, find_lag
 from ..mesh.members import Member, MemberTable
 from ..mesh.planned_stop import find_latest_start
@@ -145,6 +146,7 @@
         answer_bytes: Moving average of the response size in bytes, by route.
         typical_runs: Moving average of the duration at all backend servers in seconds, by route.
         egress: The use of this VM's link by answers to other VMs.
+        ingress: The request bodies that come over that link to the gate.
         time_left_samples: Samples of the time that callers have left at their requests, by route.
         retry_budget: Retry budget of each service.
         retry_after_states: Recent rejections of each service, which scale the advised retry delay.
@@ -215,6 +217,7 @@
     answer_bytes: dict[str, float] = attrs.field(factory=dict)
     typical_runs: dict[str, float] = attrs.field(factory=dict)
     egress: Egress = attrs.field(factory=Egress)
+    ingress: Ingress = attrs.field(factory=Ingress)
     time_left_samples: dict[str, TimeLeftSamples] = attrs.field(factory=dict)
     retry_budget: RetryBudget = attrs.field(factory=lambda: RetryBudget(0.2, 50.0, 10.0))
     retry_after_states: dict[str, RetryAfterState] = attrs.field(factory=dict)
--- a/tests/sidecar/simulated_calls.py
+++ b/tests/sidecar/simulated_calls.py
@@ -31,6 +31,8 @@
 from magnoliasill.mesh.settings import Bounds, SidecarSettings
 from magnoliasill.mesh.store_items import Item, Page
 from magnoliasill.sidecar import forwarding, gate_port, store_sync
+from magnoliasill.sidecar.bodies import measure_body
+from magnoliasill.sidecar.body_turns import receive_in_turn
 from magnoliasill.sidecar.control_port import record_heartbeat
 from magnoliasill.sidecar.forwarding import Request, forward_request
 from magnoliasill.sidecar.gate_port import handle_gate_request
@@ -43,6 +45,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from magnoliasill.mesh.hop_headers import HopCall
+
 HOP_DELAY_S = 0.0015
 RECORD_DELAY_S = 0.1  # from a change of a member's record until another sidecar has it
 MEAN_ACTION_GAP_S = 0.7
@@ -546,20 +550,34 @@
     eventlet.sleep(vm.link_free_at - fleet.now)
 
 
+def _ask_for_body(fleet: CallFleet, vm: SimulatedVm, size: int) -> bytes:
+    eventlet.sleep(2 * HOP_DELAY_S)
+    carry_to(fleet, vm, size)
+    return b"u" * size
+
+
 def _exchange_with_gate(
     fleet: CallFleet, pool: Any, address: str, message: Message, *args: Any, **options: Any
 ) -> Reply:
     """Deliver a request to another VM's gate, as `exchange` does."""
     vm = fleet.vms[address.partition(":")[0]]
     eventlet.sleep(HOP_DELAY_S)
-    carry_to(fleet, vm, HEAD_BYTES + len(message.body or b""))
+    size = measure_body(message.body)
+    carry_to(fleet, vm, HEAD_BYTES + (0 if message.expects_continue else size))
     if vm.down:
         raise NotSentError(ErrorCode.NOT_RUN, "connection refused")
     starts = vm.starts
     headers = dict(message.headers)
     call = decode_call(headers.pop(CALL_HEADER))
+
+    def receive(current: HopCall) -> bytes | None:
+        return receive_in_turn(vm.sidecar, current, size, lambda: _ask_for_body(fleet, vm, size))
+
     gate_result = handle_gate_request(
-        vm.sidecar, call, attrs.evolve(message, headers=list(headers.items()))
+        vm.sidecar,
+        call,
+        attrs.evolve(message, headers=list(headers.items())),
+        receive_body=receive if message.expects_continue else None,
     )
     eventlet.sleep(HOP_DELAY_S)
     if vm.starts != starts or vm.down:
--- a/tests/sidecar/test_member_requests.py
+++ b/tests/sidecar/test_member_requests.py
@@ -12,6 +12,7 @@
 from magnoliasill.mesh.takeovers import Order
 from magnoliasill.sidecar import crash_reports, daemon, gate_port, member_requests, release_counts
 from magnoliasill.sidecar.http_exchange import Reply
+from magnoliasill.sidecar.metrics import Meters
 from magnoliasill.sidecar.state import OpenOrder
 from magnoliasill.urgent_hub import is_urgent, set_urgent
 
@@ -81,7 +82,7 @@
     def request(self, chunks: Any) -> list[int] | None:
         reply = Reply(200, "OK", [], b"[1, 2", chunks)
         self.patch(member_requests, "exchange", lambda *_: reply)
-        sidecar = SimpleNamespace(clock=lambda: 0.0, control_connections=None)
+        sidecar = SimpleNamespace(clock=lambda: 0.0, control_connections=None, meters=Meters())
         member = SimpleNamespace(gate="10.0.0.1:1")
         return member_requests.request_from_member(sidecar, member, "/x", 1.0, list[int])
 
