Bound the notices about lost requests

Cause: each request that ended without an answer counts as a lost hop, which was told to each gate of its service by a notice of its own, three times where that did not answer.

All findings of a sidecar now share rounds to the gates: the first four at once, then one a second with all that was found since. A gate gets one notice at a time, and repetitions carry what has come in between. A finding is written to the store at once, as before.

test_crash_reports: 900 notices to one gate before, within the 25 allowed now; a single finding is told within 0.05 s as before.

--- a/src/magnoliasill/mesh/crash_findings.py
+++ b/src/magnoliasill/mesh/crash_findings.py
@@ -21,6 +21,7 @@
     clear_ends,
     count_ends,
 )
+from .rate_limits import RateLimiter
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -40,6 +41,9 @@
 # Between the end of a request without a response and the moment when its server is found ended.
 UNRESOLVED_S = 5.0
 FINGERPRINT_HEX_LENGTH = 24
+# A request that ends a server after the other needs few rounds; more come from a common cause.
+FIRST_ROUNDS = 4.0
+ROUNDS_PER_S = 1.0
 
 
 @attrs.frozen
@@ -99,6 +103,17 @@
     running_alone: set[bytes] = attrs.field(factory=set)
 
 
+def build_round_limiter() -> RateLimiter:
+    """Return what limits how often the gates are told of findings: a few times, then steadily."""
+    return RateLimiter(
+        limit_per_s=ROUNDS_PER_S,
+        tokens=FIRST_ROUNDS,
+        updated_at=0.0,
+        next_turn_at=0.0,
+        burst=FIRST_ROUNDS,
+    )
+
+
 def digest_server(instance: str, born: int) -> bytes:
     """Return a digest of an incarnation of a backend server.
 
--- a/src/magnoliasill/sidecar/crash_reports.py
+++ b/src/magnoliasill/sidecar/crash_reports.py
@@ -5,8 +5,8 @@
 
 from __future__ import annotations
 
+from functools import partial
 from itertools import islice
-from math import inf
 from typing import TYPE_CHECKING
 
 import attrs
@@ -23,21 +23,17 @@
     merge_records,
     read_fingerprint,
 )
-from ..mesh.members import find_condition
 from ..mesh.records import decode_crash_records, encode_record
-from ..urgent_hub import set_urgent, spawn_urgent
-from .member_requests import request_from_member
+from ..urgent_hub import set_urgent
+from .crash_notices import NOTICE_PATH, describe_findings, exchange_records, schedule_round
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Iterable
 
     from ..mesh.members import Member
     from .state import Sidecar
 
-NOTICE_PATH = "/mesh/crashes"
 ALL_PATH = "/mesh/crashes/all"
-MAX_NOTICE_RECORDS = 128
-MAX_NOTICE_BYTES = 262_144  # such a notice with the most servers for each request
 MAX_RECORDS = 512  # for a gate that has started
 START_GATES = 2  # asked after a start; the store knows what they have forgotten
 START_CHECKS = 200
@@ -45,9 +41,7 @@
 # Requests that ran on one server end within about this time; one notice names them all.
 END_DELAY_S = 0.002
 CLEARANCE_DELAY_S = 0.2  # a clearance is urgent only for a request that is blocked
-NOTICE_TIMEOUT_S = 0.5
 GATE_TIMEOUT_S = 0.25  # of the gate that was lost; a restarted one is found through the store
-NOTICE_RETRY_S = (0.2, 0.6)
 
 
 def report_end(sidecar: Sidecar, service: str, fingerprint: bytes) -> None:
@@ -60,10 +54,10 @@
 
     def ask_gate() -> None:
         set_urgent(True)
-        records = _describe_requests(sidecar, service, [fingerprint])
-        answer = _exchange_records(sidecar, member, NOTICE_PATH, records, GATE_TIMEOUT_S)
+        records = describe_findings(sidecar, [(service, fingerprint)])
+        answer = exchange_records(sidecar, member, NOTICE_PATH, records, GATE_TIMEOUT_S)
         if answer is not None:
-            _merge_answer(sidecar, service, answer)
+            _merge_answer(sidecar, answer)
         if answer is None or count_ends(sidecar.crash_findings.table, fingerprint):
             report_end(sidecar, service, fingerprint)
 
@@ -95,80 +89,25 @@
 
 
 def _report(sidecar: Sidecar, service: str, fingerprint: bytes, delay_s: float) -> None:
-    reports, due_at = sidecar.crash_reports, sidecar.clock() + delay_s
-    reports.unsent.add((service, fingerprint))
-    if due_at < reports.due_at:
-        reports.due_at = due_at
-        eventlet.spawn_after(delay_s, _send_reports, sidecar)
-
-
-def _send_reports(sidecar: Sidecar) -> None:
-    """Send all that is unsent to the gates of the services, and have it written to the store."""
-    set_urgent(True)
+    """Tell the gates of a service of a request, and have it written to the store."""
     reports = sidecar.crash_reports
-    unsent, reports.unsent, reports.due_at = reports.unsent, set(), inf
-    if not unsent:
-        return
     if not reports.changed.ready():
         reports.changed.send()
-    for service in sorted({service for service, _ in unsent}):
-        fingerprints = sorted(fingerprint for found, fingerprint in unsent if found == service)
-        others = _list_reachable_gates(sidecar, service)
-        for first in range(0, len(fingerprints), MAX_NOTICE_RECORDS):
-            chosen = fingerprints[first : first + MAX_NOTICE_RECORDS]
-            for member in others:
-                spawn_urgent(_notify_member, sidecar, member, service, chosen)
-
-
-def _list_reachable_gates(sidecar: Sidecar, service: str) -> list[Member]:
-    """Return the other gates of a service, without those that could not be reached just now."""
-    return [
-        member
-        for name, member in sidecar.members.by_service.get(service, {}).items()
-        if name != sidecar.settings.name
-        and find_condition(sidecar.members, member).avoid_until <= sidecar.clock()
-    ]
+    schedule_round(sidecar, (service, fingerprint), delay_s, partial(_merge_answer, sidecar))
 
 
-def _notify_member(
-    sidecar: Sidecar, member: Member, service: str, fingerprints: list[bytes]
-) -> None:
-    """Send a gate what is known of requests, and merge what it knows beyond that."""
-    for pause_s in (*NOTICE_RETRY_S, None):
-        records = _describe_requests(sidecar, service, fingerprints)
-        answer = _exchange_records(sidecar, member, NOTICE_PATH, records)
-        if answer is not None:
-            _merge_answer(sidecar, service, answer)
-            return
-        log_unshared(sidecar, "notice_lost", member.name, "no answer to a notice")
-        if pause_s is None:
-            return
-        eventlet.sleep(pause_s)
-
-
-def _exchange_records(
-    sidecar: Sidecar,
-    member: Member,
-    target: str,
-    records: list[CrashRecord],
-    timeout_s: float = NOTICE_TIMEOUT_S,
-) -> list[CrashRecord] | None:
-    body = encode_record(records)
-    return request_from_member(sidecar, member, target, timeout_s, list[CrashRecord], body)
-
-
-def _merge_answer(sidecar: Sidecar, service: str, answer: list[CrashRecord]) -> None:
+def _merge_answer(sidecar: Sidecar, answer: list[CrashRecord]) -> None:
     """Merge what a gate knows; tell all others of its clearances, so that it does not have to."""
     findings = sidecar.crash_findings
     for record in answer:
         fingerprint = read_fingerprint(record)
-        known = describe_request(findings, service, fingerprint) if fingerprint else None
+        known = describe_request(findings, record.service, fingerprint) if fingerprint else None
         if known is None:
             continue
         apply_records(sidecar, [record])
         if set(record.cleared) - set(known.cleared):
             merge_own(findings, [attrs.evolve(record, ended=())])
-            _report(sidecar, service, fingerprint, END_DELAY_S)
+            _report(sidecar, record.service, fingerprint, END_DELAY_S)
 
 
 def receive_notice(sidecar: Sidecar, body: bytes) -> bytes:
@@ -191,7 +130,8 @@
     """Return what this sidecar knows, for one that has started."""
     suspects = sidecar.crash_findings.table.suspects
     newest = list(islice(reversed(suspects), MAX_RECORDS))
-    return encode_record(_describe_requests(sidecar, sidecar.settings.service, newest))
+    service = sidecar.settings.service
+    return encode_record(describe_findings(sidecar, [(service, found) for found in newest]))
 
 
 def learn_from_gates(sidecar: Sidecar) -> None:
@@ -205,7 +145,7 @@
         eventlet.sleep(START_CHECK_INTERVAL_S)
     chosen = sidecar.random.sample(others, min(len(others), START_GATES)) if others else []
     for member in chosen:
-        answer = _exchange_records(sidecar, member, ALL_PATH, [])
+        answer = exchange_records(sidecar, member, ALL_PATH, [])
         if answer is not None:
             apply_records(sidecar, answer)
 
@@ -244,19 +184,3 @@
             seconds=round(find_block_left(table, sidecar.clock(), fingerprint), 1),
         )
     reports.blocked = blocked
-
-
-def _describe_requests(
-    sidecar: Sidecar, service: str, fingerprints: Collection[bytes]
-) -> list[CrashRecord]:
-    found = [
-        describe_request(sidecar.crash_findings, service, fingerprint)
-        for fingerprint in fingerprints
-    ]
-    return [record for record in found if record is not None]
-
-
-def log_unshared(sidecar: Sidecar, outcome: str, other: str, reason: str) -> None:
-    """Count and log that findings could not be exchanged with the store or another sidecar."""
-    sidecar.meters.count("crashes", outcome)
-    sidecar.log(LogEvent.FINDINGS_UNSHARED, other=other, reason=reason)
--- a/src/magnoliasill/sidecar/crash_store.py
+++ b/src/magnoliasill/sidecar/crash_store.py
@@ -17,7 +17,8 @@
 from ..mesh.crash_findings import merge_own
 from ..mesh.records import CRASH_PREFIX, decode_crash_records, encode_record
 from ..mesh.store_items import Condition, Put, Transaction
-from .crash_reports import apply_records, learn_from_gates, log_unshared, report_clearance
+from .crash_notices import log_unshared
+from .crash_reports import apply_records, learn_from_gates, report_clearance
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -35,13 +35,8 @@
     build_metrics_application,
     build_readiness_application,
 )
-from .crash_reports import (
-    ALL_PATH,
-    MAX_NOTICE_BYTES,
-    NOTICE_PATH,
-    describe_all,
-    receive_notice,
-)
+from .crash_notices import MAX_NOTICE_BYTES, NOTICE_PATH
+from .crash_reports import ALL_PATH, describe_all, receive_notice
 from .crash_store import keep_findings_stored
 from .gate_port import build_gate_application
 from .header_parser import install_head_parser
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -16,7 +16,7 @@
 from ..codes import LogEvent
 from ..mesh.backend import Backend
 from ..mesh.cold_starts import ColdDoubts
-from ..mesh.crash_findings import CrashFindings
+from ..mesh.crash_findings import CrashFindings, build_round_limiter
 from ..mesh.egress import Egress
 from ..mesh.evacuations import Evacuations
 from ..mesh.gate import MAX_WAIT_S, Gate
@@ -39,6 +39,7 @@
     from ..mesh.evidence import RouteCounts
     from ..mesh.gate_counts import CollectedCounts
     from ..mesh.planned_stop import StopSchedule
+    from ..mesh.rate_limits import RateLimiter
     from ..mesh.retry_after import RetryAfterState
     from ..mesh.routes import RouteTable
     from ..mesh.settings import SidecarSettings
@@ -79,6 +80,8 @@
     Attributes:
         unsent: The requests to report, as pairs of service and fingerprint.
         due_at: When they are sent, in seconds on the monotonic clock.
+        rounds: Limits how often they are sent.
+        untold: What a gate is still to be told, by its name, while it is sent notices.
         changed: Event that is set when the item in the store has to be written.
         lease: The lease of that item, or 0 for none.
         leased_at: When the lease was granted.
@@ -90,6 +93,8 @@
 
     unsent: set[tuple[str, bytes]] = attrs.field(factory=set)
     due_at: float = inf
+    rounds: RateLimiter = attrs.field(factory=build_round_limiter)
+    untold: dict[str, set[tuple[str, bytes]]] = attrs.field(factory=dict)
     changed: Event = attrs.field(factory=Event)
     lease: int = 0
     leased_at: float = 0.0
--- a/tests/sidecar/simulated_crashes.py
+++ b/tests/sidecar/simulated_crashes.py
@@ -29,12 +29,8 @@
 from magnoliasill.sidecar import crash_guard, forwarding, gate_port, member_requests, store_sync
 from magnoliasill.sidecar.bodies import LongBody
 from magnoliasill.sidecar.control_port import record_heartbeat
-from magnoliasill.sidecar.crash_reports import (
-    ALL_PATH,
-    NOTICE_PATH,
-    describe_all,
-    receive_notice,
-)
+from magnoliasill.sidecar.crash_notices import NOTICE_PATH
+from magnoliasill.sidecar.crash_reports import ALL_PATH, describe_all, receive_notice
 from magnoliasill.sidecar.crash_store import keep_findings_stored
 from magnoliasill.sidecar.forwarding import Request, forward_request
 from magnoliasill.sidecar.gate_port import handle_gate_request
--- a/tests/sidecar/test_crash_guard.py
+++ b/tests/sidecar/test_crash_guard.py
@@ -13,7 +13,7 @@
     order_trial_members,
 )
 from magnoliasill.sidecar.crash_guard import ELSEWHERE_REASON, GuardedRequest
-from magnoliasill.sidecar.crash_reports import NOTICE_PATH
+from magnoliasill.sidecar.crash_notices import NOTICE_PATH
 from magnoliasill.sidecar.http_exchange import Message
 
 from . import fleet as harness
--- a/tests/sidecar/test_crash_reports.py
+++ b/tests/sidecar/test_crash_reports.py
@@ -14,7 +14,7 @@
 from magnoliasill.mesh.crash_findings import CrashRecord, record_end
 from magnoliasill.mesh.members import Member, put_member
 from magnoliasill.mesh.settings import Bounds, SidecarSettings
-from magnoliasill.sidecar import crash_reports
+from magnoliasill.sidecar import crash_notices, crash_reports
 from magnoliasill.sidecar.metrics import Meters
 from magnoliasill.sidecar.state import Sidecar
 
@@ -68,7 +68,7 @@
         self.sent: Counter[str] = Counter()
         self.told_at: dict[str, dict[str, float]] = defaultdict(dict)
         self.cut = {f"gate-{number:02}" for number in range(CUT)}
-        self.patch(crash_reports, "request_from_member", self.answer_notice)
+        self.patch(crash_notices, "request_from_member", self.answer_notice)
 
     def answer_notice(
         self, sidecar: Sidecar, member: Member, target: str, timeout_s: float, *args: Any
--- a/tests/sidecar/test_member_requests.py
+++ b/tests/sidecar/test_member_requests.py
@@ -10,7 +10,14 @@
 
 from magnoliasill.mesh.crash_findings import record_end
 from magnoliasill.mesh.takeovers import Order
-from magnoliasill.sidecar import crash_reports, daemon, gate_port, member_requests, release_counts
+from magnoliasill.sidecar import (
+    crash_notices,
+    crash_reports,
+    daemon,
+    gate_port,
+    member_requests,
+    release_counts,
+)
 from magnoliasill.sidecar.http_exchange import Reply
 from magnoliasill.sidecar.metrics import Meters
 from magnoliasill.sidecar.state import OpenOrder
@@ -59,7 +66,7 @@
 
     def test_findings_are_told_and_heard_urgently(self) -> None:
         self.record(daemon, "receive_notice")
-        self.record(crash_reports, "request_from_member")
+        self.record(crash_notices, "request_from_member")
         fingerprint = bytes(12)
         record_end(self.sidecar.crash_findings, 1.0, "stock", fingerprint, bytes(6))
         crash_reports.report_end(self.sidecar, "stock", fingerprint)
