--- a/tests/sidecar/test_endless_answers.py
+++ b/tests/sidecar/test_endless_answers.py
@@ -16,6 +16,7 @@
 from magnoliasill.sidecar.bodies import LongBody
 from magnoliasill.sidecar.http_exchange import BrokenError, Message, NotSentError, exchange
 from magnoliasill.sidecar.member_requests import request_from_member
+from magnoliasill.sidecar.metrics import Meters
 
 from ..endless_answers import ANSWERS, serve_endless
 
@@ -96,7 +97,9 @@
 
     # its answer was kept whole, whatever arrived until the deadline
     def test_it_ends_at_the_deadline_within_bounded_memory(self) -> None:
-        sidecar: Any = SimpleNamespace(control_connections=ConnectionPool(), clock=time.monotonic)
+        sidecar: Any = SimpleNamespace(
+            control_connections=ConnectionPool(), clock=time.monotonic, meters=Meters()
+        )
         member: Any = SimpleNamespace(gate=self.server.address)
         self.check_bounds(
             lambda: self.assertIsNone(request_from_member(sidecar, member, "/x", DEADLINE_S, dict))
