--- a/src/magnoliasill/mesh/relays.py
+++ b/src/magnoliasill/mesh/relays.py
@@ -336,9 +336,13 @@
     if item.revision in held:  # in a snapshot; the follower has this version
         return Change(item.key, item.revision, None, item.lease, True)
     delta = versions.find_delta(item, held)
-    if delta is not None and measure_delta(delta) <= MAX_RELAYED_BYTES:
-        return Change(item.key, item.revision, None, item.lease, True, delta)
-    packed = versions.pack_value(item)
-    if delta is not None and (packed is None or measure_delta(delta) <= len(packed)):
-        return Change(item.key, item.revision, None, item.lease, True, delta)
-    return Change(item.key, item.revision, None, item.lease, True, packed=packed)
+    if delta is not None and _is_longer_than_packed(delta, item, versions):
+        delta = None
+    packed = versions.pack_value(item) if delta is None else None
+    return Change(item.key, item.revision, None, item.lease, True, delta, packed)
+
+
+def _is_longer_than_packed(delta: Delta, item: Item, versions: LongValueVersions) -> bool:
+    """Return whether a delta is long, and the compressed value shorter."""
+    size = measure_delta(delta)
+    return size > MAX_RELAYED_BYTES and size > len(versions.pack_value(item) or b"")
--- a/src/magnoliasill/sidecar/bodies.py
+++ b/src/magnoliasill/sidecar/bodies.py
@@ -89,7 +89,7 @@
     return LongBody(b"", environ["wsgi.input"], length, limit)
 
 
-def announce_body(body: bytes | LongBody) -> LongBody:
+def build_announced_body(body: bytes | LongBody) -> LongBody:
     """Return a body to send once the other end asks for it; a short one can be sent again."""
     if isinstance(body, LongBody):
         return body
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -36,7 +36,7 @@
 from ..mesh.retry_after import RetryAfterState, choose_retry_after, count_arrival
 from ..mesh.routes import DEFAULT_PRIORITY
 from ..mesh.server_notices import record_cold, record_limit, use_turn
-from .bodies import LongBody, announce_body, measure_body
+from .bodies import LongBody, build_announced_body, measure_body
 from .crash_guard import (
     BLOCKED_REASON,
     ELSEWHERE_REASON,
@@ -402,7 +402,7 @@
 ) -> AttemptResult:
     headers = [*message.headers, (CALL_HEADER, encode_header_value(call))]
     is_asked_for = call.fingerprint is not None
-    body = announce_body(message.body) if is_asked_for else message.body
+    body = build_announced_body(message.body) if is_asked_for else message.body
     hop_message = attrs.evolve(message, headers=headers, body=body, expects_continue=is_asked_for)
     deadline = answer_deadline + RESPONSE_GRACE_S
     count_sent(sidecar, "bodies", 0 if is_asked_for else measure_body(body))
--- a/tests/sidecar/test_uploads.py
+++ b/tests/sidecar/test_uploads.py
@@ -6,12 +6,14 @@
 import random
 from typing import TYPE_CHECKING, Any
 
+import attrs
 import eventlet
 import testtools
 from testscenarios import WithScenarios
 
 from magnoliasill.mesh.gate import AdmissionDecision
-from magnoliasill.sidecar import gate_port
+from magnoliasill.mesh.ingress import MAX_ARRIVING
+from magnoliasill.sidecar import body_turns, gate_port
 from magnoliasill.sidecar.bodies import MAX_BUFFERED_BYTES
 
 from . import fleet as harness
@@ -64,12 +66,23 @@
     """Uploads that a sidecar without a server of their service sends to three that have one."""
 
     fleet: Fleet
+    size = UPLOAD_BYTES
+    link_mbps = 0.0
 
     def open_fleet(self, kind: str) -> None:
         self.fleet = open_fleet(["records", "records", "records", "front"])
         self.addCleanup(harness.close_fleet, self.fleet)
         put_configuration(self.fleet, 3, build_rule("records", kind))
         harness.wait_ready(self.fleet)
+        for running in self.fleet.sidecars:
+            sidecar = running.sidecar
+            sidecar.settings = attrs.evolve(sidecar.settings, link_mbps=self.link_mbps)
+            sidecar.wake_registration()
+        harness.wait_for(self.knows_links, "the records do not name the links")
+
+    def knows_links(self) -> bool:
+        records = self.fleet.sidecars[SENDER].sidecar.members.records.values()
+        return all(member.link_mbps == self.link_mbps for member in records)
 
     def upload(
         self, number: int, body: bytes, chunked: bool, piece_bytes: int = CHUNK_BYTES
@@ -89,7 +102,7 @@
     def upload_all(self, chunked: bool) -> tuple[dict[str, str], list[int]]:
         """Send uploads side by side; return their digests by target, and the statuses."""
         generator = random.Random(50)
-        bodies = [generator.randbytes(UPLOAD_BYTES) for _ in range(UPLOADS)]
+        bodies = [generator.randbytes(self.size) for _ in range(UPLOADS)]
         pool = eventlet.GreenPool()
         calls = [pool.spawn(self.upload, n, body, chunked) for n, body in enumerate(bodies)]
         statuses = [found.wait() for found in calls]
@@ -151,6 +164,30 @@
         self.assertGreaterEqual(runs, statuses.count(200))
 
 
+class AnnouncedUploadTest(RefusedUploadTest):
+    """The same with bodies that are kept, and announced since the links of the gates are thin."""
+
+    size = 60_000
+    link_mbps = 10.0
+
+    def test_bodies_are_received_in_turn(self) -> None:
+        self.open_fleet(self.kind)
+        most_arriving = []
+        receive = body_turns.receive_in_turn
+
+        def receive_in_turn(sidecar: Any, *arguments: Any) -> bytes | None:
+            body = receive(sidecar, *arguments)
+            most_arriving.append(len(sidecar.ingress.arriving))
+            return body
+
+        self.patch(body_turns, "receive_in_turn", receive_in_turn)
+        sent, statuses = self.upload_all(self.chunked)
+        self.assertEqual([], self.list_altered(sent))
+        self.assertEqual({200}, set(statuses))
+        self.assertLess(0, len(most_arriving))
+        self.assertLessEqual(max(most_arriving), MAX_ARRIVING)
+
+
 class UnservedUploadTest(WithScenarios, UploadCase):
     """An upload that no server takes."""
 
