Leave gates that answer no notice to the store for four seconds

A gate that answered none of a series, or that requests could not reach either, now gets none for 4 s, as with other doubts; it reads the findings from the store.

test_crash_reports: a silent gate gets at most one notice a second.

--- a/src/magnoliasill/sidecar/crash_notices.py
+++ b/src/magnoliasill/sidecar/crash_notices.py
@@ -19,6 +19,7 @@
 from ..mesh.records import encode_record
 from ..urgent_hub import set_urgent, spawn_urgent
 from .member_requests import request_from_member
+from .state import NEVER
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -31,6 +32,7 @@
 MAX_NOTICE_BYTES = 262_144  # such a notice with the most servers for each request
 NOTICE_TIMEOUT_S = 0.5
 NOTICE_RETRY_S = (0.2, 0.6)
+SILENT_S = 4.0  # without notices to a gate that answered none
 MIN_ROUND_WAIT_S = 0.001
 
 
@@ -83,18 +85,24 @@
     return [
         member
         for name, member in sidecar.members.by_service.get(service, {}).items()
-        if name != sidecar.settings.name
-        and find_condition(sidecar.members, member).avoid_until <= sidecar.clock()
+        if name != sidecar.settings.name and _is_reachable(sidecar, member)
     ]
 
 
+def _is_reachable(sidecar: Sidecar, member: Member) -> bool:
+    """Return whether neither requests nor notices to a gate have failed just now."""
+    silent_until = sidecar.crash_reports.silent_until.get(member.name, NEVER)
+    avoid_until = find_condition(sidecar.members, member).avoid_until
+    return max(silent_until, avoid_until) <= sidecar.clock()
+
+
 def _notify_member(
     sidecar: Sidecar, member: Member, handle_answer: Callable[[list[CrashRecord]], None]
 ) -> None:
     """Send a gate notices until it knows all that it was to be told, or does not answer."""
     untold, failures = sidecar.crash_reports.untold[member.name], 0
     try:
-        while untold and failures <= len(NOTICE_RETRY_S):
+        while untold:
             chosen = sorted(untold)[:MAX_NOTICE_RECORDS]
             answer = exchange_records(
                 sidecar, member, NOTICE_PATH, describe_findings(sidecar, chosen)
@@ -105,8 +113,11 @@
                 handle_answer(answer)
                 continue
             log_unshared(sidecar, "notice_lost", member.name, "no answer to a notice")
-            if failures < len(NOTICE_RETRY_S):
-                eventlet.sleep(NOTICE_RETRY_S[failures])
+            if failures == len(NOTICE_RETRY_S) or not _is_reachable(sidecar, member):
+                # Until it can be reached again, it learns of findings from the store.
+                sidecar.crash_reports.silent_until[member.name] = sidecar.clock() + SILENT_S
+                return
+            eventlet.sleep(NOTICE_RETRY_S[failures])
             failures += 1
     finally:
         del sidecar.crash_reports.untold[member.name]
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -82,6 +82,7 @@
         due_at: When they are sent, in seconds on the monotonic clock.
         rounds: Limits how often they are sent.
         untold: What a gate is still to be told, by its name, while it is sent notices.
+        silent_until: Until when a gate that did not answer gets no notices, by its name.
         changed: Event that is set when the item in the store has to be written.
         lease: The lease of that item, or 0 for none.
         leased_at: When the lease was granted.
@@ -95,6 +96,7 @@
     due_at: float = inf
     rounds: RateLimiter = attrs.field(factory=build_round_limiter)
     untold: dict[str, set[tuple[str, bytes]]] = attrs.field(factory=dict)
+    silent_until: dict[str, float] = attrs.field(factory=dict)
     changed: Event = attrs.field(factory=Event)
     lease: int = 0
     leased_at: float = 0.0
--- a/tests/sidecar/test_crash_reports.py
+++ b/tests/sidecar/test_crash_reports.py
@@ -28,6 +28,7 @@
 AT_ONCE_S = 0.05
 KNOWN_WITHIN_S = 2.5  # after the last finding
 MAX_PER_GATE_S = 2.0  # of any number of findings; one carries 128
+MAX_PER_SILENT_GATE_S = 1.0
 FIRST_NOTICES = 8  # to each gate, before that limit is reached
 
 
@@ -103,6 +104,8 @@
         lost = self.lose_many(50.0)
         limit = FIRST_NOTICES + MAX_PER_GATE_S * (STORM_S + KNOWN_WITHIN_S)
         self.assertLessEqual(max(self.sent.values()), limit)
+        limit = MAX_PER_SILENT_GATE_S * (STORM_S + KNOWN_WITHIN_S)
+        self.assertLessEqual(max(self.sent[name] for name in self.cut), limit)
         for name in set(self.sidecar.members.records) - self.cut:
             self.assertEqual(set(lost), set(self.told_at[name]))
 
