Test what a storm of lost requests writes to the store (fails)

The store's revisions rose by some 100 a second: each sidecar writes its whole list of findings up to three times a second, and the relays send each list to all VMs.

--- a/tests/sidecar/test_crash_reports.py
+++ b/tests/sidecar/test_crash_reports.py
@@ -14,7 +14,7 @@
 from magnoliasill.mesh.crash_findings import CrashRecord, record_end
 from magnoliasill.mesh.members import Member, put_member
 from magnoliasill.mesh.settings import Bounds, SidecarSettings
-from magnoliasill.sidecar import crash_notices, crash_reports
+from magnoliasill.sidecar import crash_notices, crash_reports, crash_store
 from magnoliasill.sidecar.metrics import Meters
 from magnoliasill.sidecar.state import Sidecar
 
@@ -29,9 +29,27 @@
 KNOWN_WITHIN_S = 2.5  # after the last finding
 MAX_PER_GATE_S = 2.0  # of any number of findings; one carries 128
 MAX_PER_SILENT_GATE_S = 1.0
+STORED_BYTES_PER_S = 5_000  # of a daemon for control (DEVELOPERS.md)
 FIRST_NOTICES = 8  # to each gate, before that limit is reached
 
 
+class WrittenStore:
+    """A store that remembers how many bytes were written, and the last value."""
+
+    era = 0
+    written = 0
+    value = b""
+
+    def grant_lease(self, seconds: float) -> int:
+        return 1
+
+    def transact(self, transaction: Any) -> int:
+        eventlet.sleep(ANSWER_S)
+        self.value = transaction.puts[0].value
+        self.written += len(self.value)
+        return 1
+
+
 class StormTest(testtools.TestCase):
     """A sidecar that loses many requests at once, as when a data centre is cut off."""
 
@@ -70,6 +88,8 @@
         self.told_at: dict[str, dict[str, float]] = defaultdict(dict)
         self.cut = {f"gate-{number:02}" for number in range(CUT)}
         self.patch(crash_notices, "request_from_member", self.answer_notice)
+        self.store = self.sidecar.store = WrittenStore()
+        self.sidecar.mirror.revision = 1
 
     def answer_notice(
         self, sidecar: Sidecar, member: Member, target: str, timeout_s: float, *args: Any
@@ -109,6 +129,25 @@
         for name in set(self.sidecar.members.records) - self.cut:
             self.assertEqual(set(lost), set(self.told_at[name]))
 
+    # all VMs got each of 100 lists of findings a second, and merged them anew
+    def test_what_is_written_to_the_store_is_bounded(self) -> None:
+        loop = eventlet.spawn(crash_store.keep_findings_stored, self.sidecar)
+        self.lose_many(50.0)
+        loop.kill()
+        self.assertLessEqual(self.store.written, STORED_BYTES_PER_S * (STORM_S + KNOWN_WITHIN_S))
+
+    def test_a_request_that_ended_two_servers_is_written_soon(self) -> None:
+        loop = eventlet.spawn(crash_store.keep_findings_stored, self.sidecar)
+        self.lose_many(20.0)
+        fingerprint = self.lose_request(1)
+        record_end(
+            self.sidecar.crash_findings, self.hub.now_s, SERVICE, (1).to_bytes(12), b"other!"
+        )
+        crash_reports.report_end(self.sidecar, SERVICE, (1).to_bytes(12))
+        eventlet.sleep(KNOWN_WITHIN_S)
+        loop.kill()
+        self.assertIn(fingerprint, self.store.value.decode())
+
     def test_a_single_finding_is_told_at_once(self) -> None:
         eventlet.sleep(1.0)
         for number in range(3):
