Bound what a storm of lost requests writes to the store

Cause and evidence: see the failing test before; all VMs got each list of findings, up to three a second from each sidecar, merged it anew, and had it read again before a suspect ran.

A sidecar now writes its findings four times at once, then each 2.5 s, only if they changed, and of requests under which a single server ended only the newest 16: gates that are cut off learn of a single end from the store (data_centres_cut of test_crashing_requests, which failed when none was written). All are written again after the store came back from a copy.

--- a/src/magnoliasill/mesh/crash_findings.py
+++ b/src/magnoliasill/mesh/crash_findings.py
@@ -44,6 +44,9 @@
 # A request that ends a server after the other needs few rounds; more come from a common cause.
 FIRST_ROUNDS = 4.0
 ROUNDS_PER_S = 1.0
+WRITES_PER_S = 0.4  # of the findings to the store, after the first ones
+MIN_SERIOUS_ENDS = 2
+MAX_STORED_SINGLE = 16  # requests under which a single server ended
 
 
 @attrs.frozen
@@ -103,10 +106,10 @@
     running_alone: set[bytes] = attrs.field(factory=set)
 
 
-def build_round_limiter() -> RateLimiter:
-    """Return what limits how often the gates are told of findings: a few times, then steadily."""
+def build_limiter(limit_per_s: float) -> RateLimiter:
+    """Return what limits how often findings are told or stored: a few times, then steadily."""
     return RateLimiter(
-        limit_per_s=ROUNDS_PER_S,
+        limit_per_s=limit_per_s,
         tokens=FIRST_ROUNDS,
         updated_at=0.0,
         next_turn_at=0.0,
@@ -201,6 +204,24 @@
     )
 
 
+def list_stored(findings: CrashFindings) -> list[CrashRecord]:
+    """Return what this sidecar found that is written to the store, the newest last.
+
+    Of requests under which one server ended only the newest are: many at a time are answers that
+    were lost, and all VMs get what is stored.
+    """
+    records = list(findings.own.values())
+    single = [record for record in records if not _is_serious(findings, record)]
+    left_out = {record.fingerprint for record in single[:-MAX_STORED_SINGLE]}
+    return [record for record in records if record.fingerprint not in left_out]
+
+
+def _is_serious(findings: CrashFindings, record: CrashRecord) -> bool:
+    """Return whether several servers are known to have ended under a request."""
+    suspect = findings.table.suspects.get(bytes.fromhex(record.fingerprint))
+    return suspect is not None and len(suspect.ended) >= MIN_SERIOUS_ENDS
+
+
 def merge_own(findings: CrashFindings, records: Iterable[CrashRecord]) -> None:
     """Take over what an earlier process on this VM found, so that it is stored on."""
     for record in records:
--- a/src/magnoliasill/sidecar/crash_store.py
+++ b/src/magnoliasill/sidecar/crash_store.py
@@ -14,7 +14,8 @@
 
 from ..codes import LogEvent
 from ..errors import ConditionFailedError, ConfigurationError, LeaseEndedError, StoreError
-from ..mesh.crash_findings import merge_own
+from ..mesh.crash_findings import list_stored, merge_own
+from ..mesh.rate_limits import estimate_token_wait, take_token
 from ..mesh.records import CRASH_PREFIX, decode_crash_records, encode_record
 from ..mesh.store_items import Condition, Put, Transaction
 from .crash_notices import log_unshared
@@ -75,12 +76,24 @@
         reports.changed.wait()
         eventlet.sleep(WRITE_DELAY_S)
         reports.changed = Event()
-        while not _write_findings(sidecar):
+        value = encode_record(list_stored(sidecar.crash_findings))
+        if value == reports.stored:
+            continue
+        while not _write_findings(sidecar, value):
             eventlet.sleep(sidecar.random.uniform(WRITE_RETRY_MIN_S, WRITE_RETRY_MAX_S))
-        eventlet.sleep(WRITE_INTERVAL_S)
+            value = encode_record(list_stored(sidecar.crash_findings))
+        reports.stored = value
+        eventlet.sleep(_choose_pause(sidecar))
 
 
-def _write_findings(sidecar: Sidecar) -> bool:
+def _choose_pause(sidecar: Sidecar) -> float:
+    """Return the seconds until the findings may be written again: longer after many writes."""
+    writes, now = sidecar.crash_reports.writes, sidecar.clock()
+    take_token(writes, now)
+    return max(WRITE_INTERVAL_S, estimate_token_wait(writes, 0, now))
+
+
+def _write_findings(sidecar: Sidecar, value: bytes) -> bool:
     """Write the findings; return whether that succeeded."""
     reports, key = sidecar.crash_reports, CRASH_PREFIX + sidecar.settings.name
     try:
@@ -88,7 +101,6 @@
         if reports.revision is None:
             known = sidecar.mirror.items.get(key)
             reports.revision = known.revision if known and known.value is not None else 0
-        value = encode_record(list(sidecar.crash_findings.own.values()))
         put = Put(key, value, reports.lease)
         condition = (Condition(key, reports.revision),)
         reports.revision = sidecar.store.transact(Transaction((put,), condition))
--- a/src/magnoliasill/sidecar/era_changes.py
+++ b/src/magnoliasill/sidecar/era_changes.py
@@ -9,7 +9,7 @@
 
 from ..codes import LogEvent
 from ..mesh.positions import find_revision
-from .state import NEVER
+from .state import NEVER, NOTHING_STORED
 
 if TYPE_CHECKING:
     from .state import Sidecar
@@ -39,6 +39,7 @@
 
 def _write_own_again(sidecar: Sidecar) -> None:
     sidecar.wake_registration()
+    sidecar.crash_reports.stored = NOTHING_STORED
     if sidecar.crash_findings.own and not sidecar.crash_reports.changed.ready():
         sidecar.crash_reports.changed.send()
 
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -16,7 +16,7 @@
 from ..codes import LogEvent
 from ..mesh.backend import Backend
 from ..mesh.cold_starts import ColdDoubts
-from ..mesh.crash_findings import CrashFindings, build_round_limiter
+from ..mesh.crash_findings import ROUNDS_PER_S, WRITES_PER_S, CrashFindings, build_limiter
 from ..mesh.egress import Egress
 from ..mesh.evacuations import Evacuations
 from ..mesh.gate import MAX_WAIT_S, Gate
@@ -49,6 +49,7 @@
 
 
 STORE_DOUBT_S = 4.0  # after a call to the store failed
+NOTHING_STORED = b"[]"  # the value of an item with no findings
 NEVER = float("-inf")  # a time before all others, in seconds on the monotonic clock
 
 
@@ -81,6 +82,8 @@
         unsent: The requests to report, as pairs of service and fingerprint.
         due_at: When they are sent, in seconds on the monotonic clock.
         rounds: Limits how often they are sent.
+        writes: Limits how often the item in the store is written.
+        stored: The value of that item, as this process has written it.
         untold: What a gate is still to be told, by its name, while it is sent notices.
         silent_until: Until when a gate that did not answer gets no notices, by its name.
         changed: Event that is set when the item in the store has to be written.
@@ -94,7 +97,9 @@
 
     unsent: set[tuple[str, bytes]] = attrs.field(factory=set)
     due_at: float = inf
-    rounds: RateLimiter = attrs.field(factory=build_round_limiter)
+    rounds: RateLimiter = attrs.field(factory=lambda: build_limiter(ROUNDS_PER_S))
+    writes: RateLimiter = attrs.field(factory=lambda: build_limiter(WRITES_PER_S))
+    stored: bytes = NOTHING_STORED
     untold: dict[str, set[tuple[str, bytes]]] = attrs.field(factory=dict)
     silent_until: dict[str, float] = attrs.field(factory=dict)
     changed: Event = attrs.field(factory=Event)
