Tell gates also of ends found while a notice is on its way

A gate would have gone on by one end where two were known, and run a request that ends its servers once more.

What a notice names is no longer waiting once it is sent, and waits again if it is not answered. The new test failed before (2 != 1: gate-24); the answers of the made-up gates take 0.012 s in place of 0.003, so that a second report falls into one.

--- a/src/magnoliasill/sidecar/crash_notices.py
+++ b/src/magnoliasill/sidecar/crash_notices.py
@@ -104,14 +104,15 @@
     try:
         while untold:
             chosen = sorted(untold)[:MAX_NOTICE_RECORDS]
+            untold.difference_update(chosen)  # what is found about them from now on is told again
             answer = exchange_records(
                 sidecar, member, NOTICE_PATH, describe_findings(sidecar, chosen)
             )
             if answer is not None:
                 failures = 0
-                untold.difference_update(chosen)
                 handle_answer(answer)
                 continue
+            untold.update(chosen)
             log_unshared(sidecar, "notice_lost", member.name, "no answer to a notice")
             if failures == len(NOTICE_RETRY_S) or not _is_reachable(sidecar, member):
                 # Until it can be reached again, it learns of findings from the store.
--- a/tests/sidecar/test_crash_reports.py
+++ b/tests/sidecar/test_crash_reports.py
@@ -24,7 +24,7 @@
 GATES = 40
 CUT = 10  # of the gates, that don't answer
 STORM_S = 6.0
-ANSWER_S = 0.003
+ANSWER_S = 0.012
 AT_ONCE_S = 0.05
 KNOWN_WITHIN_S = 2.5  # after the last finding
 MAX_PER_GATE_S = 2.0  # of any number of findings; one carries 128
@@ -85,6 +85,7 @@
             member = Member(name, "dc-0", f"{name}:1", **fields)
             put_member(self.sidecar.members, member)
         self.sent: Counter[str] = Counter()
+        self.told_ends: dict[tuple[str, str], set[str]] = defaultdict(set)
         self.told_at: dict[str, dict[str, float]] = defaultdict(dict)
         self.cut = {f"gate-{number:02}" for number in range(CUT)}
         self.patch(crash_notices, "request_from_member", self.answer_notice)
@@ -101,6 +102,7 @@
         eventlet.sleep(ANSWER_S)
         for record in msgspec.json.decode(args[1], type=list[CrashRecord]):
             self.told_at[member.name].setdefault(record.fingerprint, self.hub.now_s)
+            self.told_ends[member.name, record.fingerprint] |= {*record.ended}
         return []
 
     def lose_request(self, number: int) -> str:
@@ -129,6 +131,18 @@
         for name in set(self.sidecar.members.records) - self.cut:
             self.assertEqual(set(lost), set(self.told_at[name]))
 
+    # the second end of a request was never told to gates that were being told of the first
+    def test_an_end_found_while_a_notice_is_on_its_way_is_told(self) -> None:
+        fingerprint = self.lose_request(1)
+        eventlet.sleep(crash_reports.END_DELAY_S + ANSWER_S / 3)
+        self.assertEqual(1, self.sent["gate-39"])
+        findings = self.sidecar.crash_findings
+        record_end(findings, self.hub.now_s, SERVICE, (1).to_bytes(12), b"second")
+        crash_reports.report_end(self.sidecar, SERVICE, (1).to_bytes(12))
+        eventlet.sleep(KNOWN_WITHIN_S)
+        for name in set(self.sidecar.members.records) - self.cut:
+            self.assertEqual(2, len(self.told_ends[name, fingerprint]), name)
+
     # all VMs got each of 100 lists of findings a second, and merged them anew
     def test_what_is_written_to_the_store_is_bounded(self) -> None:
         loop = eventlet.spawn(crash_store.keep_findings_stored, self.sidecar)
