Log reads of the whole store, and how late each configuration may be

The logs could not tell how many VMs read the whole store at once, nor how late a version was at VMs that were not late enough for configuration_late. store_items_read (4006) names items, bytes and seconds of such a read; configuration_received has delay_s. No decision changes.

--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -54,8 +54,9 @@
     ),
     LogEvent.CONFIGURATION_RECEIVED: EventEntry(
         "A response with versions of the configuration arrived: from a relay (its name), from a "
-        "watch of the store or from a read of its items, and how old the local copy was before.",
-        fields=("source", "revision", "versions", "size", "seconds", "copy_age_s"),
+        "watch of the store or from a read of its items, how old the local copy was before, and "
+        "the most seconds since the acceptance of the newest version.",
+        fields=("source", "revision", "versions", "size", "seconds", "copy_age_s", "delay_s"),
         reaction="if `copy_age_s` or `seconds` is near the time allowed to apply a change, check "
         "the VM's link and whether the store answers it",
     ),
@@ -164,6 +165,12 @@
         fields=("reason",),
         reaction="inform the platform's operators",
     ),
+    LogEvent.STORE_ITEMS_READ: EventEntry(
+        "This sidecar has read all items of the store over its own link, instead of the changes: "
+        "how many, the bytes of their values, how long that took, and how old the local copy was.",
+        fields=("items", "size", "seconds", "copy_age_s"),
+        reaction="if many VMs log it in the same second, look for what their relays had in common",
+    ),
     LogEvent.SERVER_EJECTED: EventEntry(
         "This daemon sends no calls to a backend server for a while, because of its failures.",
         fields=("service", "server"),
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -343,6 +343,7 @@
         took_long = sidecar.clock() - fetch.started_at > LONG_READ_S
         may_be_old = took_long or any(is_long(item) for item in changed)
         sidecar.in_sync_at = fetch.started_at if may_be_old else sidecar.clock()
+        _log_read(sidecar, items, fetch)
         _log_configuration(sidecar, changed, "read", fetch, unseen_at)
         return 0.0
 
@@ -371,6 +372,16 @@
     return _Fetch(sidecar.clock(), sidecar.wake_clock(), copy_age_s)
 
 
+def _log_read(sidecar: Sidecar, items: Sequence[Item], fetch: _Fetch) -> None:
+    sidecar.log(
+        LogEvent.STORE_ITEMS_READ,
+        items=len(items),
+        size=sum(len(item.value or b"") for item in items),
+        seconds=round(sidecar.clock() - fetch.started_at, 3),
+        copy_age_s=fetch.copy_age_s,
+    )
+
+
 def _log_configuration(
     sidecar: Sidecar, items: Sequence[Item], source: str, fetch: _Fetch, unseen_at: float
 ) -> None:
@@ -391,6 +402,8 @@
     sidecar.meters.count("configuration", "superseded", len(versions) - 1)
     if fetch.copy_age_s is not None:
         sidecar.meters.observe("copy_age", fetch.copy_age_s)
+    has_delay = unseen_at > NEVER and sidecar.table is not None
+    delay_s = sidecar.clock() - unseen_at if has_delay else None
     sidecar.log(
         LogEvent.CONFIGURATION_RECEIVED,
         source=source,
@@ -399,10 +412,11 @@
         size=sum(len(item.value) for item in versions),
         seconds=round(sidecar.clock() - fetch.started_at, 3),
         copy_age_s=fetch.copy_age_s,
+        delay_s=None if delay_s is None else round(delay_s, 3),
     )
     sidecar.configuration_unseen_at = unseen_at
-    if unseen_at > NEVER and sidecar.table is not None:
-        _record_delay(sidecar, source, fetch, sidecar.clock() - unseen_at)
+    if delay_s is not None:
+        _record_delay(sidecar, source, fetch, delay_s)
 
 
 def _record_delay(sidecar: Sidecar, source: str, fetch: _Fetch, delay_s: float) -> None:
