--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -20,6 +20,7 @@
 from fakes.store import (
     UNANSWERED,
     FakeStore,
+    drop_history,
     expire_leases,
     format_era,
     handle_read,
@@ -168,6 +169,8 @@
         accepted: When each version of the configuration was accepted.
         failures: Errors that ended a loop.
         cut_data_centre: The data centre that reaches no other, or an empty string.
+        silences: How often the watches of the store have fallen silent.
+        are_watches_silent: Whether no watch is answered.
     """
 
     hub: VirtualHub
@@ -178,6 +181,8 @@
     accepted: dict[int, float] = attrs.field(factory=dict)
     failures: list[str] = attrs.field(factory=list)
     cut_data_centre: str = ""
+    silences: int = 0
+    are_watches_silent: bool = False
 
     @property
     def now(self) -> float:
@@ -355,6 +360,15 @@
     run_until(fleet, 24.0)
 
 
+def silence_watches(fleet: SimulatedFleet, duration_s: float) -> None:
+    """Answer no watch of the store for a time, then close all of them and drop the history."""
+    fleet.are_watches_silent = True
+    fleet.silences += 1
+    eventlet.sleep(duration_s)
+    drop_history(fleet.fake_store)
+    fleet.are_watches_silent = False
+
+
 def stop_vm(fleet: SimulatedFleet, name: str) -> None:
     """Cut the power of a VM."""
     vm = fleet.vms[name]
@@ -664,7 +678,7 @@
         vm.lost_watches -= 1
         _lose_answer(fleet, deadline)
     if parts.path == "/-/kv-watch":
-        status, body = _wait_for_events(fleet, vm, parts.path, query, request.wait_s)
+        status, body = _wait_for_events(fleet, vm, parts.path, query, request.wait_s, deadline)
     else:
         status, body = handle_request(
             fleet.fake_store, fleet.now, request.method, parts.path, query, request.body
@@ -678,12 +692,24 @@
 
 
 def _wait_for_events(
-    fleet: SimulatedFleet, vm: Vm, path: str, query: dict[str, str], wait_s: float
+    fleet: SimulatedFleet,
+    vm: Vm,
+    path: str,
+    query: dict[str, str],
+    wait_s: float,
+    deadline: float,
 ) -> tuple[int, Any]:
-    until = fleet.now + wait_s
+    until, silences = fleet.now + wait_s, fleet.silences
     while True:
         if vm.refused:
             return 503, {}
+        if fleet.silences > silences and not fleet.are_watches_silent:
+            raise StoreError("MS-302", "the store closed the connection")
+        if fleet.are_watches_silent:
+            if fleet.now >= deadline:
+                _lose_answer(fleet, deadline)
+            eventlet.sleep(WATCH_POLL_INTERVAL_S)
+            continue
         if not vm.silent:
             expire_leases(fleet.fake_store, fleet.now)
         status, body = handle_read(fleet.fake_store, path, query)
--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -128,6 +128,32 @@
         self.assertEqual([], fleet.failures)
 
 
+class SilentWatchesTest(WithScenarios, OutageCase):
+    """The store answers no watch for a second, closes all, and has lost its history."""
+
+    scenarios = [(f"seed-{seed}", {"seed": seed}) for seed in range(1, 5)]
+
+    # the copies of all relays aged at once, and each VM read the whole store over its own link
+    def test_only_relays_read_the_whole_store(self) -> None:
+        fleet = self.open_fleet(self.seed, vms=12)
+        for _ in range(2):
+            simulation.publish_series(fleet, 0.4, fleet.now + 2.0)
+            simulation.run_until(fleet, fleet.now + fleet.random.uniform(0.1, 0.6))
+            simulation.silence_watches(fleet, 1.0)
+            simulation.run_until(fleet, fleet.now + 4.0)
+        readers = {
+            name
+            for name, vm in fleet.vms.items()
+            for event in vm.events
+            if event["event"] == "store_items_read" and event["at"] > 4.0
+        }
+        fast = {name for name in fleet.vms if name.endswith(("-00", "-01"))}
+        self.assertEqual(set(), readers - fast)
+        late = {name: round(vm.late_s, 2) for name, vm in fleet.vms.items()}
+        self.assertEqual({}, {name: s for name, s in late.items() if s > TARGET_S})
+        self.assertEqual([], fleet.failures)
+
+
 class SlowLinkTest(WithScenarios, OutageCase):
     """Only some VMs have links over which whole configurations arrive as fast as they change."""
 
