Have relays read the store as soon as a watch is silent or broken

Cause: a relay whose watch heard nothing waited until its copy was 1.1 s old. Copies of relays count as outdated after 0.8 s, so all followers of all relays left them at the same moment and each read the whole store over its own link, while the relays had just read it. A watch that the store closed counted as a failing store, and the relay told its followers so. Change: the read follows the watch after 0.1 s (later where the store answers slowly), or at once when it breaks.

--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -176,6 +176,7 @@
             configuration, here or to the relay: it was accepted later.
         store_doubtful_until: Until when a watch waits only shortly, since another call failed.
         watching_store: Whether this sidecar watches the store itself and the store responds.
+        watch_overrun_s: The seconds by which the latest watch without changes outlasted its wait.
         cancel_watch: Ends the current watch of the store, if there is one.
         in_sync_at: When the local copy was last complete.
         relay_backoff: Sidecars, this one included, that are temporarily no source of changes.
@@ -245,6 +246,7 @@
     configuration_unseen_at: float = NEVER
     store_doubtful_until: float = NEVER
     watching_store: bool = False
+    watch_overrun_s: float = 0.0
     cancel_watch: Callable[[], None] = do_nothing
     in_sync_at: float = NEVER
     relay_backoff: RelayBackoff = attrs.field(factory=RelayBackoff)
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -80,7 +80,9 @@
 # With this many bytes of superseded versions in a page, the current items are read next instead of
 # further changes.
 MAX_REPLACED_BYTES = 16_384
-STORE = ""  # the name of the store as a source; no VM has it
+STORE = ""  # the name of a read of the store as a source; no VM has it
+WATCH = " "  # the same of a watch
+WATCH_GRACE_S = 0.1  # after the end of a watch, until the store is read as well
 ALL_KEYS = ""  # key prefix that matches every item
 
 # Applies what a source answered; returns the seconds to wait before it is asked again.
@@ -109,11 +111,16 @@
         started, relay = sidecar.clock(), find_relay(sidecar)
         outcome = ask_first(choose_sources(sidecar, relay))
         for name, error in outcome.failures.items():
+            if name == WATCH and outcome.winner == STORE:
+                _record_lost_watch(sidecar, error)
             # Others than the relay need no copy as recent as that of a relay.
-            if not is_outdated(error) or (relay is not None and name == relay.name):
+            elif not is_outdated(error) or (relay is not None and name == relay.name):
                 _record_failure(sidecar, name, error, started)
         for name, seconds in outcome.unanswered.items():
-            _record_silence(sidecar, name, seconds)
+            if name == WATCH and outcome.winner == STORE:
+                _record_lost_watch(sidecar)
+            else:
+                _record_silence(sidecar, name, seconds)
         if outcome.answer is not None:
             eventlet.sleep(outcome.answer())
         elif _has_no_source(sidecar, outcome, started):
@@ -122,7 +129,8 @@
 
 def _has_no_source(sidecar: Sidecar, outcome: Outcome[Apply], started: float) -> bool:
     """Return whether the store failed, has answered nothing else since, and no relay is left."""
-    failed = STORE in outcome.failures and sidecar.store_answered_at <= started
+    asked = {STORE, WATCH} & outcome.failures.keys()
+    failed = bool(asked) and sidecar.store_answered_at <= started
     return failed and find_relay(sidecar) is None
 
 
@@ -131,7 +139,9 @@
 
     First comes the relay that this sidecar follows, or the store if it follows none, then others
     that may stand in. The store is asked at the latest when the local copy is so old that reading
-    it takes the rest of the time that is aimed at.
+    it takes the rest of the time that is aimed at. It is read at once where a watch of it ends
+    without an answer: what silences one watch silences those of all relays, and their copies would
+    become outdated together.
 
     Args:
         sidecar: State of this sidecar.
@@ -140,7 +150,7 @@
     asked = [sidecar.settings.name]
     asks_store = relay is None
     if relay is None:
-        yield _build_store_source(sidecar)
+        yield from _list_store_sources(sidecar)
     else:
         asked.append(relay.name)
         hold_s = _choose_hold(sidecar)
@@ -175,14 +185,18 @@
     return READ_AGE_SHARE * sidecar.settings.bounds.config_apply_s - find_store_age(sidecar)
 
 
-def _build_store_source(sidecar: Sidecar) -> Source[Apply]:
+def _list_store_sources(sidecar: Sidecar) -> Iterator[Source[Apply]]:
+    """Yield the ways to ask the store itself: a read, or a watch and a read in its place."""
     allowed_s = sidecar.settings.bounds.config_apply_s
     if sidecar.clock() - sidecar.in_sync_at > MAX_WATCH_GAP_S:
-        return Source(STORE, lambda: _read_store(sidecar), READ_SHARE * allowed_s)
-    wait_s = _choose_watch_wait(sidecar)
-    return Source(
-        STORE, lambda: _watch_store(sidecar, wait_s), wait_s + WATCH_PATIENCE_SHARE * allowed_s
-    )
+        yield Source(STORE, lambda: _read_store(sidecar), READ_SHARE * allowed_s)
+        return
+    wait_s, patience_s = _choose_watch_wait(sidecar), WATCH_PATIENCE_SHARE * allowed_s
+    grace_s = min(WATCH_GRACE_S + 2 * sidecar.watch_overrun_s, patience_s)
+    yield Source(WATCH, lambda: _watch_store(sidecar, wait_s), wait_s + grace_s)
+    if sidecar.clock() >= sidecar.store_doubtful_until:
+        left_s = max(patience_s - grace_s, MIN_PATIENCE_S)
+        yield Source(STORE, lambda: _read_store(sidecar), left_s)
 
 
 def _choose_watch_wait(sidecar: Sidecar) -> float:
@@ -200,14 +214,13 @@
     sidecar: Sidecar, name: str, error: BaseException | None, started: float
 ) -> None:
     """Record that a source failed since a request to the sources began."""
-    if name != STORE:
+    if name not in (STORE, WATCH):
         suspend_relay(sidecar, name, error, sidecar.clock() - started)
     elif isinstance(error, HistoryLostError):
         sidecar.meters.count("store", "history_lost")
         sidecar.in_sync_at = NEVER
     elif error is not None:
-        sidecar.meters.count("store", "watch_failed")
-        sidecar.watching_store = False
+        _record_lost_watch(sidecar)
         if sidecar.store_answered_at <= started:  # else it answered a later call
             reason = error.message if isinstance(error, StoreError) else describe_error(error)
             record_store_failure(sidecar, reason)
@@ -216,13 +229,19 @@
 
 def _record_silence(sidecar: Sidecar, name: str, seconds: float) -> None:
     """Record that a source has not answered for some seconds, while another one did."""
-    if name != STORE:
-        if seconds >= HEDGE_S:
-            suspend_relay(sidecar, name, None, seconds)
-    elif sidecar.watching_store and seconds > WATCH_SHARE * sidecar.settings.bounds.config_apply_s:
-        sidecar.meters.count("store", "watch_failed")
-        sidecar.watching_store = False
-        _suspend_own_reads(sidecar)
+    if name == WATCH:
+        if seconds > WATCH_SHARE * sidecar.settings.bounds.config_apply_s:
+            _record_lost_watch(sidecar)
+            _suspend_own_reads(sidecar)
+    elif name != STORE and seconds >= HEDGE_S:
+        suspend_relay(sidecar, name, None, seconds)
+
+
+def _record_lost_watch(sidecar: Sidecar, error: BaseException | None = None) -> None:
+    """Record that a watch failed or was not answered in time."""
+    is_lost = isinstance(error, HistoryLostError)
+    sidecar.meters.count("store", "history_lost" if is_lost else "watch_failed")
+    sidecar.watching_store = False
 
 
 def _suspend_own_reads(sidecar: Sidecar) -> None:
@@ -266,6 +285,8 @@
         sidecar.meters.count("store", "watch")
         sidecar.followed_relay = ""
         unseen_at = sidecar.store_confirmed_at
+        overrun_s = sidecar.clock() - fetch.started_at - wait_s
+        sidecar.watch_overrun_s = 0.0 if page.items else max(overrun_s, 0.0)
         # Without changes the store waited to the end; with some it may have answered at once.
         _record_answer(sidecar, fetch.started_at + (0.0 if page.items else wait_s))
         sidecar.watching_store = True
--- a/tests/sidecar/simulated_fleet.py
+++ b/tests/sidecar/simulated_fleet.py
@@ -118,6 +118,7 @@
         cut: Whether it reaches no other VM, though the store.
         answer_delay_s: How long its answers to other VMs take, on top of their usual time.
         lost_watches: How many of its next watches of the store get no response.
+        lost_reads: How many of its next reads of the store's items get none.
         running_since: Since when its process has run without interruption.
         calm_since: Since when it has been neither frozen, cut nor slow.
         served_since: Since when the store has served this VM.
@@ -145,6 +146,7 @@
     cut: bool = False
     answer_delay_s: float = 0.0
     lost_watches: int = 0
+    lost_reads: int = 0
     running_since: float = 0.0
     calm_since: float = NEVER
     served_since: float = 0.0
@@ -677,6 +679,9 @@
     if parts.path == "/-/kv-watch" and vm.lost_watches:
         vm.lost_watches -= 1
         _lose_answer(fleet, deadline)
+    if parts.path == "/-/kv-range" and vm.lost_reads:
+        vm.lost_reads -= 1
+        _lose_answer(fleet, deadline)
     if parts.path == "/-/kv-watch":
         status, body = _wait_for_events(fleet, vm, parts.path, query, request.wait_s, deadline)
     else:
