--- a/src/magnoliasill/mesh/routes.py
+++ b/src/magnoliasill/mesh/routes.py
@@ -7,6 +7,7 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from random import Random
 
 DEFAULT_ATTEMPTS = 2
@@ -96,13 +97,26 @@
     idle_timeout_s: float = 15.0
 
 
+@attrs.frozen
+class HostRoutes:
+    """The routes of one host, indexed by their prefixes.
+
+    Attributes:
+        by_prefix: The routes by prefix; the first of those with the same prefix.
+        lengths: The lengths of the prefixes, in descending order.
+    """
+
+    by_prefix: dict[str, Route]
+    lengths: tuple[int, ...]
+
+
 @attrs.frozen
 class RouteTable:
     """One version of the configuration.
 
     Attributes:
         version: The version number.
-        hosts: The routes by host name, in descending order of prefix length.
+        hosts: The routes by host name.
         limits: Limits on callers' requests.
         services: The names of the services in it.
         teams: The teams by name, or None if requests need no key.
@@ -112,7 +126,7 @@
     """
 
     version: int
-    hosts: dict[str, tuple[Route, ...]]
+    hosts: dict[str, HostRoutes]
     limits: CallerLimits
     services: frozenset[str]
     teams: dict[str, Team] | None = None
@@ -121,12 +135,12 @@
     health_paths: dict[str, str] = attrs.field(factory=dict)
 
 
-def sort_host_routes(routes: dict[str, list[Route]]) -> dict[str, tuple[Route, ...]]:
-    """Sort the routes of each host so that the first match has the longest prefix."""
-    return {
-        host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
-        for host, found in routes.items()
-    }
+def index_routes(routes: Iterable[Route]) -> HostRoutes:
+    """Return the routes of one host so that the longest prefix of a path is found quickly."""
+    by_prefix: dict[str, Route] = {}
+    for route in routes:
+        by_prefix.setdefault(route.prefix, route)
+    return HostRoutes(by_prefix, tuple(sorted({len(prefix) for prefix in by_prefix}, reverse=True)))
 
 
 def find_route(table: RouteTable, host: str, path: str) -> Route | None:
@@ -138,8 +152,14 @@
         path: The path as the caller sent it, without its query.
     """
     name = host.lower()
-    routes = table.hosts.get(name) or table.hosts.get(name.partition(":")[0]) or ()
-    return next((route for route in routes if path.startswith(route.prefix)), None)
+    routes = table.hosts.get(name) or table.hosts.get(name.partition(":")[0])
+    if routes is None:
+        return None
+    for length in routes.lengths:
+        route = routes.by_prefix.get(path[:length])
+        if route is not None:
+            return route
+    return None
 
 
 @attrs.define
--- a/src/magnoliasill/platform/operator_configuration.py
+++ b/src/magnoliasill/platform/operator_configuration.py
@@ -22,7 +22,7 @@
     RouteTable,
     Team,
     Warmup,
-    sort_host_routes,
+    index_routes,
 )
 from ..mesh.takeovers import Order, Phase
 from ..mesh.team_keys import digest_key
@@ -66,7 +66,7 @@
     defaults = CallerLimits()
     return RouteTable(
         version=decode_version(fields["version"]),
-        hosts=sort_host_routes(hosts),
+        hosts={host: index_routes(routes) for host, routes in hosts.items() if routes},
         limits=CallerLimits(
             header_bytes=int(limits.get("max_header_bytes", defaults.header_bytes)),
             body_bytes=int(limits.get("max_body_bytes", defaults.body_bytes)),
--- a/tests/platform/test_operator_configuration.py
+++ b/tests/platform/test_operator_configuration.py
@@ -62,6 +62,25 @@
         names = [find_route(table, "shop.example", path).name for path in ("/a/b/c", "/a/c", "/x")]
         self.assertEqual(["deep", "short", "all"], names)
 
+    # the index by prefix has to find what a search through all routes finds
+    @given(st.lists(st.text("ab/", max_size=4), max_size=8), st.text("ab/", max_size=6))
+    def test_any_prefixes(self, prefixes: list[str], path: str) -> None:
+        rules = [build_rule(f"r{number}", prefix) for number, prefix in enumerate(prefixes)]
+        table = decode(listener_set=[{"host_name": "h", "rule_set": rules}])
+        matching = [rule for rule in rules if path.startswith(rule["match_criteria"]["prefix"])]
+        longest = max(
+            matching, key=lambda rule: len(rule["match_criteria"]["prefix"]), default=None
+        )
+        found = find_route(table, "h", path)
+        self.assertEqual(longest and longest["name"], found and found.name)
+
+    def test_a_host_with_port_and_without_routes(self) -> None:
+        listeners = [
+            {"host_name": "h:80", "rule_set": []},
+            {"host_name": "h", "rule_set": [build_rule("r", "/")]},
+        ]
+        self.assertEqual("r", find_route(decode(listener_set=listeners), "h:80", "/x").name)
+
     def test_host_with_port_and_case(self) -> None:
         self.assertIsNotNone(find_route(decode(), "SHOP.example:8080", "/x"))
         self.assertIsNone(find_route(decode(), "other.example", "/x"))
