--- a/src/magnoliasill/platform/operator_configuration.py
+++ b/src/magnoliasill/platform/operator_configuration.py
@@ -4,8 +4,9 @@
 
 import re
 from math import inf
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+import attrs
 import msgspec
 
 from ..codes import ErrorCode
@@ -27,6 +28,9 @@
 from ..mesh.takeovers import Order, Phase
 from ..mesh.team_keys import digest_key
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 CONFIGURATION_KEY = "op/config"
 ORDER_PREFIX = "op/rollout/"
 EVACUATION_PREFIX = "op/evacuate/"  # followed by the data centre; any value orders
@@ -44,28 +48,72 @@
 }
 
 
+@attrs.frozen
+class _Listener:
+    """The rules of one host, each still encoded."""
+
+    host_name: str
+    rule_set: list[msgspec.Raw]
+
+
+@attrs.frozen
+class _Document:
+    """The fields of a configuration."""
+
+    version: str
+    listener_set: list[_Listener]
+    cluster_set: list[dict[str, Any]]
+    limits: dict[str, Any] = attrs.field(factory=dict)
+    tenant_table: list[dict[str, Any]] | None = None
+
+
+def build_decoder() -> Callable[[bytes], RouteTable]:
+    """Return a decoder of successive versions, which reuses the routes that did not change.
+
+    It works and fails as `decode_configuration` does.
+    """
+    routes: dict[bytes, Route] = {}
+
+    def decode(value: bytes) -> RouteTable:
+        nonlocal routes
+        table, routes = _decode(value, routes)
+        return table
+
+    return decode
+
+
 def decode_configuration(value: bytes) -> RouteTable:
     """Decode one version of the operators' configuration.
 
     Raises:
         ConfigurationError: If any part is invalid; no part of that version is used then.
     """
+    return _decode(value, {})[0]
+
+
+def _decode(value: bytes, known: dict[bytes, Route]) -> tuple[RouteTable, dict[bytes, Route]]:
+    """Return a version and its routes by their encoded rules, given those of an earlier one."""
     try:
-        return _build_route_table(decode_json(value))
+        document = decode_json(value, _Document)
+        routes: dict[bytes, Route] = {}
+        hosts: dict[str, list[Route]] = {}
+        for listener in document.listener_set:
+            found = hosts.setdefault(listener.host_name.lower(), [])
+            for raw in listener.rule_set:
+                rule = bytes(raw)
+                route = known.get(rule) or _build_route(decode_json(rule))
+                routes[rule] = route
+                found.append(route)
+        return _build_route_table(document, hosts), routes
     except _FIELD_ERRORS as error:
         message = f"the configuration can't be understood: {describe_error(error)}"
         raise ConfigurationError(ErrorCode.FILE_INVALID, message) from error
 
 
-def _build_route_table(fields: dict[str, Any]) -> RouteTable:
-    hosts: dict[str, list[Route]] = {}
-    for listener in fields["listener_set"]:
-        routes = hosts.setdefault(listener["host_name"].lower(), [])
-        routes.extend(_build_route(rule) for rule in listener["rule_set"])
-    limits = fields.get("limits", {})
-    defaults = CallerLimits()
+def _build_route_table(document: _Document, hosts: dict[str, list[Route]]) -> RouteTable:
+    limits, defaults = document.limits, CallerLimits()
     return RouteTable(
-        version=decode_version(fields["version"]),
+        version=decode_version(document.version),
         hosts={host: index_routes(routes) for host, routes in hosts.items() if routes},
         limits=CallerLimits(
             header_bytes=int(limits.get("max_header_bytes", defaults.header_bytes)),
@@ -73,11 +121,11 @@
             header_timeout_s=float(limits.get("header_timeout_s", defaults.header_timeout_s)),
             idle_timeout_s=float(limits.get("idle_timeout_s", defaults.idle_timeout_s)),
         ),
-        services=frozenset(cluster["name"] for cluster in fields["cluster_set"]),
-        teams=_build_teams(fields.get("tenant_table")),
-        team_names=_build_team_names(fields.get("tenant_table") or []),
-        warmups=_build_warmups(fields["cluster_set"]),
-        health_paths=_build_health_paths(fields["cluster_set"]),
+        services=frozenset(cluster["name"] for cluster in document.cluster_set),
+        teams=_build_teams(document.tenant_table),
+        team_names=_build_team_names(document.tenant_table or []),
+        warmups=_build_warmups(document.cluster_set),
+        health_paths=_build_health_paths(document.cluster_set),
     )
 
 
--- a/src/magnoliasill/sidecar/item_application.py
+++ b/src/magnoliasill/sidecar/item_application.py
@@ -15,7 +15,6 @@
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
     ORDER_PREFIX,
-    decode_configuration,
 )
 from .cold_servers import apply_warmup
 from .crash_store import apply_stored_findings
@@ -129,7 +128,7 @@
     if item.value is None:
         return  # the active configuration stays
     started = sidecar.clock()
-    table = decode_configuration(item.value)
+    table = sidecar.decode_configuration(item.value)
     sidecar.configuration_unread = False
     if sidecar.table is not None and table.version <= sidecar.table.version:
         return
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -28,6 +28,7 @@
 from ..mesh.retries import RetryBudget
 from ..mesh.routes import SplitTable
 from ..mesh.store_items import Mirror
+from ..platform.operator_configuration import build_decoder
 from .quota_state import QuotaState
 from .wake_clock import read_wake_clock
 
@@ -126,6 +127,7 @@
         wake_clock: Returns seconds on a monotonic clock that includes suspensions of the VM.
         started_at: When this process started.
         table: The active configuration, or None before the first one.
+        decode_configuration: Decodes the next version of the configuration.
         splits: State of the traffic split of each split route.
         mirror: Local copy of the store's items.
         members: All registered sidecars with their backend servers.
@@ -202,6 +204,7 @@
     wake_clock: Callable[[], float] = read_wake_clock
     started_at: float = attrs.field(factory=monotonic)
     table: RouteTable | None = None
+    decode_configuration: Callable[[bytes], RouteTable] = attrs.field(factory=build_decoder)
     splits: SplitTable = attrs.field(factory=SplitTable)
     mirror: Mirror = attrs.field(factory=Mirror)
     members: MemberTable = attrs.field(factory=MemberTable)
--- a/tests/platform/test_operator_configuration.py
+++ b/tests/platform/test_operator_configuration.py
@@ -18,6 +18,7 @@
 from magnoliasill.mesh.takeovers import Phase
 from magnoliasill.mesh.team_keys import find_team
 from magnoliasill.platform.operator_configuration import (
+    build_decoder,
     decode_configuration,
     decode_order,
     encode_status,
@@ -128,6 +129,36 @@
         self.assertRaises(ConfigurationError, decode_configuration, data)
 
 
+class DecoderTest(testtools.TestCase):
+    """Successive versions, which share the routes that did not change."""
+
+    @given(st.lists(st.lists(st.integers(0, 5), max_size=6), min_size=1, max_size=5))
+    def test_each_version_is_as_if_it_were_the_first(self, versions: list[list[int]]) -> None:
+        decode_next = build_decoder()
+        for numbers in versions:
+            rules = [build_rule(f"r{number}", f"/{number}/") for number in numbers]
+            listeners = [{"host_name": "h", "rule_set": rules}]
+            value = msgspec.json.encode({**BODY, "listener_set": listeners})
+            self.assertEqual(decode_configuration(value), decode_next(value))
+
+    def test_routes_that_did_not_change_are_the_same_objects(self) -> None:
+        decode_next = build_decoder()
+        tables = [
+            decode_next(msgspec.json.encode({**BODY, "version": f"r{number}"}))
+            for number in (12, 13)
+        ]
+        first, second = (find_route(table, "shop.example", "/a/x") for table in tables)
+        self.assertIs(first, second)
+
+    def test_a_version_that_is_refused_changes_nothing(self) -> None:
+        decode_next, value = build_decoder(), msgspec.json.encode(BODY)
+        before = decode_next(value)
+        rules = [build_rule("all", "/"), {"name": "bad"}]
+        bad = {**BODY, "listener_set": [{"host_name": "shop.example", "rule_set": rules}]}
+        self.assertRaises(ConfigurationError, decode_next, msgspec.json.encode(bad))
+        self.assertEqual(before, decode_next(value))
+
+
 class SplitTest(testtools.TestCase):
     def build(self, *weights: float) -> Any:
         split = [{"service_name": f"s{n}", "weight": weight} for n, weight in enumerate(weights)]
