Avoid a data centre as a whole once requests to several of its members failed in a row

Cause: a cut by resets fails a request at once, and only silence of 0.1 s was taken as a sign of the whole data centre. Each pair of VMs learned of the cut by itself, again each 0.25 to 2 s, and told gates of it that it could not reach.

--- a/src/magnoliasill/event_catalogue.py
+++ b/src/magnoliasill/event_catalogue.py
@@ -124,7 +124,8 @@
         reaction="check the backend server",
     ),
     LogEvent.DATA_CENTRE_SILENT: EventEntry(
-        "No message from another data centre has arrived for a long time.",
+        "No message from another data centre has arrived for a long time, or requests of a sidecar "
+        "to several of its members in a row could not reach them.",
         fields=("other_data_centre",),
         reaction="check the network between the data centres",
     ),
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -9,6 +9,7 @@
 
 from ..codes import ErrorCode, LogEvent
 from ..errors import CallError
+from ..mesh.contacts import record_failed_member
 from ..mesh.evacuations import EVACUATED_REASON
 from ..mesh.hop_headers import (
     CALL_HEADER,
@@ -472,13 +473,7 @@
         if report.reason == EVACUATED_REASON:
             record_evacuated(sidecar, member, condition, report, now)
     elif result.outcome is AttemptOutcome.UNREACHED or "Timed" not in result.reason:
-        record_unreachable(condition, now)
-        if seconds >= SILENCE_THRESHOLD_S:
-            record_silent_data_centre(sidecar.members, member.data_centre, now - seconds, now)
-        avoid_s = round(condition.avoid_until - now, 3)
-        sidecar.log(
-            LogEvent.MEMBER_UNREACHABLE, member=member.name, reason=result.reason, avoid_s=avoid_s
-        )
+        _record_unreached(sidecar, member, condition, result.reason, now - seconds)
     sidecar.meters.count("attempts", result.outcome.value)
     sidecar.meters.observe("hop", seconds)
     if result.outcome is AttemptOutcome.ANSWERED:
@@ -509,6 +504,20 @@
     )
 
 
+def _record_unreached(
+    sidecar: Sidecar, member: Member, condition: MemberCondition, reason: str, sent_at: float
+) -> None:
+    """Avoid a member that could not be reached, and its data centre if that seems cut off."""
+    now, members = sidecar.clock(), sidecar.members
+    record_unreachable(condition, now)
+    if now - sent_at >= SILENCE_THRESHOLD_S:
+        record_silent_data_centre(members, member.data_centre, sent_at, now)
+    if record_failed_member(sidecar.contacts, members, member, sent_at, now):
+        sidecar.log(LogEvent.DATA_CENTRE_SILENT, other_data_centre=member.data_centre)
+    avoid_s = round(condition.avoid_until - now, 3)
+    sidecar.log(LogEvent.MEMBER_UNREACHABLE, member=member.name, reason=reason, avoid_s=avoid_s)
+
+
 def _lacks_capacity(sidecar: Sidecar, request: Request, reason: str, sent_at: float) -> bool:
     """Return whether a gate that refused a request would refuse others, too."""
     due_at = request.target_at if reason == "target" else request.answer_deadline
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -16,6 +16,7 @@
 from ..codes import LogEvent
 from ..mesh.backend import Backend
 from ..mesh.cold_starts import ColdDoubts
+from ..mesh.contacts import Contacts
 from ..mesh.crash_findings import ROUNDS_PER_S, WRITES_PER_S, CrashFindings, build_limiter
 from ..mesh.egress import Egress
 from ..mesh.evacuations import Evacuations
@@ -131,6 +132,7 @@
         splits: State of the traffic split of each split route.
         mirror: Local copy of the store's items.
         members: All registered sidecars with their backend servers.
+        contacts: What requests to other data centres tell of them.
         orders: The newest order of each service.
         takeovers: The newest takeover of each service, with the position of its item, or 0.
         unstored_takeovers: The services whose takeover the store has lost in this state.
@@ -208,6 +210,9 @@
     splits: SplitTable = attrs.field(factory=SplitTable)
     mirror: Mirror = attrs.field(factory=Mirror)
     members: MemberTable = attrs.field(factory=MemberTable)
+    contacts: Contacts = attrs.field(
+        default=attrs.Factory(lambda self: Contacts(self.settings.name), takes_self=True)
+    )
     orders: dict[str, OpenOrder] = attrs.field(factory=dict)
     takeovers: dict[str, tuple[Takeover, int]] = attrs.field(factory=dict)
     unstored_takeovers: set[str] = attrs.field(factory=set)
