--- a/src/magnoliasill/sidecar/daemon.py
+++ b/src/magnoliasill/sidecar/daemon.py
@@ -20,6 +20,7 @@
 from ..codes import ErrorCode, LogEvent
 from ..decoding import describe_error
 from ..errors import CallError, MagnoliasillError, SettingsError
+from ..garbage import resume_collection
 from ..mesh.gate import dispatch_waiting
 from ..mesh.ingress import pass_overdue_turns
 from ..mesh.planned_stop import plan_stop
@@ -113,6 +114,7 @@
 ) -> None:
     stop = eventlet.Event()
     running = start_sidecar(settings, meters, write_event)
+    resume_collection()
     sidecar = running.sidecar
     signal.signal(signal.SIGTERM, lambda *_: stop.ready() or stop.send())
     signal.signal(signal.SIGINT, lambda *_: stop.ready() or stop.send())
