--- a/src/magnoliasill/mesh/members.py
+++ b/src/magnoliasill/mesh/members.py
@@ -119,6 +119,7 @@
         notices: What backend servers announced, by incarnation. They outlive the records,
             since a server may move to another VM or its sidecar may restart and forget.
         loads: The mean load of each service's servers.
+        lapsed: The names of members whose records have expired; some may be back since.
     """
 
     records: dict[str, Member] = attrs.field(factory=dict)
@@ -126,6 +127,7 @@
     by_service: dict[str, dict[str, Member]] = attrs.field(factory=dict)
     notices: OrderedDict[tuple[str, int], ServerNotice] = attrs.field(factory=OrderedDict)
     loads: dict[str, ServiceLoad] = attrs.field(factory=dict)
+    lapsed: set[str] = attrs.field(factory=set)
 
 
 def put_member(table: MemberTable, member: Member) -> None:
@@ -160,16 +162,23 @@
     member = table.records.get(name)
     if member is not None:
         find_condition(table, member).lapsed_at = now
+        table.lapsed.add(name)
 
 
 def remove_lapsed(table: MemberTable, now: float) -> list[Member]:
     """Remove and return the members whose records expired more than the grace period ago."""
+    if not table.lapsed:
+        return []
+    known = [table.records[name] for name in sorted(table.lapsed) if name in table.records]
     lapsed = [
         member
-        for member in table.records.values()
+        for member in known
         if (since := find_condition(table, member).lapsed_at) is not None
         and now - since >= LAPSE_GRACE_S
     ]
+    table.lapsed = {
+        member.name for member in known if find_condition(table, member).lapsed_at is not None
+    }
     for member in lapsed:
         remove_member(table, member.name)
     return lapsed
