Take no odd status line for an answer, and no interim response for the final one

Here 000 was refused, but 600 to 999, +200, 2_00, 00200, HTTP/1.x and an unasked 101 were answers, and 102 or 103 before a 200 was the whole answer: the real one was lost. Cause: the standard library takes each number from 100 to 999 that Python reads as one, any text after HTTP/1., and skips no interim response but 100.

--- a/src/magnoliasill/calls/line_reader.py
+++ b/src/magnoliasill/calls/line_reader.py
@@ -1,4 +1,4 @@
-"""Detects HTTP messages that end within their head or their chunked framing.
+"""Detects HTTP messages that end within their head or chunked framing, and odd status lines.
 
 The standard library takes the end of a connection for the end of a line, of a head and of a
 chunked body. A message that breaks off there would look like a complete one.
@@ -12,6 +12,8 @@
 from urllib3 import HTTPConnectionPool
 from urllib3.connection import HTTPConnection
 
+from .status_line import read_final_status
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -52,12 +54,38 @@
         raise TruncatedLineError(f"the connection ended after {line[:80]!r}")
 
 
+class ResponseReader(LineReader):
+    """Wraps a stream that begins with a response; its first line is that of the final response.
+
+    Args:
+        stream: The stream.
+        first_line: A line that was read from it already, or empty.
+    """
+
+    def __init__(self, stream: Any, first_line: bytes = b"") -> None:
+        super().__init__(stream)
+        self._first_line = first_line
+        self._has_status = False
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Return the next line, as `LineReader.readline` does.
+
+        Raises:
+            HTTPException: If it is the first one, and there is no valid final response.
+            TruncatedLineError: If the stream ends before the line does.
+        """
+        if self._has_status:
+            return super().readline(limit)
+        self._has_status = True
+        return read_final_status(super().readline, self._first_line)
+
+
 class CheckedResponse(HTTPResponse):
-    """A response that is an error if the connection ends before its head or last chunk does."""
+    """A response that is an error unless its status line is valid, and its head and body whole."""
 
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
-        self.fp = LineReader(self.fp)
+        self.fp = ResponseReader(self.fp)
 
 
 class CheckedConnection(HTTPConnection):
--- a/src/magnoliasill/sidecar/http_exchange.py
+++ b/src/magnoliasill/sidecar/http_exchange.py
@@ -33,7 +33,8 @@
     release_connection,
     wait_readable,
 )
-from ..calls.line_reader import LineReader
+from ..calls.line_reader import LineReader, ResponseReader
+from ..calls.status_line import is_continue, read_final_status
 from ..codes import ErrorCode
 from ..errors import MagnoliasillError
 from .bodies import LongBody, read_chunks
@@ -49,10 +50,8 @@
 SAFE_IDLE_S = 1.0  # the other end has not closed a connection that was used this recently
 MAX_IDLE_CONNECTIONS = 64
 IDLE_TIMEOUT_SHARE = 0.7  # of the other end's idle timeout; connections idle longer are not reused
-MAX_LINE_BYTES = 65_537  # as the standard library reads lines of a head
 MAX_STALE_RESPONSES = 2  # responses to earlier requests that are skipped at most
 _FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
-_CONTINUE = b"HTTP/1.1 100 "
 _SECONDS = re.compile(r"[0-9]{1,9}")
 _CONNECTION_ERRORS = (http.client.HTTPException, OSError, ValueError)
 
@@ -173,18 +172,15 @@
         return _UncloseableBuffer(self.buffer, status_line)
 
     def read_continue(self) -> bool:
-        """Read an interim response that asks for the body; return whether it was one.
+        """Read interim responses up to one that asks for the body; return whether there was one.
 
-        The status line of any other response is kept for the one who reads that response.
+        The status line of a final response is kept for the one who reads that response.
+
+        Raises:
+            HTTPException: If a status line is not valid, or the interim responses do not end.
         """
-        lines = _UncloseableBuffer(self.buffer)
-        status_line = lines.readline(MAX_LINE_BYTES)
-        if not status_line.startswith(_CONTINUE):
-            self._status_line = status_line
-            return False
-        while lines.readline(MAX_LINE_BYTES).strip():
-            pass
-        return True
+        self._status_line = read_final_status(LineReader(self.buffer).readline, until=is_continue)
+        return not self._status_line
 
     def has_more(self) -> bool:
         """Return whether the buffer holds bytes beyond the responses that were read."""
@@ -213,22 +209,8 @@
         self.closes, self.will_close = self.will_close, False
 
 
-class _UncloseableBuffer(LineReader):
-    """Wraps the shared buffer so that a response can't close it.
-
-    Args:
-        stream: The buffer.
-        first_line: A line that was read from it already, or empty.
-    """
-
-    def __init__(self, stream: Any, first_line: bytes = b"") -> None:
-        super().__init__(stream)
-        self._first_line = first_line
-
-    def readline(self, limit: int = -1) -> bytes:
-        """Return the next line, as `LineReader.readline` does."""
-        line, self._first_line = self._first_line, b""
-        return line or super().readline(limit)
+class _UncloseableBuffer(ResponseReader):
+    """Wraps the shared buffer so that a response can't close it."""
 
     def close(self) -> None:
         """Leave the buffer open for the next response."""
