--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -110,23 +110,29 @@
     while True:
         started, relay = sidecar.clock(), find_relay(sidecar)
         outcome = ask_first(choose_sources(sidecar, relay))
-        for name, error in outcome.failures.items():
-            if name == WATCH and outcome.winner == STORE:
-                _record_lost_watch(sidecar, error)
-            # Others than the relay need no copy as recent as that of a relay.
-            elif not is_outdated(error) or (relay is not None and name == relay.name):
-                _record_failure(sidecar, name, error, started)
-        for name, seconds in outcome.unanswered.items():
-            if name == WATCH and outcome.winner == STORE:
-                _record_lost_watch(sidecar)
-            else:
-                _record_silence(sidecar, name, seconds)
+        _record_troubles(sidecar, outcome, relay, started)
         if outcome.answer is not None:
             eventlet.sleep(outcome.answer())
         elif _has_no_source(sidecar, outcome, started):
             eventlet.sleep(sidecar.random.uniform(RETRY_MIN_S, RETRY_MAX_S))
 
 
+def _record_troubles(
+    sidecar: Sidecar, outcome: Outcome[Apply], relay: Member | None, started: float
+) -> None:
+    """Record which sources failed or did not answer since a request to them began."""
+    if outcome.winner == STORE:  # it answers, only the watch was lost
+        if WATCH in outcome.failures or WATCH in outcome.unanswered:
+            _record_lost_watch(sidecar, outcome.failures.pop(WATCH, None))
+        outcome.unanswered.pop(WATCH, None)
+    for name, error in outcome.failures.items():
+        # Others than the relay need no copy as recent as that of a relay.
+        if not is_outdated(error) or (relay is not None and name == relay.name):
+            _record_failure(sidecar, name, error, started)
+    for name, seconds in outcome.unanswered.items():
+        _record_silence(sidecar, name, seconds)
+
+
 def _has_no_source(sidecar: Sidecar, outcome: Outcome[Apply], started: float) -> bool:
     """Return whether the store failed, has answered nothing else since, and no relay is left."""
     asked = {STORE, WATCH} & outcome.failures.keys()
