End the avoidance of a data centre with the first answer, and bound it as that of a member

Change: 2 s and 1 s at most; those that had not failed are asked again after the first answer from their data centre.

--- a/src/magnoliasill/mesh/contacts.py
+++ b/src/magnoliasill/mesh/contacts.py
@@ -19,6 +19,7 @@
 
 MIN_FAILED_MEMBERS = 3
 FAILED_SHARE = 0.25  # many members that ended at once rarely fail so many requests in a row
+AVOID_MAX_S = UNREACHABLE_MAX_S / 2  # members that failed are avoided twice as long
 FAILURE_WINDOW_S = 2 * UNREACHABLE_MAX_S  # longer than a data centre is avoided at once
 
 
@@ -30,11 +31,13 @@
         failures: When the latest failed request to each member was sent, since any answer.
         avoided_at: When the data centre was last avoided.
         avoid_s: How long it is avoided the next time.
+        spared: Until when members are avoided that did not fail themselves, by name.
     """
 
     failures: dict[str, float] = attrs.field(factory=dict)
     avoided_at: float = float("-inf")
     avoid_s: float = UNREACHABLE_MIN_S
+    spared: dict[str, float] = attrs.field(factory=dict)
 
 
 @attrs.define
@@ -86,9 +89,33 @@
     is_avoided = now < contact.avoided_at + contact.avoid_s / 2  # by failures of the same moment
     if len(contact.failures) < needed or is_avoided:
         return False
+    contact.spared = {}
     for name, condition in conditions.items():
-        avoid_s = contact.avoid_s * (2 if name in contact.failures else 1)
-        condition.avoid_until = max(condition.avoid_until, now + avoid_s)
+        has_failed = name in contact.failures
+        until = now + contact.avoid_s * (2 if has_failed else 1)
+        if until > condition.avoid_until:
+            condition.avoid_until = until
+            if not has_failed:
+                contact.spared[name] = until
     contact.avoided_at = now
-    contact.avoid_s = min(contact.avoid_s * 2, UNREACHABLE_MAX_S)
+    contact.avoid_s = min(contact.avoid_s * 2, AVOID_MAX_S)
     return True
+
+
+def record_answer(contacts: Contacts, table: MemberTable, member: Member) -> None:
+    """Record that a member answered: others are no longer avoided for their data centre's sake.
+
+    Args:
+        contacts: The contacts with data centres.
+        table: The member table.
+        member: The member.
+    """
+    contact = contacts.by_data_centre.get(member.data_centre)
+    if contact is None or not contact.spared:
+        return
+    for name, until in contact.spared.items():
+        other = table.records.get(name)
+        if other is not None and find_condition(table, other).avoid_until == until:
+            find_condition(table, other).avoid_until = 0.0
+    contact.spared = {}
+    contact.avoid_s = UNREACHABLE_MIN_S
--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -9,7 +9,7 @@
 
 from ..codes import ErrorCode, LogEvent
 from ..errors import CallError
-from ..mesh.contacts import record_failed_member
+from ..mesh.contacts import record_answer, record_failed_member
 from ..mesh.evacuations import EVACUATED_REASON
 from ..mesh.hop_headers import (
     CALL_HEADER,
@@ -466,6 +466,8 @@
             report.inbound_s,
         )
         record_load(sidecar.members, member, load_report, now)
+        if member.name != sidecar.settings.name:
+            record_answer(sidecar.contacts, sidecar.members, member)
         if _lacks_capacity(sidecar, request, report.reason, now - seconds):
             record_full(condition, report.reason != "target", now)
         if report.closed or report.reason in ("other_instance", "release_withheld"):
--- a/tests/mesh/test_contacts.py
+++ b/tests/mesh/test_contacts.py
@@ -7,7 +7,12 @@
 import testtools
 from testscenarios import WithScenarios
 
-from magnoliasill.mesh.contacts import Contacts, record_failed_member
+from magnoliasill.mesh.contacts import (
+    AVOID_MAX_S,
+    Contacts,
+    record_answer,
+    record_failed_member,
+)
 from magnoliasill.mesh.members import (
     UNREACHABLE_MAX_S,
     LoadReport,
@@ -25,7 +30,7 @@
 FAILURE_S = 0.001
 GAP_S = 0.01  # between the requests of one sender
 CUT_S = 6.5
-PROBES = 4 + CUT_S / UNREACHABLE_MAX_S  # at intervals that double up to the longest
+PROBES = 4 + CUT_S / AVOID_MAX_S  # at intervals that double up to the longest
 
 
 class Sender:
@@ -55,11 +60,21 @@
             for at, name in [entry for entry in self.answers if entry[0] <= now]:
                 self.answers.remove((at, name))
                 if name not in self.dead:
-                    record_load(self.table, self.table.records[name], LoadReport(1, 0.1), at)
+                    member = self.table.records[name]
+                    record_load(self.table, member, LoadReport(1, 0.1), at)
+                    record_answer(self.contacts, self.table, member)
                     self.answered_at[name] = at
             self.send(now)
             now += GAP_S
 
+    def list_avoided(self, now: float) -> list[str]:
+        """Return the names of the members that get no requests."""
+        return [
+            name
+            for name, member in self.table.records.items()
+            if find_condition(self.table, member).avoid_until > now
+        ]
+
     def send(self, now: float) -> None:
         """Send one request, to five members at most."""
         context = PlacementContext("shop", "a", now, vm="m-a-0")
@@ -118,3 +133,34 @@
         sender.run(2.0, 3.0)
         alive = [name for name in ("m-b-5", "m-b-6", "m-b-7") if name in sender.answered_at]
         self.assertNotEqual([], alive)
+
+
+class ReturnTest(WithScenarios, testtools.TestCase):
+    """All members lose power, and return one after another."""
+
+    scenarios = [
+        (f"{size}-{seed}", {"size": size, "seed": seed}) for size in (4, 28) for seed in range(1, 6)
+    ]
+
+    # what was concluded of their data centre must not keep members waiting that are back
+    def test_none_is_avoided_for_longer_than_a_single_member(self) -> None:
+        sender = Sender(self.seed, self.size)
+        sender.run(0.0, 2.0)
+        names = sorted(sender.table.records)
+        sender.dead = set(names)
+        sender.run(2.0, 4.0)
+        for number, name in enumerate(sender.random.sample(names, len(names))):
+            sender.dead.discard(name)
+            sender.run(4.0 + number / len(names), 4.0 + (number + 1) / len(names))
+        self.assertEqual([], sender.list_avoided(5.0 + UNREACHABLE_MAX_S))
+
+    # one answer proves that the data centre can be reached
+    def test_those_that_did_not_fail_are_asked_after_the_first_answer(self) -> None:
+        sender = Sender(self.seed, self.size)
+        sender.run(0.0, 2.0)
+        sender.dead = {name for name in sender.table.records if name.startswith("m-b")}
+        sender.run(2.0, 4.0)
+        spared = set(sender.contacts.by_data_centre["b"].spared)
+        member = sender.table.records["m-b-1"]
+        record_answer(sender.contacts, sender.table, member)
+        self.assertEqual(set(), spared & set(sender.list_avoided(4.0)))
