--- a/src/magnoliasill/mesh/contacts.py
+++ b/src/magnoliasill/mesh/contacts.py
@@ -15,7 +15,7 @@
 from .members import UNREACHABLE_MAX_S, UNREACHABLE_MIN_S, find_condition
 
 if TYPE_CHECKING:
-    from .members import Member, MemberTable
+    from .members import Member, MemberCondition, MemberTable
 
 MIN_FAILED_MEMBERS = 3
 FAILED_SHARE = 0.25  # many members that ended at once rarely fail so many requests in a row
@@ -72,23 +72,29 @@
     Returns:
         Whether the data centre is newly avoided.
     """
-    others = [
-        other
+    conditions = {
+        other.name: find_condition(table, other)
         for other in table.records.values()
         if other.data_centre == member.data_centre and other.name != contacts.vm
-    ]
-    conditions = {other.name: find_condition(table, other) for other in others}
-    answered_at = max((condition.reported_at for condition in conditions.values()), default=now)
+    }
     contact = contacts.by_data_centre.setdefault(member.data_centre, Contact())
+    answered_at = max((condition.reported_at for condition in conditions.values()), default=now)
     contact.failures[member.name] = sent_at
     since = max(answered_at, now - FAILURE_WINDOW_S)
     contact.failures = {name: at for name, at in contact.failures.items() if at > since}
     if answered_at >= contact.avoided_at:
         contact.avoid_s = UNREACHABLE_MIN_S
-    needed = min(max(MIN_FAILED_MEMBERS, ceil(FAILED_SHARE * len(others))), len(others))
-    is_avoided = now < contact.avoided_at + contact.avoid_s / 2  # by failures of the same moment
-    if len(contact.failures) < needed or is_avoided:
+    needed = min(max(MIN_FAILED_MEMBERS, ceil(FAILED_SHARE * len(conditions))), len(conditions))
+    # Requests of one moment fail together; they make it no longer.
+    was_just_avoided = now < contact.avoided_at + contact.avoid_s / 2
+    if len(contact.failures) < needed or was_just_avoided:
         return False
+    _avoid_members(contact, conditions, now)
+    return True
+
+
+def _avoid_members(contact: Contact, conditions: dict[str, MemberCondition], now: float) -> None:
+    """Avoid all members of a data centre, for longer each time until one of them answers."""
     contact.spared = {}
     for name, condition in conditions.items():
         has_failed = name in contact.failures
@@ -99,7 +105,6 @@
                 contact.spared[name] = until
     contact.avoided_at = now
     contact.avoid_s = min(contact.avoid_s * 2, AVOID_MAX_S)
-    return True
 
 
 def record_answer(contacts: Contacts, table: MemberTable, member: Member) -> None:
--- a/src/magnoliasill/sidecar/state.py
+++ b/src/magnoliasill/sidecar/state.py
@@ -180,7 +180,8 @@
             configuration, here or to the relay: it was accepted later.
         store_doubtful_until: Until when a watch waits only shortly, since another call failed.
         watching_store: Whether this sidecar watches the store itself and the store responds.
-        watch_overrun_s: The seconds by which the latest watch without changes outlasted its wait.
+        watch_overrun_s: The seconds by which the latest watch outlasted its wait, or 0 after one
+            that returned changes.
         cancel_watch: Ends the current watch of the store, if there is one.
         in_sync_at: When the local copy was last complete.
         relay_backoff: Sidecars, this one included, that are temporarily no source of changes.
--- a/src/magnoliasill/sidecar/store_sync.py
+++ b/src/magnoliasill/sidecar/store_sync.py
@@ -199,9 +199,9 @@
         return
     wait_s, patience_s = _choose_watch_wait(sidecar), WATCH_PATIENCE_SHARE * allowed_s
     grace_s = min(WATCH_GRACE_S + 2 * sidecar.watch_overrun_s, patience_s)
-    if not sidecar.watch_overrun_s:  # where the store is slow, reads would not be sooner
-        left_s = MAX_AGE_S - HEDGE_S / 2 - find_store_age(sidecar) - wait_s
-        grace_s = max(min(grace_s, left_s), MIN_PATIENCE_S)
+    if not sidecar.watch_overrun_s:  # a watch with changes confirmed the copy as of its start
+        recent_s = MAX_AGE_S - HEDGE_S / 2 - find_store_age(sidecar) - wait_s
+        grace_s = max(min(grace_s, recent_s), MIN_PATIENCE_S)
     yield Source(WATCH, lambda: _watch_store(sidecar, wait_s), wait_s + grace_s)
     if sidecar.clock() >= sidecar.store_doubtful_until:
         left_s = max(patience_s - grace_s, MIN_PATIENCE_S)
