--- a/tests/sidecar/test_store_sync.py
+++ b/tests/sidecar/test_store_sync.py
@@ -154,6 +154,34 @@
         self.assertEqual([], fleet.failures)
 
 
+class SilenceAfterChangeTest(WithScenarios, OutageCase):
+    """Watches fall silent just after one that returned changes, so that copies are older."""
+
+    scenarios = [
+        (
+            f"seed-{seed}",
+            {"seed": seed, "vms": vms, "fast": fast, "gap_s": gap_s, "silent_s": silent_s},
+        )
+        for seed, vms, fast, gap_s, silent_s in (
+            (32, 6, (0,), 0.477, (1.83, 1.144, 1.524)),
+            (33, 6, (0, 1), 0.609, (1.796, 1.206, 1.197)),
+            (46, 12, (0,), 0.691, (1.762, 0.689, 1.177)),
+        )
+    ]
+
+    # the read came 0.01 s after the copy counted as outdated, and all followers read the store
+    def test_only_relays_read_the_whole_store(self) -> None:
+        fleet = self.open_fleet(self.seed, vms=self.vms, fast=self.fast)
+        for duration_s in self.silent_s:
+            simulation.publish_series(fleet, self.gap_s, fleet.now + 2.5)
+            simulation.run_until(fleet, fleet.now + fleet.random.uniform(0.1, 0.6))
+            simulation.silence_watches(fleet, duration_s)
+            simulation.run_until(fleet, fleet.now + fleet.random.uniform(1.0, 4.0))
+        followers = [vm for name, vm in fleet.vms.items() if int(name[-2:]) not in self.fast]
+        reads = [event for vm in followers for event in vm.events if event["at"] > 4.0]
+        self.assertEqual([], [read for read in reads if read["event"] == "store_items_read"])
+
+
 class SlowLinkTest(WithScenarios, OutageCase):
     """Only some VMs have links over which whole configurations arrive as fast as they change."""
 
