Judge no data centre by fewer than three members

With one other member known in a data centre, one failed request counted as a cut: that member was avoided for 0.5 s, 0.25 s alone; with none, data_centre_silent was logged. PLATFORM.md says three at least. FewMembersTest failed for 0, 1 and 2 members before.

--- a/src/magnoliasill/mesh/contacts.py
+++ b/src/magnoliasill/mesh/contacts.py
@@ -84,7 +84,7 @@
     contact.failures = {name: at for name, at in contact.failures.items() if at > since}
     if answered_at >= contact.avoided_at:
         contact.avoid_s = UNREACHABLE_MIN_S
-    needed = min(max(MIN_FAILED_MEMBERS, ceil(FAILED_SHARE * len(conditions))), len(conditions))
+    needed = max(MIN_FAILED_MEMBERS, ceil(FAILED_SHARE * len(conditions)))
     # Requests of one moment fail together; they make it no longer.
     was_just_avoided = now < contact.avoided_at + contact.avoid_s / 2
     if len(contact.failures) < needed or was_just_avoided:
--- a/tests/mesh/test_contacts.py
+++ b/tests/mesh/test_contacts.py
@@ -164,3 +164,19 @@
         member = sender.table.records["m-b-1"]
         record_answer(sender.contacts, sender.table, member)
         self.assertEqual(set(), spared & set(sender.list_avoided(4.0)))
+
+
+class FewMembersTest(WithScenarios, testtools.TestCase):
+    """A data centre in which this sidecar knows fewer members than tell of a cut."""
+
+    scenarios = [(f"{size} members", {"size": size}) for size in (0, 1, 2)]
+
+    # one member that failed counted as a data centre that is cut off, and was avoided for longer
+    def test_each_is_judged_alone(self) -> None:
+        table, contacts = MemberTable(), Contacts("m-a-0")
+        members = [build_member(f"m-b-{number}", "b") for number in range(self.size)]
+        for member in members:
+            put_member(table, member)
+        for member in members or [build_member("m-b-0", "b")]:
+            self.assertFalse(record_failed_member(contacts, table, member, 10.0, 10.001))
+        self.assertEqual([0.0] * self.size, [find_condition(table, m).avoid_until for m in members])
