Refuse answers with lines that are no field, in every head and trailer

The own interface ended the head at a line without a colon, or dropped or joined the line, so that the fields below it were lost; elsewhere a value with NUL or a bare CR (`X-A: 1\rContent-Length: 5`) and a reason phrase with control characters were passed on; lines of interim responses and trailers were not looked at, and a line of blanks ended the former. Cause: only a sidecar's process replaces the library's mail parser, and the tests of the own interface did so too; the replacement looks for a colon only; interim responses and trailers were skipped as lines. Change: the response class reads heads itself, in every process, by one expression for a field, and so interim responses and trailers; lengths and codings in interim responses are checked, too. Control characters other than NUL and CR stay allowed in values, as RFC 9110, 5.5 permits: a caller's identifier comes back in one (test_odd_requests). The tests ask the own interface with the library's parser, as its daemon starts; a real daemon took the answer with the line without a colon.

--- a/src/magnoliasill/calls/body_framing.py
+++ b/src/magnoliasill/calls/body_framing.py
@@ -65,8 +65,8 @@
         MalformedResponseError: If the fields contradict each other, or one is not valid. A transfer
             coding other than `chunked` is never asked for and could not be decoded.
     """
-    encodings = [value.strip(" \t") for value in fields.get_all("transfer-encoding", ())]
-    lengths = [value.strip(" \t") for value in fields.get_all("content-length", ())]
+    encodings = fields.get_all("transfer-encoding", ())
+    lengths = fields.get_all("content-length", ())
     if len(encodings) + len(lengths) > 1:
         raise MalformedResponseError(
             "more than one Transfer-Encoding or Content-Length", ", ".join((*encodings, *lengths))
--- a/src/magnoliasill/calls/responses.py
+++ b/src/magnoliasill/calls/responses.py
@@ -13,50 +13,29 @@
 from urllib3.connection import HTTPConnection
 
 from .body_framing import find_framing, parse_chunk_size
+from .head_fields import MAX_LINE_BYTES, read_fields
 from .line_reader import LineReader
 from .malformed import MalformedResponseError
-from .status_line import MAX_LINE_BYTES, read_final_status
+from .status_line import StatusLine, read_final_status
 
 _CHUNK_END = b"\r\n"
 
 
-class ResponseReader(LineReader):
-    """Wraps a stream that begins with a response; its first line is that of the final response.
-
-    Args:
-        stream: The stream.
-        first_line: A line that was read from it already, or empty.
-    """
-
-    def __init__(self, stream: Any, first_line: bytes = b"") -> None:
-        super().__init__(stream)
-        self._first_line = first_line
-        self._has_status = False
-
-    def readline(self, limit: int = -1) -> bytes:
-        """Return the next line, as `LineReader.readline` does.
-
-        Raises:
-            HTTPException: If it is the first one, and there is no valid final response.
-            TruncatedLineError: If the stream ends before the line does.
-        """
-        if self._has_status:
-            return super().readline(limit)
-        self._has_status = True
-        return read_final_status(super().readline, self._first_line)
-
-
 class CheckedResponse(HTTPResponse):
     """A response that is an error unless its head and body are valid and complete.
 
-    It replaces the methods of the standard library that find the body's length and read the framing
-    of chunks.
+    It replaces the methods of the standard library that read the head and the framing of chunks.
+
+    Attributes:
+        status_line: The status line of the final response if it was read already, or None.
     """
 
+    status_line: StatusLine | None = None
+
     def __init__(self, *args: Any, **options: Any) -> None:
         super().__init__(*args, **options)
         if not isinstance(self.fp, LineReader):
-            self.fp = ResponseReader(self.fp)
+            self.fp = LineReader(self.fp)
 
     def begin(self) -> None:
         """Read the head of the final response.
@@ -67,7 +46,10 @@
         """
         if self.headers is not None:
             return
-        super().begin()
+        status_line = self.status_line or read_final_status(self.fp.readline)
+        self.version, self.reason = status_line.version, status_line.reason
+        self.code = self.status = status_line.status
+        self.headers = self.msg = read_fields(self.fp.readline)
         framing = find_framing(self.version, self.status, self._method, self.headers)
         self.chunked, self.length, self.chunk_left = framing.chunked, framing.length, None
         self.will_close = framing.closes or self._check_close()
@@ -76,16 +58,16 @@
         """Return how many bytes of the current chunk are left, or None at the end of the body.
 
         Raises:
-            HTTPException: If the framing of the chunk is not valid.
+            HTTPException: If the framing of the chunk or a trailer is not valid.
             TruncatedLineError: If the connection ends within it.
         """
         if self.chunk_left:
             return self.chunk_left
         if self.chunk_left is not None:
             self._read_chunk_end()
-        self.chunk_left = parse_chunk_size(self.fp.readline(MAX_LINE_BYTES)) or None
+        self.chunk_left = parse_chunk_size(self.fp.readline(MAX_LINE_BYTES + 1)) or None
         if self.chunk_left is None:
-            self._read_and_discard_trailer()
+            read_fields(self.fp.readline)
             self._close_conn()
         return self.chunk_left
 
--- a/src/magnoliasill/sidecar/http_exchange.py
+++ b/src/magnoliasill/sidecar/http_exchange.py
@@ -33,7 +33,7 @@
     wait_readable,
 )
 from ..calls.line_reader import LineReader
-from ..calls.responses import CheckedResponse, ResponseReader
+from ..calls.responses import CheckedResponse
 from ..calls.status_line import is_continue, read_final_status
 from ..codes import ErrorCode
 from ..errors import MagnoliasillError
@@ -42,6 +42,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+    from ..calls.status_line import StatusLine
+
 MAX_BUFFERED_RESPONSE_BYTES = 262_144  # a longer response is streamed
 READ_SIZE_BYTES = 65_536
 READS_BETWEEN_YIELDS = 16  # from a server that sends faster than is read, which would block others
@@ -164,11 +166,10 @@
     def __init__(self, sock: Any) -> None:
         self.source = _SocketReader(sock)
         self.buffer = io.BufferedReader(self.source, READ_SIZE_BYTES)
-        self._status_line = b""
+        self._status_line: StatusLine | None = None
 
     def makefile(self, mode: str) -> Any:
-        status_line, self._status_line = self._status_line, b""
-        return _UncloseableBuffer(self.buffer, status_line)
+        return _UncloseableBuffer(self.buffer)
 
     def read_continue(self) -> bool:
         """Read interim responses up to one that asks for the body; return whether there was one.
@@ -176,10 +177,15 @@
         The status line of a final response is kept for the one who reads that response.
 
         Raises:
-            HTTPException: If a status line is not valid, or the interim responses do not end.
+            HTTPException: If a head is not valid, or the interim responses do not end.
         """
         self._status_line = read_final_status(LineReader(self.buffer).readline, until=is_continue)
-        return not self._status_line
+        return self._status_line is None
+
+    def take_status_line(self) -> StatusLine | None:
+        """Return the status line that was kept, once, or None."""
+        status_line, self._status_line = self._status_line, None
+        return status_line
 
     def has_more(self) -> bool:
         """Return whether the buffer holds bytes beyond the responses that were read."""
@@ -199,6 +205,10 @@
 
     closes = False
 
+    def __init__(self, reader: _ResponseReader, **options: Any) -> None:
+        super().__init__(reader, **options)
+        self.status_line = reader.take_status_line()
+
     def begin(self) -> None:
         """Read the head and reset `will_close`.
 
@@ -208,7 +218,7 @@
         self.closes, self.will_close = self.will_close, False
 
 
-class _UncloseableBuffer(ResponseReader):
+class _UncloseableBuffer(LineReader):
     """Wraps the shared buffer so that a response can't close it."""
 
     def close(self) -> None:
--- a/tests/calls/test_responses.py
+++ b/tests/calls/test_responses.py
@@ -11,6 +11,7 @@
 from ..odd_answers import (
     BODY,
     ODD_FRAMING,
+    ODD_LINES,
     USUAL,
     USUAL_UNTIL_THE_END,
     USUAL_WITHOUT_BODY,
@@ -40,6 +41,14 @@
         self.check()
 
 
+class OddLineTest(RefusedCase):
+    scenarios = multiply(ODD_LINES)
+
+    # the own interface ended the head there; elsewhere a value with NUL or a bare CR was passed on
+    def test_it_is_no_answer(self) -> None:
+        self.check()
+
+
 class UsualAnswerTest(PortCase):
     scenarios = multiply(USUAL)
 
--- a/tests/odd_answers.py
+++ b/tests/odd_answers.py
@@ -90,6 +90,35 @@
     build_chunked(b"5", b"\r\n5\r\nhello\r\n"),
     build_chunked(last=b"00x\r\n\r\n"),
 )
+NO_FIELDS = (
+    *(
+        b"no colon",
+        b": no name",
+        b" folded: 1",
+        b"\tfolded: 1",
+        b"X-A : 1",
+        b"X-A\t: 1",
+        b" ",
+        b":",
+    ),
+    *(b"X-A: a\x00b", b"X-A: a\rb", b"X-A: 1\rContent-Length: 5", b"X-A: 1\r", b"X-A: \x00"),
+    *(b"\x00", b"\r", b"\x0b", b"HTTP/1.1 200 OK", b"\x0bfolded: 1"),
+)
+ODD_LINES = (
+    *(build_plain(line + b"\r\n" + LENGTH) for line in NO_FIELDS),
+    *(build_interim(line + b"\r\n") for line in NO_FIELDS),
+    *(build_chunked(last=b"0\r\n" + line + b"\r\n\r\n") for line in NO_FIELDS),
+    build_interim(b"Content-Length: +0\r\n"),
+    build_interim(b"Transfer-Encoding: gzip\r\n", status=b"100 Continue"),
+    build_interim(b"", end=b" \r\n"),
+    build_interim(b"", end=b"\t\n"),
+    build_interim(b"", end=b"\r\r\n"),
+    *(
+        build_plain(LENGTH, line + b"\r\n")
+        for line in (b"HTTP/1.1 200 O\x00K", b"HTTP/1.1 200 O\rK", b"HTTP/1.1 200 O\x7fK")
+    ),
+    attrs.evolve(build_interim(b""), before=b"HTTP/1.1 103 O\x00\r\n\r\n"),
+)
 USUAL = (
     build_plain(LENGTH),
     build_plain(b"content-length:31\r\n"),
@@ -99,6 +128,7 @@
     build_plain(b"!#$%&'*+-.^_`|~09azAZ: 1\r\n" + LENGTH),
     build_plain(b'X-A: caf\xe9 \x80\xff\r\nX-B: a: b, (c) "d"\r\nX-C:\r\nX-D: \t\r\n' + LENGTH),
     build_plain(b"X-A: 1\r\nX-A: 2\r\nX-B: a\tb\r\n" + LENGTH),
+    build_plain(b"X-A: a\x01\x0b\x1b\x7fb\r\n" + LENGTH),
     build_plain(LENGTH, b"HTTP/1.1 200 Caf\xe9 (a\tb)\r\n"),
     build_chunked(),
     build_chunked(b"1F"),
--- a/tests/sidecar/test_odd_answers.py
+++ b/tests/sidecar/test_odd_answers.py
@@ -1,6 +1,7 @@
 """Tests of a backend server with odd answers, through two sidecars to a caller.
 
-Guards against a caller that gets, as the server's answer, a body that was not the server's.
+Guards against a caller that gets, as the server's answer, a body that was not the server's or a
+line that is no field.
 """
 
 from __future__ import annotations
@@ -8,7 +9,7 @@
 import testtools
 from testscenarios import WithScenarios
 
-from ..odd_answers import BODY, ODD_FRAMING, USUAL, Answer, name_answers
+from ..odd_answers import BODY, ODD_FRAMING, ODD_LINES, USUAL, Answer, name_answers
 from . import fleet as harness
 from .fleet import SIGNATURE, build_rule, open_fleet, put_configuration
 
@@ -41,7 +42,7 @@
 
 
 class OddAnswerTest(WithScenarios, AnswerCase):
-    scenarios = name_answers(ODD_FRAMING)
+    scenarios = name_answers((*ODD_FRAMING, *ODD_LINES))
 
     # 30 of 41 such answers were passed on, with the server's signature
     def test_its_outcome_is_unknown_and_the_next_one_is_true(self) -> None:
@@ -76,6 +77,8 @@
         for line, named in (
             (b"Content-Length: +31", "'+31'"),
             (b"Transfer-Encoding: gzip", "'gzip'"),
+            (b"X-A: a\x00b", r"X-A: a\\x00b"),
+            (b"no colon" + b"x" * 1000, "no colon" + "x" * 72 + "'"),
         )
     ]
 
--- a/tests/test_processes_odd_answers.py
+++ b/tests/test_processes_odd_answers.py
@@ -1,6 +1,6 @@
 """Tests of a daemon of the own interface, as it is started, beside a server with odd answers.
 
-Guards against heads that are read otherwise there than in the process of a sidecar.
+Guards against heads that only the parser of a sidecar's process refuses.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
     wait_until,
 )
 
-from .odd_answers import BODY, USUAL, build_plain, name_answers
+from .odd_answers import BODY, LENGTH, USUAL, build_plain, name_answers
 
 TIMEOUT_S = 60.0
 PATH = "/enrolments"  # runs once at most
@@ -64,7 +64,12 @@
 
 
 class OwnInterfaceTest(WithScenarios, testtools.TestCase):
-    scenarios = name_answers((build_plain(b"Content-Length: +31\r\n"),))
+    scenarios = name_answers(
+        (
+            build_plain(b"Content-Length: +31\r\n"),
+            build_plain(LENGTH + b"no colon\r\n"),
+        )
+    )
 
     def setUp(self) -> None:
         super().setUp()
@@ -88,7 +93,7 @@
         url, headers = f"http://{self.daemon.caller}{PATH}", {"Idempotency-Key": key}
         return urllib3.request("POST", url, headers=headers, body=b"", retries=False, timeout=10)
 
-    # it was taken, and `+5` cut the body
+    # the head ended at the line without a colon, and the other lines were taken
     def test_an_odd_answer_is_none(self) -> None:
         response = self.call(USUAL[0].encode(), "usual")
         self.assertEqual((200, BODY), (response.status, response.data))
