Refuse answers with a field whose name is no token

With `Content Length`, `Content\x08-Length` or `Transfer-\0Encoding` the body became what came until the end of the connection, chunk sizes in it too. Cause: a name was only checked for blanks at its ends. Change: a name is a token (RFC 9110, 5.1 and 5.6.2), in heads, interim responses and trailers, and in extensions of chunks.

--- a/src/magnoliasill/calls/body_framing.py
+++ b/src/magnoliasill/calls/body_framing.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from .head_fields import TOKEN
 from .malformed import MalformedResponseError
 
 if TYPE_CHECKING:
@@ -16,10 +17,9 @@
 CHUNKED = "chunked"
 HTTP_1_0 = 10  # as the standard library encodes versions
 _LENGTH = re.compile(r"[0-9]{1,18}")  # fits into a signed 64-bit integer
-_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
-_QUOTED_STRING = rb'"(?:[\t\x20\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*"'
-_EXTENSION = rb"[ \t]*;[ \t]*%b(?:[ \t]*=[ \t]*(?:%b|%b))?" % (_TOKEN, _TOKEN, _QUOTED_STRING)
-_CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})(?:%b)*\r\n" % _EXTENSION)
+_QUOTED_STRING = r'"(?:[\t\x20\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*"'
+_EXTENSION = rf"[ \t]*;[ \t]*{TOKEN}(?:[ \t]*=[ \t]*(?:{TOKEN}|{_QUOTED_STRING}))?"
+_CHUNK_SIZE_LINE = re.compile(rf"([0-9A-Fa-f]{{1,16}})(?:{_EXTENSION})*\r\n")
 
 
 @attrs.frozen
@@ -84,7 +84,7 @@
     Raises:
         MalformedResponseError: If the line is not valid.
     """
-    match = _CHUNK_SIZE_LINE.fullmatch(line)
+    match = _CHUNK_SIZE_LINE.fullmatch(line.decode("iso-8859-1"))
     if match is None:
         raise MalformedResponseError("malformed chunk size", line)
     return int(match[1], 16)
--- a/src/magnoliasill/calls/head_fields.py
+++ b/src/magnoliasill/calls/head_fields.py
@@ -15,14 +15,15 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
+TOKEN = r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 # The same limits as in `http.client`.
 MAX_LINE_BYTES = 65_536
 MAX_FIELDS = 100
 MAX_HEAD_BYTES = 65_536  # of all lines, as the library's HTTP server allows
 _END_OF_FIELDS = (b"\r\n", b"\n")
-# RFC 9110, section 5.5, and RFC 9112, section 5, without line folding. A line may end in a bare LF.
+# RFC 9110, section 5, and RFC 9112, section 5, without line folding. A line may end in a bare LF.
 # Values keep control characters other than NUL and CR: a caller's identifier comes back in one.
-_FIELD_LINE = re.compile(r"([^\s:](?:[^:]*[^\s:])?):([^\x00\r\n]*)\r?\n")
+_FIELD_LINE = re.compile(rf"({TOKEN}):([^\x00\r\n]*)\r?\n")
 
 
 def read_field_lines(read_line: Callable[[int], bytes]) -> Iterator[bytes]:
--- a/tests/calls/test_responses.py
+++ b/tests/calls/test_responses.py
@@ -12,6 +12,7 @@
     BODY,
     ODD_FRAMING,
     ODD_LINES,
+    ODD_NAMES,
     USUAL,
     USUAL_UNTIL_THE_END,
     USUAL_WITHOUT_BODY,
@@ -49,6 +50,14 @@
         self.check()
 
 
+class OddNameTest(RefusedCase):
+    scenarios = multiply(ODD_NAMES)
+
+    # the line was passed on, and `Content Length` made the body what came until the end
+    def test_it_is_no_answer(self) -> None:
+        self.check()
+
+
 class UsualAnswerTest(PortCase):
     scenarios = multiply(USUAL)
 
--- a/tests/odd_answers.py
+++ b/tests/odd_answers.py
@@ -119,6 +119,19 @@
     ),
     attrs.evolve(build_interim(b""), before=b"HTTP/1.1 103 O\x00\r\n\r\n"),
 )
+ODD_NAMES = (
+    *(
+        build_plain(b"X" + character.to_bytes() + b"A: 1\r\n" + LENGTH)
+        for character in (*b'\x00\t\x07\r\x1f "(),/;<=>?@[\\]{}\x7f', 0xA0, 0xE9)
+    ),
+    *(
+        build_plain(name + b": 31\r\n")
+        for name in (b"Content Length", b"Content\x08-Length", b"\xa0Content-Length")
+    ),
+    Answer(build_chunked().rest.replace(b"Transfer-", b"Transfer-\x00")),
+    build_interim(b"X A: 1\r\n"),
+    build_chunked(last=b"0\r\nX(A): 1\r\n\r\n"),
+)
 USUAL = (
     build_plain(LENGTH),
     build_plain(b"content-length:31\r\n"),
--- a/tests/sidecar/test_odd_answers.py
+++ b/tests/sidecar/test_odd_answers.py
@@ -9,7 +9,7 @@
 import testtools
 from testscenarios import WithScenarios
 
-from ..odd_answers import BODY, ODD_FRAMING, ODD_LINES, USUAL, Answer, name_answers
+from ..odd_answers import BODY, ODD_FRAMING, ODD_LINES, ODD_NAMES, USUAL, Answer, name_answers
 from . import fleet as harness
 from .fleet import SIGNATURE, build_rule, open_fleet, put_configuration
 
@@ -42,7 +42,7 @@
 
 
 class OddAnswerTest(WithScenarios, AnswerCase):
-    scenarios = name_answers((*ODD_FRAMING, *ODD_LINES))
+    scenarios = name_answers((*ODD_FRAMING, *ODD_LINES, *ODD_NAMES))
 
     # 30 of 41 such answers were passed on, with the server's signature
     def test_its_outcome_is_unknown_and_the_next_one_is_true(self) -> None:
@@ -78,6 +78,7 @@
             (b"Content-Length: +31", "'+31'"),
             (b"Transfer-Encoding: gzip", "'gzip'"),
             (b"X-A: a\x00b", r"X-A: a\\x00b"),
+            (b"X A: 1", "X A: 1"),
             (b"no colon" + b"x" * 1000, "no colon" + "x" * 72 + "'"),
         )
     ]
--- a/tests/test_processes_odd_answers.py
+++ b/tests/test_processes_odd_answers.py
@@ -68,6 +68,7 @@
         (
             build_plain(b"Content-Length: +31\r\n"),
             build_plain(LENGTH + b"no colon\r\n"),
+            build_plain(b"X(A): 1\r\n" + LENGTH),
         )
     )
 
