Take a refused answer before the body was asked for as an unknown outcome

What callers saw: nothing that was reported. A request whose body a gate has to ask for, and that runs once at most, was sent to the next gate where the first one's answer was refused, status 000 included. That answer may have told that the request had been taken before (`taken_before`): then it would run twice. Cause: whatever went wrong before the body was asked for counted as not run. Change: a refused answer has an unknown outcome there, too; an end of the connection still leaves the upload whole for another gate. The attempt counts against no server as one that ended with the request, since it never got the body. Evidence: OddGateTest has two gates that answer so; on the commit before, the request is sent to both and the caller gets 503, now to one and 502. UnsentBodyTest fails in 3 of 6 cases on the commit before.

--- a/src/magnoliasill/sidecar/forwarding.py
+++ b/src/magnoliasill/sidecar/forwarding.py
@@ -50,7 +50,15 @@
 from .crash_reports import apply_records
 from .evacuations import record_evacuated
 from .gate_port import handle_gate_request
-from .http_exchange import BETWEEN_VMS_TIMEOUTS, BrokenError, Message, NotSentError, Reply, exchange
+from .http_exchange import (
+    BETWEEN_VMS_TIMEOUTS,
+    BrokenError,
+    Message,
+    NotSentError,
+    Reply,
+    UnsentBodyError,
+    exchange,
+)
 from .link_use import count_received, count_sent
 from .placements import PlacedRequest, Search, build_placement, widen_search, will_be_late
 from .state import do_nothing, find_request_wait_left
@@ -140,12 +148,14 @@
         reason: Why there is no response, or an empty string.
         reply: The backend server's response, or None.
         report: The gate's report, or None if none was received.
+        body_unsent: Whether the gate did not get the body, so that no server ended by this attempt.
     """
 
     outcome: AttemptOutcome
     reason: str = ""
     reply: Reply | None = None
     report: GateReport | None = None
+    body_unsent: bool = False
 
 
 @attrs.define
@@ -385,7 +395,7 @@
     sidecar: Sidecar, guarded: GuardedRequest, member: Member, result: AttemptResult
 ) -> None:
     report = result.report
-    if report is None and result.outcome is AttemptOutcome.UNKNOWN:
+    if report is None and result.outcome is AttemptOutcome.UNKNOWN and not result.body_unsent:
         record_lost_hop(sidecar, guarded, member)
     elif report is not None and report.crashes is not None:
         apply_records(sidecar, [report.crashes])
@@ -419,7 +429,9 @@
     except NotSentError as error:
         return AttemptResult(AttemptOutcome.UNREACHED, error.message)
     except BrokenError as error:
-        return AttemptResult(AttemptOutcome.UNKNOWN, f"{type(error).__name__}: {error.message}")
+        reason = f"{type(error).__name__}: {error.message}"
+        body_unsent = isinstance(error, UnsentBodyError)
+        return AttemptResult(AttemptOutcome.UNKNOWN, reason, body_unsent=body_unsent)
     count_received(sidecar, "answers", len(reply.body))
     report_values = [
         value for name, value in reply.headers if name.lower() == REPORT_HEADER.lower()
--- a/src/magnoliasill/sidecar/http_exchange.py
+++ b/src/magnoliasill/sidecar/http_exchange.py
@@ -33,6 +33,7 @@
     wait_readable,
 )
 from ..calls.line_reader import LineReader
+from ..calls.malformed import MalformedResponseError
 from ..calls.responses import CheckedResponse
 from ..calls.status_line import is_continue, read_final_status
 from ..codes import ErrorCode
@@ -69,6 +70,13 @@
     """Raised when no response arrived in time."""
 
 
+class UnsentBodyError(BrokenError):
+    """Raised when a response that is not valid arrived before the body was asked for.
+
+    The body was not sent, but the response may have told that the request ran before.
+    """
+
+
 class Match(Enum):
     """How a response relates to the request that waits for one.
 
@@ -303,6 +311,8 @@
         if connection.idle_since is not None:
             drop_older_connections(pool, address, connection.idle_since)
         if _is_body_unsent(message):
+            if isinstance(error, MalformedResponseError):
+                raise UnsentBodyError(ErrorCode.OUTCOME_UNKNOWN, repr(error)) from error
             raise NotSentError(ErrorCode.NOT_RUN, repr(error)) from error
         raise BrokenError(ErrorCode.OUTCOME_UNKNOWN, repr(error)) from error
     except BaseException:
--- a/tests/sidecar/test_odd_answers.py
+++ b/tests/sidecar/test_odd_answers.py
@@ -6,9 +6,20 @@
 
 from __future__ import annotations
 
+import io
+from time import monotonic
+from typing import Any
+from unittest import mock
+
 import testtools
 from testscenarios import WithScenarios
 
+from magnoliasill.calls.connections import ConnectionPool
+from magnoliasill.sidecar import forwarding
+from magnoliasill.sidecar.bodies import LongBody
+from magnoliasill.sidecar.http_exchange import BrokenError, Message, NotSentError, exchange
+
+from ..calls.answer_ports import serve_answer
 from ..odd_answers import BODY, ODD_FRAMING, ODD_LINES, ODD_NAMES, USUAL, Answer, name_answers
 from . import fleet as harness
 from .fleet import SIGNATURE, build_rule, open_fleet, put_configuration
@@ -94,3 +105,49 @@
         self.assertEqual(2, len(reasons))
         for reason in reasons:
             self.assertIn(self.named, reason)
+
+
+class UnsentBodyTest(WithScenarios, testtools.TestCase):
+    """A gate that answers oddly, perhaps that the request ran before, and asks for no body."""
+
+    scenarios = name_answers((ODD_FRAMING[0], ODD_LINES[0], ODD_NAMES[0]))
+
+    def send(self, answer: bytes) -> None:
+        body = LongBody(b"x" * 10, io.BytesIO(b"y" * 10), 20, 100)
+        message = Message("POST", "/x", [("Host", "x")], body, expects_continue=True)
+        exchange(ConnectionPool(), serve_answer(answer), message, monotonic() + 5.0, False)
+
+    # it was taken for not run
+    def test_the_outcome_is_unknown(self) -> None:
+        self.assertRaises(BrokenError, self.send, self.answer.encode())
+
+    def test_nothing_ran_if_the_connection_just_ended(self) -> None:
+        self.assertRaises(NotSentError, self.send, b"HTTP/1.1 502 Odd\r\n")
+
+
+class OddGateTest(testtools.TestCase):
+    """A caller whose request has two gates to go to, of which each answers in such a way."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = open_fleet(["shop", "shop", "web"])
+        self.addCleanup(harness.close_fleet, self.fleet)
+        put_configuration(self.fleet, 5, build_rule("shop", kind="non_idempotent"))
+        harness.wait_ready(self.fleet)
+
+    # it was sent to the next gate
+    def test_the_request_is_not_sent_again(self) -> None:
+        address, attempts = serve_answer(ODD_LINES[0].encode()), []
+
+        def exchange_oddly(pool: ConnectionPool, gate: str, *args: Any, **options: Any) -> Any:
+            attempts.append(gate)
+            return exchange(pool, address, *args, **options)
+
+        with (
+            mock.patch.object(forwarding, "exchange", exchange_oddly),
+            mock.patch.object(forwarding, "_is_asked_for", lambda body, member: True),
+        ):
+            status, _, _ = harness.send(self.fleet, 2, "/shop/x", "a-1", "POST", b"abc")
+        self.assertEqual((502, 1), (status, len(attempts)))
+        events = [event["event"] for event in self.fleet.events]
+        self.assertNotIn("request_suspected", events)
