--- a/tests/calls/answer_ports.py
+++ b/tests/calls/answer_ports.py
@@ -16,13 +16,14 @@
 from magnoliasill.calls.connections import ConnectionPool
 from magnoliasill.calls.exchange import exchange_call
 from magnoliasill.core.outcomes import OutcomeKind
-from magnoliasill.errors import StoreError
+from magnoliasill.errors import AdministrationError, StoreError
 from magnoliasill.platform.store import connect_client
 from magnoliasill.sidecar.bodies import LongBody
 from magnoliasill.sidecar.header_parser import parse_head
 from magnoliasill.sidecar.http_exchange import BrokenError, Message, NotSentError, exchange
 from magnoliasill.sidecar.member_requests import request_from_member
 from magnoliasill.sidecar.metrics import Meters
+from magnoliasill.tool.client import read_daemon
 
 from ..http_helpers import read_request, serve_bytes
 from ..odd_answers import BODY
@@ -95,6 +96,15 @@
     return result.response.status, result.response.body
 
 
+def ask_daemon(address: str) -> tuple[int, bytes] | None:
+    """Return the same for what a daemon answers to the operators' tool."""
+    try:
+        report = read_daemon(address, "/v1/state", dict)
+    except AdministrationError:
+        return None
+    return (200, BODY) if report["store_revision"] == 7 else None
+
+
 class PortCase(WithScenarios, testtools.TestCase):
     """A port that reads answers, in a process as its daemon starts it.
 
@@ -106,6 +116,7 @@
         for ask, parse in (
             *((ask, parse_head) for ask in (ask_server, ask_for_body, ask_member, ask_store)),
             (ask_own_interface, http.client.parse_headers),
+            (ask_daemon, http.client.parse_headers),
         )
     ]
     ask: Callable[[str], tuple[int, bytes] | None]
