Name the module of response errors plainly, and test answers to HEAD

Reading the diff as a newcomer: constants for the two versions of HTTP, a reason why a 204 may end its connection, and the message of a chunk that no CR LF follows.

--- a/src/magnoliasill/calls/body_framing.py
+++ b/src/magnoliasill/calls/body_framing.py
@@ -9,13 +9,13 @@
 import attrs
 
 from .head_fields import TOKEN
-from .malformed import MalformedResponseError
+from .response_errors import MalformedResponseError
 
 if TYPE_CHECKING:
     from http.client import HTTPMessage
 
 CHUNKED = "chunked"
-HTTP_1_0 = 10  # as the standard library encodes versions
+HTTP_1_0, HTTP_1_1 = 10, 11  # as the standard library encodes versions
 _LENGTH = re.compile(r"[0-9]{1,18}")  # fits into a signed 64-bit integer
 _QUOTED_STRING = r'"(?:[\t\x20\x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*"'
 _EXTENSION = rf"[ \t]*;[ \t]*{TOKEN}(?:[ \t]*=[ \t]*(?:{TOKEN}|{_QUOTED_STRING}))?"
@@ -41,7 +41,7 @@
     """Return how the end of a response's body is found.
 
     Args:
-        version: The version of HTTP, as the standard library encodes it.
+        version: `HTTP_1_0` or `HTTP_1_1`.
         status: The status of the response.
         method: The method of the request, or None.
         fields: The fields of the head.
@@ -51,8 +51,8 @@
     """
     chunked, length = read_framing_fields(version, fields)
     if status == HTTPStatus.NO_CONTENT:
-        is_body_announced = chunked or bool(length)  # one that may follow, though it must not
-        return BodyFraming(False, 0, closes=is_body_announced)
+        may_be_followed = chunked or bool(length)  # by a body that the status does not allow
+        return BodyFraming(False, 0, closes=may_be_followed)
     if method == "HEAD" or status == HTTPStatus.NOT_MODIFIED:
         return BodyFraming(False, 0, closes=False)
     return BodyFraming(chunked, length, closes=not chunked and length is None)
--- a/src/magnoliasill/calls/head_fields.py
+++ b/src/magnoliasill/calls/head_fields.py
@@ -10,7 +10,7 @@
 from http.client import HTTPException, HTTPMessage, LineTooLong
 from typing import TYPE_CHECKING
 
-from .malformed import MalformedResponseError
+from .response_errors import MalformedResponseError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/src/magnoliasill/calls/malformed.py
+++ b/src/magnoliasill/calls/response_errors.py
@@ -1,4 +1,4 @@
-"""The error for a response that is not valid HTTP."""
+"""Errors of HTTP responses."""
 
 from __future__ import annotations
 
--- a/src/magnoliasill/calls/responses.py
+++ b/src/magnoliasill/calls/responses.py
@@ -1,4 +1,4 @@
-"""Reads HTTP responses strictly, for every port that gets some.
+"""Reads HTTP responses strictly, for all ports that receive them.
 
 The standard library guesses where a response is not valid: it reads numbers as Python does, ignores
 lines that are no field, and does not look at the ends of chunks.
@@ -15,7 +15,7 @@
 from .body_framing import find_framing, parse_chunk_size
 from .head_fields import MAX_LINE_BYTES, read_fields
 from .line_reader import LineReader
-from .malformed import MalformedResponseError
+from .response_errors import MalformedResponseError
 from .status_line import StatusLine, read_final_status
 
 _CHUNK_END = b"\r\n"
@@ -74,7 +74,7 @@
     def _read_chunk_end(self) -> None:
         end = self._safe_read(len(_CHUNK_END))
         if end != _CHUNK_END:
-            raise MalformedResponseError("a chunk is longer than its size", end)
+            raise MalformedResponseError("a chunk is not followed by CR LF", end)
 
 
 class CheckedConnection(HTTPConnection):
--- a/src/magnoliasill/calls/status_line.py
+++ b/src/magnoliasill/calls/status_line.py
@@ -13,9 +13,9 @@
 
 import attrs
 
-from .body_framing import read_framing_fields
+from .body_framing import HTTP_1_0, HTTP_1_1, read_framing_fields
 from .head_fields import MAX_LINE_BYTES, read_fields
-from .malformed import MalformedResponseError
+from .response_errors import MalformedResponseError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,7 +31,7 @@
     """A valid status line.
 
     Attributes:
-        version: The version of HTTP, as the standard library encodes it: 10, or 11 for later ones.
+        version: The version of HTTP: `HTTP_1_0`, or `HTTP_1_1` for later ones.
         status: The status.
         reason: The reason phrase, or an empty string.
     """
@@ -82,7 +82,7 @@
     match = _STATUS_LINE.fullmatch(line.decode("iso-8859-1"))
     if match is None or int(match[2]) == HTTPStatus.SWITCHING_PROTOCOLS:
         raise MalformedResponseError("malformed status line", line)
-    version = 10 if match[1] == "0" else 11
+    version = HTTP_1_0 if match[1] == "0" else HTTP_1_1
     return StatusLine(version, int(match[2]), (match[3] or "").strip())
 
 
--- a/src/magnoliasill/sidecar/http_exchange.py
+++ b/src/magnoliasill/sidecar/http_exchange.py
@@ -33,7 +33,7 @@
     wait_readable,
 )
 from ..calls.line_reader import LineReader
-from ..calls.malformed import MalformedResponseError
+from ..calls.response_errors import MalformedResponseError
 from ..calls.responses import CheckedResponse
 from ..calls.status_line import is_continue, read_final_status
 from ..codes import ErrorCode
--- a/tests/calls/test_responses.py
+++ b/tests/calls/test_responses.py
@@ -6,7 +6,13 @@
 
 from __future__ import annotations
 
-from testscenarios import multiply_scenarios
+from time import monotonic
+
+import testtools
+from testscenarios import WithScenarios, multiply_scenarios
+
+from magnoliasill.calls.connections import ConnectionPool
+from magnoliasill.sidecar.http_exchange import Message, exchange
 
 from ..odd_answers import (
     BODY,
@@ -17,9 +23,10 @@
     USUAL_UNTIL_THE_END,
     USUAL_WITHOUT_BODY,
     Answer,
+    build_chunked,
     name_answers,
 )
-from .answer_ports import PortCase, ask_own_interface, ask_server, serve_answer
+from .answer_ports import TIMEOUT_S, PortCase, ask_own_interface, ask_server, serve_answer
 
 
 def multiply(answers: tuple[Answer, ...]) -> list[tuple[str, dict[str, object]]]:
@@ -73,6 +80,16 @@
         self.assertEqual(expected, self.ask(serve_answer(self.answer.encode())))
 
 
+class HeadTest(WithScenarios, testtools.TestCase):
+    scenarios = name_answers((USUAL[0], USUAL_UNTIL_THE_END[0], build_chunked()))
+
+    def test_it_has_no_body(self) -> None:
+        address = serve_answer(self.answer.encode().removesuffix(BODY))
+        message = Message("HEAD", "/x", [("Host", "x")], None)
+        reply = exchange(ConnectionPool(), address, message, monotonic() + TIMEOUT_S, False)
+        self.assertEqual((200, b"", None), (reply.status, reply.body, reply.remaining_chunks))
+
+
 class WithoutBodyTest(PortCase):
     scenarios = [
         scenario
--- a/tests/sidecar/test_odd_answers.py
+++ b/tests/sidecar/test_odd_answers.py
@@ -55,7 +55,7 @@
 class OddAnswerTest(WithScenarios, AnswerCase):
     scenarios = name_answers((*ODD_FRAMING, *ODD_LINES, *ODD_NAMES))
 
-    # 30 of 41 such answers were passed on, with the server's signature
+    # 119 of these answers were passed on, with the server's signature
     def test_its_outcome_is_unknown_and_the_next_one_is_true(self) -> None:
         status, headers, _ = self.call(self.answer)
         self.assertEqual(502, status)
