--- a/review/13/case.py
+++ b/review/13/case.py
@@ -10,7 +10,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins3 import (  # noqa: E402
+from standins3 import (
     Deployment,
     Record,
     Request,
