--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,10 +1,11 @@
-"""All VMs lose power, those of one service a second before the rest; do its callers get served?
+"""All sidecars are killed, those of one service a second before the rest; are its callers served?
 
-The callers send a few equal idempotent requests, as for the pages that everybody opens.
+The callers send equal idempotent requests, as for a page that everybody opens.
 """
 
 from __future__ import annotations
 
+import subprocess
 import sys
 import threading
 import time
@@ -24,46 +25,45 @@
 )
 
 SHOP_VMS, FRONT_VMS = (1, 2, 3), (4, 5)  # in two zones
-PATHS = ["/shop-idempotent/home", "/shop-idempotent/news"]
+ALL_VMS = (*SHOP_VMS, *FRONT_VMS)
+PATH = "/shop-idempotent/home"
 CALLERS_PER_VM = 12
 WORK_S = 0.15
 CALM_S = 6.0
-POWER_LOSS_SPREAD_S = 1.0
-DOWN_S = 1.5  # as in the closing faults of the site file
+RESTART_DELAY_S = 0.5
+FAULT_GAP_S = 1.0  # between the two faults
+DOWN_S = 0.65  # as in the closing fault `kill_all` of the site file
 OBSERVED_S = 8.0  # after the time for the recovery
 DEADLINE_MS = 2000
 REFUSED_PAUSE_S = 0.25
 
 
-def lose_power(deployment: Deployment, servers: dict[int, Upstream], vms: tuple[int, ...]) -> None:
-    """End the processes of VMs, sidecars and backend servers, at the same moment."""
-    for vm in vms:
-        deployment.processes[f"sidecar-{vm}"].kill()
-    for vm in vms:
-        servers[vm].end()
+def kill_sidecars(deployment: Deployment, vms: tuple[int, ...]) -> None:
+    """Kill the sidecars of VMs at the same moment; the backend servers run on."""
+    processes = [deployment.processes[f"sidecar-{vm}"] for vm in vms]
+    subprocess.run(["kill", "-KILL", *(str(found.pid) for found in processes)], check=True)
     for vm in vms:
         deployment.processes.pop(f"sidecar-{vm}").wait()
-    deployment.record.write("power_lost", vms=vms)
+    deployment.record.write("sidecars_killed", vms=vms)
 
 
-def start_vms(
-    deployment: Deployment, servers: dict[int, Upstream], vms: tuple[int, ...], start: int
-) -> None:
-    """Start VMs; each backend server is a new incarnation."""
+def start_sidecars(deployment: Deployment, vms: tuple[int, ...]) -> None:
+    """Start the sidecars of VMs."""
     for vm in vms:
-        service = "shop" if vm in SHOP_VMS else "front"
-        deployment.start_sidecar(vm, service, "zone-b" if vm in SHOP_VMS else "zone-a")
-        servers[vm] = Upstream(deployment.record, deployment.ip(vm), service, f"i-{vm}-{start}")
-        servers[vm].work_s = WORK_S
+        service, zone = ("shop", "zone-b") if vm in SHOP_VMS else ("front", "zone-a")
+        deployment.start_sidecar(vm, service, zone)
 
 
 def run(deployment: Deployment, record: Record, trouble: bool) -> bool:
     """Run the case; return whether the rule held."""
     rules = [build_rule("shop", "idempotent"), build_rule("front", "idempotent")]
     deployment.put_configuration(7, rules, ["front", "shop"])
-    servers: dict[int, Upstream] = {}
-    start_vms(deployment, servers, (*SHOP_VMS, *FRONT_VMS), 1)
-    for vm in (*SHOP_VMS, *FRONT_VMS):
+    start_sidecars(deployment, ALL_VMS)
+    for vm in ALL_VMS:
+        service = "shop" if vm in SHOP_VMS else "front"
+        server = Upstream(record, deployment.ip(vm), service, f"i-{vm}")
+        server.work_s = WORK_S
+    for vm in ALL_VMS:
         wait_until(lambda vm=vm: deployment.is_ready(vm), 20.0, f"sidecar {vm} is not ready")
     time.sleep(2.5)
     stopped, answers = threading.Event(), []
@@ -73,9 +73,8 @@
         while not stopped.is_set():
             number += 1
             sent_at = time.monotonic() - record.began
-            path = PATHS[(caller + number) % len(PATHS)]
             identifier = f"{vm}.{caller}.{number:05d}"
-            status = deployment.call(vm, "GET", path, identifier, DEADLINE_MS)
+            status = deployment.call(vm, "GET", PATH, identifier, DEADLINE_MS)
             answers.append((sent_at, status))
             time.sleep(0.02 if status == 200 else REFUSED_PAUSE_S)
 
@@ -83,15 +82,17 @@
         for caller in range(CALLERS_PER_VM):
             threading.Thread(target=send_requests, args=(vm, caller), daemon=True).start()
     time.sleep(CALM_S)
+    if trouble:
+        kill_sidecars(deployment, SHOP_VMS)
+        time.sleep(RESTART_DELAY_S)
+        start_sidecars(deployment, SHOP_VMS)
+        time.sleep(FAULT_GAP_S - RESTART_DELAY_S)
     deployment.put_configuration(8, rules, ["front", "shop"])
-    record.write("configuration_acknowledged", version="r8")
-    fault_at = time.monotonic() - record.began
+    fault_at = record.write("configuration_acknowledged", version="r8")
     if trouble:
-        lose_power(deployment, servers, SHOP_VMS)
-        time.sleep(POWER_LOSS_SPREAD_S)
-        lose_power(deployment, servers, FRONT_VMS)
+        kill_sidecars(deployment, ALL_VMS)
         time.sleep(DOWN_S)
-        start_vms(deployment, servers, (*SHOP_VMS, *FRONT_VMS), 2)
+        start_sidecars(deployment, ALL_VMS)
     back_at = record.write("machines_back")
     time.sleep(BOUNDS["recovery_s"] + OBSERVED_S)
     stopped.set()
@@ -100,7 +101,7 @@
     later = Counter(status for at, status in answers if at > back_at + BOUNDS["recovery_s"])
     record.write("before_the_fault", sent=before.total(), by_status=dict(before))
     record.write("after_recovery", sent=later.total(), by_status=dict(later))
-    for vm in FRONT_VMS + SHOP_VMS:
+    for vm in ALL_VMS:
         blocks = [
             line for line in deployment.read_log(vm).splitlines() if "request_blocked" in line
         ]
--- a/review/standins3.py
+++ b/review/standins3.py
@@ -585,6 +585,7 @@
     record = Record(Path(script).resolve().parent / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     status, deployment = 2, None
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(status))  # ends the processes as well
     try:
         deployment = Deployment(record)
         status = 0 if case(deployment, record, trouble) else 1
